--- /dev/null
+++ b/src/adapters/configuration_watcher.h
@@ -0,0 +1,46 @@
+/// Keeps a process's configuration up to date from the object API: one listing, then one
+/// waiting watch, with back-off while the API is down or refuses.
+#pragma once
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "common/event_loop.h"
+#include "configuration/object_store.h"
+
+namespace pumicemast {
+
+class ConfigurationWatcher {
+ public:
+  struct Callbacks {
+    std::function<void(std::uint64_t revision, const std::vector<StoredObject>&)> on_listing;
+    std::function<void(std::uint64_t revision, const std::vector<StoredObject>&)> on_events;
+    /// The API began (true) or ceased (false) to answer.
+    std::function<void(bool reachable)> on_reachability;
+  };
+
+  ConfigurationWatcher(ObjectStore& store, std::vector<std::string> kinds, Callbacks callbacks,
+                       std::uint64_t seed);
+  void start();
+  bool reachable() const { return reachable_; }
+
+ private:
+  void list();
+  void watch();
+  void retry_later();
+  void note_reachable(bool reachable);
+
+  ObjectStore& store_;
+  std::vector<std::string> kinds_;
+  Callbacks callbacks_;
+  std::minstd_rand random_;
+  Timer timer_;
+  std::uint64_t revision_ = 0;
+  bool listed_ = false;
+  bool reachable_ = false;
+  std::uint32_t failures_ = 0;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/agent/peer_links.cpp
@@ -0,0 +1,143 @@
+#include "agent/peer_links.h"
+
+#include "common/hash.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kConnectTimeout = seconds(3);
+
+}  // namespace
+
+PeerLinks::PeerLinks(std::string machine, Metrics& metrics, Callbacks callbacks)
+    : machine_(std::move(machine)), metrics_(metrics), callbacks_(std::move(callbacks)) {}
+
+leaf::result<void> PeerLinks::listen(const Address& address) {
+  BOOST_LEAF_ASSIGN(listener_,
+                    WireListener::listen(address, [this](std::unique_ptr<WireConnection> incoming) {
+                      on_incoming(std::move(incoming));
+                    }));
+  return {};
+}
+
+std::size_t PeerLinks::queued_bytes(PeerId peer) const {
+  const auto found = links_.find(peer);
+  if (found == links_.end() || !found->second.connection) return 0;
+  return found->second.connection->queued_bytes();
+}
+
+void PeerLinks::set_reading(bool reading) {
+  reading_ = reading;
+  for (auto& [peer, link] : links_) {
+    if (link.connection) link.connection->set_reading(reading);
+  }
+  for (auto& [pointer, connection] : extra_) connection->set_reading(reading);
+}
+
+PeerLinks::Link* PeerLinks::ensure_link(PeerId peer) {
+  const auto found = links_.find(peer);
+  if (found != links_.end()) return &found->second;
+  const auto address = addresses_.find(peer);
+  if (address == addresses_.end()) return nullptr;
+  Link& link = links_[peer];
+  connect_wire(address->second, kConnectTimeout,
+               [this, peer](std::unique_ptr<WireConnection> connection) {
+                 on_connected(peer, std::move(connection));
+               });
+  return &link;
+}
+
+void PeerLinks::on_connected(PeerId peer, std::unique_ptr<WireConnection> connection) {
+  const auto found = links_.find(peer);
+  if (found == links_.end()) return;
+  if (!connection) {
+    metrics_.count("pumicemast_agent_peer_connect_failures_total");
+    if (found->second.connection) return;  // The peer connected to us meanwhile.
+    links_.erase(found);
+    callbacks_.on_lost(peer);
+    return;
+  }
+  wire::PeerHelloT hello;
+  hello.machine = machine_;
+  connection->send(hello);
+  adopt(peer, std::move(connection));
+}
+
+void PeerLinks::attach(PeerId peer, WireConnection& connection) {
+  const WireConnection* pointer = &connection;
+  connection.start(
+      {[this, peer](const wire::Frame& frame) { callbacks_.on_frame(peer, frame); },
+       [this, peer, pointer](const std::string& reason) { on_closed(peer, pointer, reason); },
+       [this, peer] { callbacks_.on_drained(peer); }});
+  if (!reading_) connection.set_reading(false);
+}
+
+void PeerLinks::adopt(PeerId peer, std::unique_ptr<WireConnection> connection) {
+  Link& link = links_[peer];
+  if (link.connection) {
+    // Both sides connected at once. The second is read, but not written to.
+    WireConnection* second = connection.get();
+    extra_peers_[second] = peer;
+    extra_[second] = std::move(connection);
+    attach(peer, *second);
+    return;
+  }
+  link.connection = std::move(connection);
+  attach(peer, *link.connection);
+  const auto waiting = std::move(link.waiting);
+  link.waiting.clear();
+  for (const auto& send_waiting : waiting) send_waiting(*link.connection);
+}
+
+void PeerLinks::on_incoming(std::unique_ptr<WireConnection> connection) {
+  WireConnection* pointer = connection.get();
+  extra_[pointer] = std::move(connection);
+  pointer->start({[this, pointer](const wire::Frame& frame) {
+                    const auto known = extra_peers_.find(pointer);
+                    if (known != extra_peers_.end()) {
+                      callbacks_.on_frame(known->second, frame);
+                      return;
+                    }
+                    const auto* hello = frame.body_as_PeerHello();
+                    if (hello == nullptr) {
+                      pointer->close("no hello");
+                      return;
+                    }
+                    const PeerId peer = stable_hash(hello->machine()->string_view());
+                    extra_peers_[pointer] = peer;
+                    // Use it for sending too, unless a connection is there already.
+                    Link& link = links_[peer];
+                    if (link.connection) return;
+                    link.connection = std::move(extra_.at(pointer));
+                    extra_.erase(pointer);
+                    const auto waiting = std::move(link.waiting);
+                    link.waiting.clear();
+                    for (const auto& send_waiting : waiting) send_waiting(*pointer);
+                  },
+                  [this, pointer](const std::string& reason) {
+                    const auto known = extra_peers_.find(pointer);
+                    const PeerId peer = known == extra_peers_.end() ? 0 : known->second;
+                    on_closed(peer, pointer, reason);
+                  },
+                  [this, pointer] {
+                    const auto known = extra_peers_.find(pointer);
+                    if (known != extra_peers_.end()) callbacks_.on_drained(known->second);
+                  }});
+  if (!reading_) pointer->set_reading(false);
+}
+
+void PeerLinks::on_closed(PeerId peer, const WireConnection* connection,
+                          const std::string& reason) {
+  metrics_.count("pumicemast_agent_peer_closed_total");
+  if (reason == "oversize frame" || reason == "malformed frame") {
+    metrics_.count("pumicemast_agent_bad_frames_total", {{"reason", reason}});
+  }
+  extra_peers_.erase(connection);
+  extra_.erase(connection);
+  const auto found = links_.find(peer);
+  if (found == links_.end() || found->second.connection.get() != connection) return;
+  links_.erase(found);
+  callbacks_.on_lost(peer);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/agent/peer_links.h
@@ -0,0 +1,74 @@
+/// Connections to other agents, opened when first needed.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/event_loop.h"
+#include "common/metrics.h"
+#include "swarm/swarm_membership.h"
+#include "transport/wire_connection.h"
+
+namespace pumicemast {
+
+class PeerLinks {
+ public:
+  struct Callbacks {
+    std::function<void(PeerId, const wire::Frame&)> on_frame;
+    /// Every connection to the peer is gone.
+    std::function<void(PeerId)> on_lost;
+    /// All queued bytes to the peer were handed to the system.
+    std::function<void(PeerId)> on_drained;
+  };
+
+  PeerLinks(std::string machine, Metrics& metrics, Callbacks callbacks);
+
+  /// Listens for other agents.
+  leaf::result<void> listen(const Address& address);
+  /// Where to reach a peer. The latest address wins.
+  void set_address(PeerId peer, const Address& address) { addresses_[peer] = address; }
+
+  /// Sends now, or as soon as a connection is made. A peer without an address is dropped.
+  template <class Table>
+  void send(PeerId peer, const Table& message) {
+    Link* link = ensure_link(peer);
+    if (link == nullptr) return;
+    if (link->connection) {
+      link->connection->send(message);
+    } else {
+      link->waiting.push_back([message](WireConnection& connection) { connection.send(message); });
+    }
+  }
+  std::size_t queued_bytes(PeerId peer) const;
+  /// Holds all senders back while the downlink's share is used up.
+  void set_reading(bool reading);
+  std::size_t size() const { return links_.size(); }
+
+ private:
+  struct Link {
+    std::unique_ptr<WireConnection> connection;  ///< Null while connecting.
+    std::vector<std::function<void(WireConnection&)>> waiting;
+  };
+  Link* ensure_link(PeerId peer);
+  void on_connected(PeerId peer, std::unique_ptr<WireConnection> connection);
+  void on_incoming(std::unique_ptr<WireConnection> connection);
+  void adopt(PeerId peer, std::unique_ptr<WireConnection> connection);
+  void attach(PeerId peer, WireConnection& connection);
+  void on_closed(PeerId peer, const WireConnection* connection, const std::string& reason);
+
+  std::string machine_;
+  Metrics& metrics_;
+  Callbacks callbacks_;
+  std::unique_ptr<WireListener> listener_;
+  std::map<PeerId, Address> addresses_;
+  std::map<PeerId, Link> links_;
+  /// Connections that have not said who they are, and second ones to a known peer.
+  std::map<const WireConnection*, std::unique_ptr<WireConnection>> extra_;
+  std::map<const WireConnection*, PeerId> extra_peers_;
+  bool reading_ = true;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/agent/request_runner.h
@@ -0,0 +1,62 @@
+/// Runs callers' requests at the local engine or plain service.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "adapters/engine_client.h"
+#include "common/metrics.h"
+#include "drain/admission_gate.h"
+#include "transport/wire_connection.h"
+
+namespace pumicemast {
+
+/// Identifies the entry connection that a request came by.
+using EntryNumber = std::uint64_t;
+
+class RequestRunner {
+ public:
+  struct Callbacks {
+    /// Sends to an entry; a connection that is gone swallows it.
+    std::function<WireConnection*(EntryNumber)> connection;
+    /// A request ended; `model` may be idle now.
+    std::function<void(const std::string& model)> on_finished;
+  };
+
+  RequestRunner(EngineClient& engine, AdmissionGate& gate, Metrics& metrics, bool is_engine,
+                Callbacks callbacks);
+
+  void on_submit(EntryNumber entry, const wire::SubmitRequest& submit);
+  void on_cancel(EntryNumber entry, std::uint64_t id);
+  /// The entry is gone: nobody waits for the answers. Requests that may not be repeated run
+  /// to their end, the others are cancelled.
+  void on_entry_lost(EntryNumber entry);
+
+ private:
+  using Key = std::pair<EntryNumber, std::uint64_t>;
+  struct Running {
+    std::string model;
+    bool non_repeatable = false;
+    HttpCallPointer call;
+    TimePoint started{};
+  };
+
+  template <class Message>
+  void send(EntryNumber entry, const Message& message);
+  void refuse(const Key& key, wire::RefusalReason reason);
+  void on_head(const Key& key, const std::string& digest, const HttpResponse& head);
+  void end(const Key& key, bool whole);
+  void remove(const Key& key);
+
+  EngineClient& engine_;
+  AdmissionGate& gate_;
+  Metrics& metrics_;
+  bool is_engine_;
+  Callbacks callbacks_;
+  std::map<Key, Running> running_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/agent/weight_transfer.cpp
@@ -0,0 +1,577 @@
+#include "agent/weight_transfer.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(20);
+constexpr Duration kAnnounceInterval = milliseconds(20);
+/// Bytes that may be on their way in the socket buffers before an upload slot is freed.
+constexpr std::size_t kUndrainedLimit = 4U << 20U;
+constexpr Duration kRestartDelay = seconds(1);
+/// The owners that draw each chunk from the origin when time matters most.
+constexpr std::uint32_t kOriginCopiesForTime = 2;
+constexpr std::uint32_t kOriginCopiesForBytes = 1;
+
+PeerId peer_id(const std::string& machine) { return stable_hash(machine); }
+
+}  // namespace
+
+WeightTransfer::WeightTransfer(const AgentSettings& settings, EngineClient& engine,
+                               Metrics& metrics, Callbacks callbacks)
+    : settings_(settings),
+      engine_(engine),
+      metrics_(metrics),
+      callbacks_(std::move(callbacks)),
+      origin_(settings.origin_url),
+      links_(settings.machine, metrics,
+             {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
+              [this](PeerId peer) { on_peer_lost(peer); },
+              [this](PeerId peer) {
+                const auto drained = undrained_.extract(peer);
+                if (drained.empty()) return;
+                for (const std::string& digest : drained.mapped()) finish_upload(digest);
+              }}),
+      cache_(settings.cache_bytes),
+      uplink_(settings.up_bytes_per_second, 0),
+      downlink_(settings.down_bytes_per_second, 0) {
+  tick_timer_.start_repeating(kTickInterval, [this] { tick(); });
+}
+
+leaf::result<void> WeightTransfer::listen() { return links_.listen(settings_.swarm_listen); }
+
+WeightTransfer::Transfer* WeightTransfer::find(const std::string& digest) {
+  const auto found = transfers_.find(digest);
+  return found == transfers_.end() ? nullptr : &found->second;
+}
+
+void WeightTransfer::set_engine_contents(const std::map<std::string, ChunkSet>& held) {
+  engine_contents_ = held;
+  // What is under way starts again from what the engine really holds.
+  for (auto& [digest, transfer] : transfers_) {
+    transfer.swarm.reset();
+    transfer.opened = false;
+    transfer.origin_calls.clear();
+    if (transfer.manifest) begin_swarm(transfer);
+  }
+}
+
+void WeightTransfer::start(const std::string& digest) {
+  Transfer& transfer = transfers_[digest];
+  if (transfer.digest.empty()) {
+    transfer.digest = digest;
+    fetch_manifest(digest);
+    return;
+  }
+  if (!transfer.manifest) return;
+  // Started again after a failed activation, which must not become a busy loop.
+  restart_timers_[digest].start_once(kRestartDelay, [this, digest] { restart(digest); });
+}
+
+void WeightTransfer::restart(const std::string& digest) {
+  // What the engine really holds counts, not what was sent to it.
+  engine_.read_state([this, digest](const EngineState& state) {
+    Transfer* again = find(digest);
+    if (again == nullptr || !state.answered) return;
+    engine_contents_ = state.held;
+    again->swarm.reset();
+    again->opened = false;
+    begin_swarm(*again);
+  });
+}
+
+void WeightTransfer::stop(const std::string& digest) {
+  transfers_.erase(digest);
+  restart_timers_.erase(digest);
+  engine_contents_.erase(digest);
+}
+
+void WeightTransfer::fetch_manifest(const std::string& digest) {
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr) return;
+  const auto known = manifests_.find(digest);
+  if (known != manifests_.end()) {
+    on_manifest(digest, *known->second);
+    return;
+  }
+  transfer->manifest_call =
+      origin_.read_manifest(digest, [this, digest](const WeightReadResult& result) {
+        const bool usable =
+            result.found && handle_error(
+                                [&]() -> leaf::result<bool> {
+                                  BOOST_LEAF_AUTO(manifest, Manifest::parse(result.bytes));
+                                  if (manifest.digest() != digest) return false;
+                                  totals_.origin_bytes += result.bytes.size();
+                                  on_manifest(digest, std::move(manifest));
+                                  return true;
+                                },
+                                [](const Error&) { return false; });
+        if (usable) return;
+        metrics_.count("pumicemast_agent_manifest_failures_total");
+        struct Retry {
+          WeightTransfer* self;
+          std::string digest;
+        };
+        g_timeout_add(
+            static_cast<guint>(to_milliseconds(result.retry_after)),
+            [](gpointer data) -> gboolean {
+              std::unique_ptr<Retry> retry(static_cast<Retry*>(data));
+              retry->self->fetch_manifest(retry->digest);
+              return G_SOURCE_REMOVE;
+            },
+            new Retry{this, digest});
+      });
+}
+
+void WeightTransfer::on_manifest(const std::string& digest, Manifest manifest) {
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr || transfer->manifest) return;
+  manifests_[digest] = std::make_shared<const Manifest>(manifest);
+  transfer->manifest = std::make_unique<Manifest>(std::move(manifest));
+  begin_swarm(*transfer);
+}
+
+void WeightTransfer::begin_swarm(Transfer& transfer) {
+  const std::string digest = transfer.digest;
+  engine_.write_manifest(
+      digest, transfer.manifest->serialize(), [this, digest](const EngineResult& result) {
+        Transfer* opened = find(digest);
+        if (opened == nullptr || opened->swarm) return;
+        if (!result.done) {
+          metrics_.count("pumicemast_agent_engine_failures_total", {{"order", "manifest"}});
+          LOG(WARNING) << "engine order=manifest digest=" << digest.substr(0, 12)
+                       << " failed: " << result.reason;
+          return;
+        }
+        opened->opened = true;
+        SwarmOptions options;
+        options.self = peer_id(settings_.machine);
+        options.seed = stable_hash(digest);
+        options.window = settings_.window;
+        options.upload_slots = settings_.upload_slots;
+        options.announce_interval = kAnnounceInterval;
+        options.origin_copies = opened->spare_origin ? kOriginCopiesForBytes : kOriginCopiesForTime;
+        const auto held = engine_contents_.find(digest);
+        const ChunkIndex count = opened->manifest->chunk_count();
+        ChunkSet have = held != engine_contents_.end() && held->second.size() == count
+                            ? held->second
+                            : ChunkSet(count);
+        opened->swarm = std::make_unique<Swarm>(options, std::move(have));
+        copy_shared_chunks(*opened);
+        const auto early_joins = std::move(opened->early_joins);
+        opened->early_joins.clear();
+        SwarmActions actions;
+        for (const auto& [peer, bitmap] : early_joins) {
+          opened->swarm->on_peer_joined(
+              peer, ChunkSet::from_bytes(count, bitmap.data(), bitmap.size()), loop_now(), actions);
+        }
+        carry_out(digest, actions);
+        Transfer* still = find(digest);
+        if (still != nullptr) apply_membership(*still);
+      });
+}
+
+void WeightTransfer::copy_shared_chunks(Transfer& transfer) {
+  std::map<Sha256, std::pair<std::string, ChunkIndex>> available;
+  for (const auto& contents : engine_contents_) {
+    const std::string& digest = contents.first;
+    const auto manifest = manifests_.find(digest);
+    if (digest == transfer.digest || manifest == manifests_.end()) continue;
+    contents.second.for_each([&](ChunkIndex chunk) {
+      available[manifest->second->chunk_hashes()[chunk]] = {digest, chunk};
+    });
+  }
+  const auto& hashes = transfer.manifest->chunk_hashes();
+  for (ChunkIndex chunk = 0; chunk < transfer.manifest->chunk_count(); ++chunk) {
+    const auto source = available.find(hashes[chunk]);
+    if (source == available.end() || transfer.swarm->have().contains(chunk)) continue;
+    transfer.swarm->on_local_copy_started(chunk);
+    copy_chunk(transfer.digest, chunk, source->second.first, source->second.second);
+  }
+}
+
+void WeightTransfer::copy_chunk(const std::string& digest, ChunkIndex chunk,
+                                const std::string& source_digest, ChunkIndex source_chunk) {
+  engine_.read_chunk(source_digest, source_chunk,
+                     [this, digest, chunk](bool found, const std::string& bytes) {
+                       Transfer* transfer = find(digest);
+                       if (transfer == nullptr || !transfer->swarm) return;
+                       if (!found || !transfer->manifest->verify(chunk, bytes)) {
+                         transfer->swarm->on_local_copy_failed(chunk);
+                         return;
+                       }
+                       engine_.write_chunk(
+                           digest, chunk, bytes, [this, digest, chunk](const EngineResult& result) {
+                             Transfer* written = find(digest);
+                             if (written == nullptr || !written->swarm) return;
+                             if (!result.done) {
+                               written->swarm->on_local_copy_failed(chunk);
+                               return;
+                             }
+                             metrics_.count("pumicemast_agent_chunks_total", {{"source", "local"}});
+                             engine_contents_[digest] = written->swarm->have();
+                             SwarmActions actions;
+                             written->swarm->on_local_copy_done(chunk, loop_now(), actions);
+                             carry_out(digest, actions);
+                           });
+                     });
+}
+
+void WeightTransfer::set_participants(const std::string& digest,
+                                      const std::set<TransferPeer>& peers) {
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr || transfer->peers == peers) return;
+  transfer->peers = peers;
+  for (const TransferPeer& peer : peers) links_.set_address(peer_id(peer.machine), peer.address);
+  if (transfer->swarm) apply_membership(*transfer);
+}
+
+void WeightTransfer::apply_membership(Transfer& transfer) {
+  if (transfer.peers.empty()) return;
+  std::vector<SwarmParticipant> participants;
+  for (const TransferPeer& peer : transfer.peers) {
+    participants.push_back({peer_id(peer.machine),
+                            static_cast<std::uint32_t>(stable_hash(peer.region)),
+                            static_cast<std::uint32_t>(stable_hash(peer.zone))});
+  }
+  SwarmActions actions;
+  transfer.swarm->on_membership(
+      std::make_shared<SwarmMembership>(std::move(participants), stable_hash(transfer.digest)),
+      loop_now(), actions);
+  carry_out(transfer.digest, actions);
+}
+
+void WeightTransfer::set_paused(const std::string& digest, bool paused) {
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr || transfer->paused == paused) return;
+  transfer->paused = paused;
+  if (!transfer->swarm) return;
+  SwarmActions actions;
+  transfer->swarm->set_paused(paused, loop_now(), actions);
+  carry_out(digest, actions);
+}
+
+void WeightTransfer::set_objective(const std::string& digest, bool spare_origin) {
+  Transfer* transfer = find(digest);
+  if (transfer != nullptr) transfer->spare_origin = spare_origin;
+}
+
+void WeightTransfer::tick() {
+  std::vector<std::string> digests;
+  for (const auto& [digest, transfer] : transfers_) {
+    if (transfer.swarm) digests.push_back(digest);
+  }
+  for (const std::string& digest : digests) {
+    Transfer* transfer = find(digest);
+    if (transfer == nullptr || !transfer->swarm) continue;
+    SwarmActions actions;
+    transfer->swarm->on_tick(loop_now(), actions);
+    carry_out(digest, actions);
+  }
+}
+
+void WeightTransfer::on_frame(PeerId peer, const wire::Frame& frame) {
+  const TimePoint now = loop_now();
+  SwarmActions actions;
+  const auto swarm_of = [&](const flatbuffers::String* digest) -> Swarm* {
+    Transfer* transfer = find(digest->str());
+    return transfer == nullptr ? nullptr : transfer->swarm.get();
+  };
+  switch (frame.body_type()) {
+    case wire::Body::SwarmJoin:
+      on_join(peer, *frame.body_as_SwarmJoin());
+      return;
+    case wire::Body::ChunkData:
+      on_chunk_data(peer, *frame.body_as_ChunkData());
+      return;
+    case wire::Body::ChunksHave: {
+      const auto* message = frame.body_as_ChunksHave();
+      Swarm* swarm = swarm_of(message->digest());
+      if (swarm == nullptr || message->chunks() == nullptr) return;
+      const std::vector<ChunkIndex> chunks(message->chunks()->begin(), message->chunks()->end());
+      swarm->on_peer_has(peer, chunks, now, actions);
+      carry_out(message->digest()->str(), actions);
+      return;
+    }
+    case wire::Body::ChunkRequest: {
+      const auto* message = frame.body_as_ChunkRequest();
+      Swarm* swarm = swarm_of(message->digest());
+      if (swarm == nullptr) {
+        wire::ChunkRefusedT refusal;
+        refusal.digest = message->digest()->str();
+        refusal.chunk = message->chunk();
+        links_.send(peer, refusal);
+        return;
+      }
+      swarm->on_request(peer, message->chunk(), message->progress(), now, actions);
+      carry_out(message->digest()->str(), actions);
+      return;
+    }
+    case wire::Body::ChunkRefused: {
+      const auto* message = frame.body_as_ChunkRefused();
+      Swarm* swarm = swarm_of(message->digest());
+      if (swarm == nullptr) return;
+      swarm->on_refused(peer, message->chunk(), now, actions);
+      carry_out(message->digest()->str(), actions);
+      return;
+    }
+    case wire::Body::ChunkCancel: {
+      const auto* message = frame.body_as_ChunkCancel();
+      Swarm* swarm = swarm_of(message->digest());
+      if (swarm != nullptr) swarm->on_cancel(peer, message->chunk());
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+void WeightTransfer::on_join(PeerId peer, const wire::SwarmJoin& join) {
+  const std::string digest = join.digest()->str();
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr) return;
+  std::vector<std::uint8_t> bitmap;
+  if (join.have() != nullptr) bitmap.assign(join.have()->begin(), join.have()->end());
+  if (!transfer->swarm) {
+    transfer->early_joins[peer] = std::move(bitmap);
+    return;
+  }
+  SwarmActions actions;
+  transfer->swarm->on_peer_joined(
+      peer, ChunkSet::from_bytes(transfer->manifest->chunk_count(), bitmap.data(), bitmap.size()),
+      loop_now(), actions);
+  if (!join.reply()) send_join(*transfer, peer, true);
+  carry_out(digest, actions);
+}
+
+void WeightTransfer::on_chunk_data(PeerId peer, const wire::ChunkData& data) {
+  if (data.bytes() == nullptr) return;
+  std::string bytes(reinterpret_cast<const char*>(data.bytes()->data()), data.bytes()->size());
+  charge_downlink(bytes.size());
+  take_in(data.digest()->str(), peer, data.chunk(), std::move(bytes));
+}
+
+void WeightTransfer::charge_downlink(std::size_t bytes) {
+  if (settings_.down_bytes_per_second <= 0) return;
+  const TimePoint now = loop_now();
+  downlink_.take_into_debt(static_cast<double>(bytes), now);
+  const Duration wait = downlink_.time_until(0, now);
+  if (wait < milliseconds(1) || downlink_timer_.active()) return;
+  links_.set_reading(false);
+  downlink_timer_.start_once(wait, [this] { links_.set_reading(true); });
+}
+
+void WeightTransfer::take_in(const std::string& digest, std::optional<PeerId> source,
+                             ChunkIndex chunk, std::string bytes) {
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr || !transfer->swarm) return;
+  (source ? totals_.peer_bytes : totals_.origin_bytes) += bytes.size();
+  SwarmActions actions;
+  if (!transfer->manifest->verify(chunk, bytes)) {
+    metrics_.count("pumicemast_agent_corrupt_chunks_total",
+                   {{"source", source ? "peer" : "origin"}});
+    transfer->swarm->on_chunk(source, chunk, ChunkArrival::corrupt, loop_now(), actions);
+    carry_out(digest, actions);
+    return;
+  }
+  if (transfer->swarm->have().contains(chunk)) {
+    totals_.duplicate_bytes += bytes.size();
+    transfer->swarm->on_chunk(source, chunk, ChunkArrival::verified, loop_now(), actions);
+    carry_out(digest, actions);
+    return;
+  }
+  auto content = std::make_shared<const std::string>(std::move(bytes));
+  engine_.write_chunk(
+      digest, chunk, *content, [this, digest, source, chunk, content](const EngineResult& result) {
+        Transfer* written = find(digest);
+        if (written == nullptr || !written->swarm) return;
+        SwarmActions more;
+        if (!result.done) {
+          metrics_.count("pumicemast_agent_engine_failures_total", {{"order", "chunk"}});
+          if (source) {
+            written->swarm->on_refused(*source, chunk, loop_now(), more);
+          } else {
+            written->swarm->on_origin_failed(chunk, seconds(1), loop_now(), more);
+          }
+          carry_out(digest, more);
+          return;
+        }
+        metrics_.count("pumicemast_agent_chunks_total", {{"source", source ? "peer" : "origin"}});
+        cache_.insert(digest, chunk, content);
+        written->swarm->on_chunk(source, chunk, ChunkArrival::verified, loop_now(), more);
+        engine_contents_[digest] = written->swarm->have();
+        carry_out(digest, more);
+        callbacks_.on_progress();
+      });
+}
+
+void WeightTransfer::on_peer_lost(PeerId peer) {
+  undrained_.erase(peer);
+  std::vector<std::string> digests;
+  for (const auto& [digest, transfer] : transfers_) digests.push_back(digest);
+  for (const std::string& digest : digests) {
+    Transfer* transfer = find(digest);
+    if (transfer == nullptr || !transfer->swarm) continue;
+    SwarmActions actions;
+    transfer->swarm->on_peer_lost(peer, loop_now(), actions);
+    carry_out(digest, actions);
+  }
+}
+
+void WeightTransfer::carry_out(const std::string& digest, const SwarmActions& actions) {
+  for (const SwarmAction& action : actions) {
+    Transfer* transfer = find(digest);  // An action may end the transfer.
+    if (transfer == nullptr) return;
+    std::visit([&](const auto& typed) { act(*transfer, typed); }, action);
+  }
+}
+
+void WeightTransfer::act(Transfer& transfer, const RequestFromPeer& action) {
+  wire::ChunkRequestT message;
+  message.digest = transfer.digest;
+  message.chunk = action.chunk;
+  message.progress = action.progress;
+  links_.send(action.peer, message);
+}
+
+void WeightTransfer::act(Transfer& transfer, const CancelFromPeer& action) {
+  wire::ChunkCancelT message;
+  message.digest = transfer.digest;
+  message.chunk = action.chunk;
+  links_.send(action.peer, message);
+}
+
+void WeightTransfer::act(Transfer& transfer, const RequestFromOrigin& action) {
+  const std::string digest = transfer.digest;
+  const ChunkIndex chunk = action.chunk;
+  const std::string hash = to_hex(transfer.manifest->chunk_hashes()[chunk]);
+  transfer.origin_calls[chunk] =
+      origin_.read_chunk(hash, [this, digest, chunk](const WeightReadResult& result) {
+        Transfer* waiting = find(digest);
+        if (waiting == nullptr || !waiting->swarm) return;
+        if (result.found) {
+          charge_downlink(result.bytes.size());
+          take_in(digest, std::nullopt, chunk, result.bytes);
+          return;
+        }
+        metrics_.count("pumicemast_agent_origin_failures_total");
+        SwarmActions actions;
+        waiting->swarm->on_origin_failed(chunk, result.retry_after, loop_now(), actions);
+        carry_out(digest, actions);
+      });
+}
+
+void WeightTransfer::act(Transfer& transfer, const CancelFromOrigin& action) {
+  transfer.origin_calls.erase(action.chunk);
+}
+
+void WeightTransfer::act(Transfer& transfer, const SendChunk& action) {
+  const std::string digest = transfer.digest;
+  if (auto cached = cache_.find(digest, action.chunk)) {
+    upload({digest, action.peer, action.chunk, std::move(cached)});
+    return;
+  }
+  const PeerId peer = action.peer;
+  const ChunkIndex chunk = action.chunk;
+  engine_.read_chunk(digest, chunk,
+                     [this, digest, peer, chunk](bool found, const std::string& bytes) {
+                       if (!found) {
+                         finish_upload(digest);
+                         return;
+                       }
+                       auto content = std::make_shared<const std::string>(bytes);
+                       cache_.insert(digest, chunk, content);
+                       upload({digest, peer, chunk, std::move(content)});
+                     });
+}
+
+void WeightTransfer::act(Transfer& transfer, const RefuseChunk& action) {
+  wire::ChunkRefusedT message;
+  message.digest = transfer.digest;
+  message.chunk = action.chunk;
+  links_.send(action.peer, message);
+}
+
+void WeightTransfer::act(Transfer& transfer, const AnnounceChunks& action) {
+  wire::ChunksHaveT message;
+  message.digest = transfer.digest;
+  message.chunks = action.chunks;
+  for (const PeerId peer : action.peers) links_.send(peer, message);
+}
+
+void WeightTransfer::act(Transfer& transfer, const JoinPeer& action) {
+  send_join(transfer, action.peer, false);
+}
+
+void WeightTransfer::send_join(const Transfer& transfer, PeerId peer, bool reply) {
+  wire::SwarmJoinT message;
+  message.digest = transfer.digest;
+  message.have = transfer.swarm->have().to_bytes();
+  message.reply = reply;
+  links_.send(peer, message);
+}
+
+void WeightTransfer::act(Transfer& transfer, const SwarmComplete&) {
+  callbacks_.on_verified(transfer.digest);
+}
+
+void WeightTransfer::act(Transfer& transfer, const PeerAvoided& action) {
+  metrics_.count("pumicemast_agent_peers_avoided_total");
+  LOG(WARNING) << "peer id=" << action.peer << " digest=" << transfer.digest.substr(0, 12)
+               << " state=TRUSTED->AVOIDED reason=corrupt chunks";
+}
+
+void WeightTransfer::upload(PendingUpload pending) {
+  uploads_.push_back(std::move(pending));
+  pump_uploads();
+}
+
+void WeightTransfer::pump_uploads() {
+  while (!uploads_.empty()) {
+    if (uplink_timer_.active()) return;
+    const PendingUpload next = std::move(uploads_.front());
+    uploads_.pop_front();
+    wire::ChunkDataT message;
+    message.digest = next.digest;
+    message.chunk = next.chunk;
+    message.bytes.assign(next.bytes->begin(), next.bytes->end());
+    links_.send(next.peer, message);
+    metrics_.count("pumicemast_agent_bytes_sent_total", {},
+                   static_cast<double>(next.bytes->size()));
+    if (settings_.up_bytes_per_second > 0) {
+      const TimePoint now = loop_now();
+      uplink_.take_into_debt(static_cast<double>(next.bytes->size()), now);
+      const Duration wait = uplink_.time_until(0, now);
+      const std::string digest = next.digest;
+      uplink_timer_.start_once(wait, [this, digest] {
+        finish_upload(digest);
+        pump_uploads();
+      });
+      return;
+    }
+    if (links_.queued_bytes(next.peer) > kUndrainedLimit) {
+      undrained_[next.peer].push_back(next.digest);
+    } else {
+      finish_upload(next.digest);
+    }
+  }
+}
+
+void WeightTransfer::finish_upload(const std::string& digest) {
+  Transfer* transfer = find(digest);
+  if (transfer == nullptr || !transfer->swarm) return;
+  SwarmActions actions;
+  transfer->swarm->on_sent(loop_now(), actions);
+  carry_out(digest, actions);
+}
+
+TransferProgress WeightTransfer::progress(const std::string& digest) const {
+  const auto found = transfers_.find(digest);
+  if (found == transfers_.end() || !found->second.manifest) return {};
+  const Transfer& transfer = found->second;
+  return {transfer.swarm ? transfer.swarm->have().count() : 0, transfer.manifest->chunk_count()};
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/agent/weight_transfer.h
@@ -0,0 +1,151 @@
+/// Moves weights: drives one Swarm core a version with real sockets, the origin and the
+/// engine's staging memory.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "adapters/engine_client.h"
+#include "adapters/weight_store_client.h"
+#include "agent/agent_settings.h"
+#include "agent/chunk_cache.h"
+#include "agent/peer_links.h"
+#include "common/metrics.h"
+#include "limits/token_bucket.h"
+#include "swarm/swarm.h"
+
+namespace pumicemast {
+
+/// A machine that takes part in distributing a version.
+struct TransferPeer {
+  std::string machine;
+  std::string region;
+  std::string zone;
+  Address address;
+  auto operator<=>(const TransferPeer&) const = default;
+};
+
+struct TransferProgress {
+  std::uint32_t chunks_verified = 0;
+  std::uint32_t chunk_count = 0;
+};
+
+struct TransferTotals {
+  std::uint64_t origin_bytes = 0;
+  std::uint64_t peer_bytes = 0;
+  std::uint64_t duplicate_bytes = 0;
+};
+
+class WeightTransfer {
+ public:
+  struct Callbacks {
+    /// Every byte of `digest` is verified in the engine's staging memory.
+    std::function<void(const std::string& digest)> on_verified;
+    /// Something changed that the next status report should tell.
+    std::function<void()> on_progress;
+  };
+
+  WeightTransfer(const AgentSettings& settings, EngineClient& engine, Metrics& metrics,
+                 Callbacks callbacks);
+  leaf::result<void> listen();
+
+  /// Begins or goes on with bringing `digest` into the engine.
+  void start(const std::string& digest);
+  /// Stops asking for `digest` and passing it on.
+  void stop(const std::string& digest);
+  void set_participants(const std::string& digest, const std::set<TransferPeer>& peers);
+  void set_paused(const std::string& digest, bool paused);
+  void set_objective(const std::string& digest, bool spare_origin);
+  /// What the engine held when the agent started or the engine restarted.
+  void set_engine_contents(const std::map<std::string, ChunkSet>& held);
+
+  TransferProgress progress(const std::string& digest) const;
+  const TransferTotals& totals() const { return totals_; }
+
+ private:
+  /// One version on its way or held.
+  struct Transfer {
+    std::string digest;
+    std::unique_ptr<Manifest> manifest;
+    std::unique_ptr<Swarm> swarm;
+    bool opened = false;  ///< The engine has staging memory for it.
+    bool paused = false;
+    bool spare_origin = false;
+    std::set<TransferPeer> peers;
+    HttpCallPointer manifest_call;
+    std::map<ChunkIndex, HttpCallPointer> origin_calls;
+    /// Joins that came before the manifest did.
+    std::map<PeerId, std::vector<std::uint8_t>> early_joins;
+  };
+  struct PendingUpload {
+    std::string digest;
+    PeerId peer = 0;
+    ChunkIndex chunk = 0;
+    ChunkCache::Bytes bytes;
+  };
+
+  Transfer* find(const std::string& digest);
+  void restart(const std::string& digest);
+  void fetch_manifest(const std::string& digest);
+  void on_manifest(const std::string& digest, Manifest manifest);
+  void begin_swarm(Transfer& transfer);
+  void apply_membership(Transfer& transfer);
+  void copy_shared_chunks(Transfer& transfer);
+  void copy_chunk(const std::string& digest, ChunkIndex chunk, const std::string& source_digest,
+                  ChunkIndex source_chunk);
+  void tick();
+
+  void on_frame(PeerId peer, const wire::Frame& frame);
+  void on_join(PeerId peer, const wire::SwarmJoin& join);
+  void send_join(const Transfer& transfer, PeerId peer, bool reply);
+  void on_chunk_data(PeerId peer, const wire::ChunkData& data);
+  void on_peer_lost(PeerId peer);
+
+  void carry_out(const std::string& digest, const SwarmActions& actions);
+  void act(Transfer& transfer, const RequestFromPeer& action);
+  void act(Transfer& transfer, const CancelFromPeer& action);
+  void act(Transfer& transfer, const RequestFromOrigin& action);
+  void act(Transfer& transfer, const CancelFromOrigin& action);
+  void act(Transfer& transfer, const SendChunk& action);
+  void act(Transfer& transfer, const RefuseChunk& action);
+  void act(Transfer& transfer, const AnnounceChunks& action);
+  void act(Transfer& transfer, const JoinPeer& action);
+  void act(Transfer& transfer, const SwarmComplete& action);
+  void act(Transfer& transfer, const PeerAvoided& action);
+
+  /// Verifies `bytes`, writes them to the engine, then tells the core.
+  void take_in(const std::string& digest, std::optional<PeerId> source, ChunkIndex chunk,
+               std::string bytes);
+  void upload(PendingUpload upload);
+  void pump_uploads();
+  void finish_upload(const std::string& digest);
+  void charge_downlink(std::size_t bytes);
+
+  const AgentSettings& settings_;
+  EngineClient& engine_;
+  Metrics& metrics_;
+  Callbacks callbacks_;
+  WeightStoreClient origin_;
+  PeerLinks links_;
+  ChunkCache cache_;
+  std::map<std::string, Transfer> transfers_;
+  std::map<std::string, ChunkSet> engine_contents_;
+  std::map<std::string, std::shared_ptr<const Manifest>> manifests_;
+  std::deque<PendingUpload> uploads_;
+  /// Uploads handed to a connection that has not taken all of them yet.
+  std::map<PeerId, std::vector<std::string>> undrained_;
+  TokenBucket uplink_;
+  TokenBucket downlink_;
+  std::map<std::string, Timer> restart_timers_;
+  Timer tick_timer_;
+  Timer uplink_timer_;
+  Timer downlink_timer_;
+  TransferTotals totals_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/commands/command.h
@@ -0,0 +1,107 @@
+/// The query and command language: its parser and the typed commands it yields.
+///
+///   show SUBJECT [where FIELD=VALUE [and FIELD=VALUE]...]
+///   explain MODEL MACHINE
+///   create version MODEL VERSION digest=D bytes=N chunks=N
+///   create rollout MODEL VERSION [objective=time|origin_bytes] [max_unavailable=N]
+///   pause|resume|abort|rollback rollout MODEL
+///   set target MODEL replicas=N [floor=N]
+///   set route NAME path=/PREFIX service=SERVICE  |  set route NAME alias=ALIAS model=MODEL
+///   set tenant NAME [rate=R] [burst=B] [in_flight=N] [priority=P]
+///   delete target|route|tenant|version NAME
+///   plan stop MACHINE [force=true]
+///   cancel stop MACHINE
+/// Every changing command takes expect=VERSION: the version of the object that it is meant
+/// for. Without it, the version that the answering entry sees is expected.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/error.h"
+#include "configuration/objects.h"
+
+namespace pumicemast {
+
+enum class ShowSubject {
+  versions,
+  rollouts,
+  targets,
+  routes,
+  tenants,
+  stops,
+  machines,
+  replicas,
+  status,
+};
+
+struct FieldCondition {
+  std::string field;
+  std::string value;
+};
+
+struct ShowCommand {
+  ShowSubject subject = ShowSubject::status;
+  std::vector<FieldCondition> conditions;
+};
+struct ExplainCommand {
+  std::string model;
+  std::string machine;
+};
+struct CreateVersionCommand {
+  ModelVersion version;
+};
+struct CreateRolloutCommand {
+  std::string model;
+  std::string version;
+  RolloutObjective objective = RolloutObjective::time;
+  std::optional<std::uint32_t> max_unavailable;
+};
+enum class RolloutOrder { pause, resume, abort, rollback };
+struct OrderRolloutCommand {
+  RolloutOrder order = RolloutOrder::pause;
+  std::string model;
+};
+struct SetTargetCommand {
+  ReplicaTarget target;
+};
+struct SetRouteCommand {
+  Route route;
+};
+struct SetTenantCommand {
+  Tenant tenant;
+};
+struct DeleteCommand {
+  std::string kind;  ///< Of the object, such as "route".
+  std::string name;
+};
+struct PlanStopCommand {
+  std::string machine;
+  bool force = false;
+};
+struct CancelStopCommand {
+  std::string machine;
+};
+
+using CommandBody =
+    std::variant<ShowCommand, ExplainCommand, CreateVersionCommand, CreateRolloutCommand,
+                 OrderRolloutCommand, SetTargetCommand, SetRouteCommand, SetTenantCommand,
+                 DeleteCommand, PlanStopCommand, CancelStopCommand>;
+
+struct Command {
+  CommandBody body;
+  std::optional<ObjectVersion> expect;
+};
+
+/// Parses the words of one command. Fails with invalid_argument naming the word and what
+/// was expected in its place.
+leaf::result<Command> parse_command(const std::vector<std::string>& words);
+
+/// Whether running `command` twice does no harm, because it only reads.
+bool is_query(const Command& command);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/commands/command_executor.h
@@ -0,0 +1,78 @@
+/// Carries out commands: queries from the entry's view, changes as conditional updates in
+/// the object API.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "commands/command.h"
+#include "commands/query.h"
+#include "configuration/object_store.h"
+
+namespace pumicemast {
+
+/// What became of a command.
+struct CommandResult {
+  bool ok = false;
+  Error error;                ///< When not ok.
+  Table table;                ///< Of a query.
+  std::string text;           ///< One line about a change.
+  ObjectVersion version = 0;  ///< New version of the changed object.
+};
+
+class CommandExecutor {
+ public:
+  using OnDone = std::function<void(const CommandResult&)>;
+
+  /// @param view  called for each command; the view is used only during the command's start.
+  CommandExecutor(ObjectStore& store, std::function<QueryView()> view);
+
+  /// Parses and runs. Answers exactly once.
+  /// @param user  who gives the command; named in conflicts that others see.
+  void run(const std::vector<std::string>& words, const std::string& user, OnDone on_done);
+
+ private:
+  /// One conditional write and what to say of it.
+  struct Change {
+    std::string kind;
+    std::string name;
+    nlohmann::json value;
+    bool deletion = false;
+    ObjectVersion expected = 0;
+    std::string done_text;
+  };
+
+  leaf::result<Change> plan(const Command& command, const std::string& user,
+                            const QueryView& view) const;
+  leaf::result<Change> plan_body(const CreateVersionCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const CreateRolloutCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const OrderRolloutCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const SetTargetCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const SetRouteCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const SetTenantCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const DeleteCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const PlanStopCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const CancelStopCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const ShowCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+  leaf::result<Change> plan_body(const ExplainCommand& body, const std::string& user,
+                                 const QueryView& view) const;
+
+  void write(const Change& change, int attempt, OnDone on_done);
+  void settle_unknown(const Change& change, int attempt, OnDone on_done);
+  void report_conflict(const Change& change, OnDone on_done);
+
+  ObjectStore& store_;
+  std::function<QueryView()> view_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/common/event_loop.h
@@ -0,0 +1,59 @@
+/// The one GLib loop of a daemon: time, timers and termination signals.
+#pragma once
+
+#include <glib.h>
+
+#include <functional>
+
+#include "common/time.h"
+
+namespace pumicemast {
+
+/// Monotonic time of the running process.
+TimePoint loop_now();
+
+/// Runs the default main context until quit().
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Calls `on_terminate` once at SIGTERM or SIGINT; a second signal quits at once.
+  void on_terminate(std::function<void()> on_terminate);
+  void run();
+  void quit();
+
+ private:
+  static gboolean handle_signal(gpointer self);
+
+  GMainLoop* loop_;
+  std::function<void()> on_terminate_;
+  bool terminating_ = false;
+};
+
+/// A timer owned by its object; destroying it cancels it.
+class Timer {
+ public:
+  Timer() = default;
+  ~Timer() { cancel(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  /// Calls `callback` every `interval` until cancelled.
+  void start_repeating(Duration interval, std::function<void()> callback);
+  /// Calls `callback` once after `delay`; replaces a pending call.
+  void start_once(Duration delay, std::function<void()> callback);
+  void cancel();
+  bool active() const { return source_ != 0; }
+
+ private:
+  static gboolean fire(gpointer self);
+
+  guint source_ = 0;
+  bool repeating_ = false;
+  std::function<void()> callback_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/common/log.h
@@ -0,0 +1,20 @@
+/// Log lines for changes of state, through easylogging++.
+///
+/// Counters come first (see metrics.h); a line is written only when something changed its
+/// state, never once a request or a chunk. Form: `subject key=value ... state=OLD->NEW`.
+#pragma once
+
+// The header's own warnings are not ours to mend.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wpedantic"
+#include <easylogging++.h>
+#pragma GCC diagnostic pop
+
+#include <string>
+
+namespace pumicemast {
+
+/// Sends lines to standard error as `TIME LEVEL PROCESS text`. Call once at start.
+void configure_log(const std::string& process_name);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/entry/entry_daemon.h
@@ -0,0 +1,66 @@
+/// The entry: wires the cores of one entry machine to their shells.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "adapters/configuration_watcher.h"
+#include "adapters/object_store_client.h"
+#include "commands/command_executor.h"
+#include "common/event_loop.h"
+#include "common/state_chart.h"
+#include "entry/agent_hub.h"
+#include "entry/assignment_builder.h"
+#include "entry/control_loop.h"
+#include "entry/entry_settings.h"
+#include "entry/execution_claims.h"
+#include "entry/front_end.h"
+#include "http/http_server.h"
+
+namespace pumicemast {
+
+class EntryDaemon {
+ public:
+  EntryDaemon(EntrySettings settings, Charts charts, EventLoop& loop);
+
+  /// Binds its addresses and begins. Fails when an address is taken.
+  leaf::result<void> start();
+  /// Refuses new requests, lets those that run finish, then quits the loop.
+  void terminate();
+
+ private:
+  void on_configuration_change(const ConfigurationChange& change);
+  void push_assignments();
+  void push_assignments_soon();
+  void poll_machine_list();
+  void tick();
+  void handle_operator(const HttpExchangePointer& exchange);
+  void handle_command(const HttpExchangePointer& exchange);
+  void update_gauges();
+  QueryView query_view() const;
+
+  EntrySettings settings_;
+  Charts charts_;
+  EventLoop& loop_;
+  std::uint64_t incarnation_;
+  Metrics metrics_;
+  ConfigurationStore configuration_;
+  BackendDirectory directory_;
+  std::unique_ptr<ObjectStoreClient> store_;
+  std::unique_ptr<ConfigurationWatcher> watcher_;
+  std::unique_ptr<AgentHub> hub_;
+  std::unique_ptr<ExecutionClaims> claims_;
+  std::unique_ptr<FrontEnd> front_end_;
+  std::unique_ptr<ControlLoop> control_;
+  std::unique_ptr<CommandExecutor> commands_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> operators_;
+  AssignmentBuilder assignments_;
+  Timer push_timer_;
+  Timer tick_timer_;
+  Timer machine_list_timer_;
+  Timer drain_timer_;
+  bool terminating_ = false;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,170 @@
+#include "http/http_client.h"
+
+#include <algorithm>
+
+namespace pumicemast {
+namespace {
+
+constexpr int kConnectionsPerHost = 512;
+constexpr gsize kStreamReadBytes = 64U * 1024U;
+
+GObjectPointer<SoupMessage> build_message(const HttpRequest& request) {
+  auto message = GObjectPointer<SoupMessage>::adopt(
+      soup_message_new(request.method.c_str(), request.url.c_str()));
+  if (!message) return message;
+  SoupMessageHeaders* headers = soup_message_get_request_headers(message.get());
+  for (const auto& [name, value] : request.headers) {
+    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  }
+  if (!request.content_type.empty()) {
+    GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
+    soup_message_set_request_body_from_bytes(message.get(), request.content_type.c_str(), bytes);
+    g_bytes_unref(bytes);
+  }
+  return message;
+}
+
+HttpResponse response_head(SoupMessage* message) {
+  HttpResponse response;
+  response.status = soup_message_get_status(message);
+  SoupMessageHeadersIter iterator;
+  soup_message_headers_iter_init(&iterator, soup_message_get_response_headers(message));
+  const char* name = nullptr;
+  const char* value = nullptr;
+  while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE) {
+    std::string lower = name;
+    std::transform(lower.begin(), lower.end(), lower.begin(), g_ascii_tolower);
+    response.headers[lower] = value;
+  }
+  return response;
+}
+
+HttpResponse failed_response(GError* error) {
+  HttpResponse response;
+  response.failure = error->message;
+  response.never_sent = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != 0 ||
+                        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) != 0 ||
+                        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE) != 0;
+  g_error_free(error);
+  return response;
+}
+
+/// State of one whole-answer call.
+struct FetchOperation {
+  GObjectPointer<GCancellable> cancellable;
+  GObjectPointer<SoupMessage> message;
+  std::function<void(const HttpResponse&)> on_done;
+
+  static void finish(GObject* source, GAsyncResult* result, gpointer data) {
+    std::unique_ptr<FetchOperation> self(static_cast<FetchOperation*>(data));
+    GError* error = nullptr;
+    GBytes* bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+    const bool cancelled = g_cancellable_is_cancelled(self->cancellable.get()) != FALSE;
+    if (error != nullptr) {
+      const HttpResponse response = failed_response(error);
+      if (!cancelled) self->on_done(response);
+      return;
+    }
+    HttpResponse response = response_head(self->message.get());
+    gsize size = 0;
+    const auto* data_bytes = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    if (size > 0) response.body.assign(data_bytes, size);
+    g_bytes_unref(bytes);
+    if (!cancelled) self->on_done(response);
+  }
+};
+
+/// State of one streamed call.
+struct StreamOperation {
+  GObjectPointer<GCancellable> cancellable;
+  GObjectPointer<SoupMessage> message;
+  GObjectPointer<GInputStream> input;
+  HttpStreamCallbacks callbacks;
+
+  bool cancelled() const { return g_cancellable_is_cancelled(cancellable.get()) != FALSE; }
+
+  static void on_sent(GObject* source, GAsyncResult* result, gpointer data) {
+    std::unique_ptr<StreamOperation> self(static_cast<StreamOperation*>(data));
+    GError* error = nullptr;
+    GInputStream* input = soup_session_send_finish(SOUP_SESSION(source), result, &error);
+    if (input == nullptr) {
+      const HttpResponse response = failed_response(error);
+      if (self->cancelled()) return;
+      self->callbacks.on_head(response);
+      self->callbacks.on_end(false);
+      return;
+    }
+    self->input = GObjectPointer<GInputStream>::adopt(input);
+    if (self->cancelled()) return;
+    self->callbacks.on_head(response_head(self->message.get()));
+    read_next(std::move(self));
+  }
+
+  static void read_next(std::unique_ptr<StreamOperation> self) {
+    GInputStream* input = self->input.get();
+    GCancellable* cancellable = self->cancellable.get();
+    g_input_stream_read_bytes_async(input, kStreamReadBytes, G_PRIORITY_DEFAULT, cancellable,
+                                    &StreamOperation::on_read, self.release());
+  }
+
+  static void on_read(GObject* source, GAsyncResult* result, gpointer data) {
+    std::unique_ptr<StreamOperation> self(static_cast<StreamOperation*>(data));
+    GError* error = nullptr;
+    GBytes* bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, &error);
+    if (bytes == nullptr) {
+      g_error_free(error);
+      if (!self->cancelled()) self->callbacks.on_end(false);
+      return;
+    }
+    gsize size = 0;
+    const auto* content = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    const std::string piece(content == nullptr ? "" : content, size);
+    g_bytes_unref(bytes);
+    if (self->cancelled()) return;
+    if (piece.empty()) {
+      self->callbacks.on_end(true);
+      return;
+    }
+    self->callbacks.on_data(piece);
+    if (!self->cancelled()) read_next(std::move(self));
+  }
+};
+
+}  // namespace
+
+HttpClient::HttpClient(Duration timeout)
+    : session_(GObjectPointer<SoupSession>::adopt(soup_session_new_with_options(
+          "max-conns", kConnectionsPerHost, "max-conns-per-host", kConnectionsPerHost, "timeout",
+          static_cast<guint>(std::max<std::int64_t>(1, to_milliseconds(timeout) / 1000)),
+          nullptr))) {}
+
+HttpCallPointer HttpClient::fetch(const HttpRequest& request,
+                                  std::function<void(const HttpResponse&)> on_done) {
+  auto call = std::make_shared<HttpCall>();
+  auto* operation =
+      new FetchOperation{call->shared_cancellable(), build_message(request), std::move(on_done)};
+  soup_session_send_and_read_async(session_.get(), operation->message.get(), G_PRIORITY_DEFAULT,
+                                   call->cancellable(), &FetchOperation::finish, operation);
+  return call;
+}
+
+HttpCallPointer HttpClient::stream(const HttpRequest& request, HttpStreamCallbacks callbacks) {
+  auto call = std::make_shared<HttpCall>();
+  auto* operation = new StreamOperation{
+      call->shared_cancellable(), build_message(request), {}, std::move(callbacks)};
+  soup_session_send_async(session_.get(), operation->message.get(), G_PRIORITY_DEFAULT,
+                          call->cancellable(), &StreamOperation::on_sent, operation);
+  return call;
+}
+
+void HttpClient::fetch_owned(const HttpRequest& request,
+                             std::function<void(const HttpResponse&)> on_done) {
+  const std::uint64_t id = next_call_++;
+  owned_calls_[id] = fetch(request, [this, id, on_done](const HttpResponse& response) {
+    const auto done = on_done;  // Erasing the call may destroy this closure.
+    owned_calls_.erase(id);
+    done(response);
+  });
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,139 @@
+#include "http/http_server.h"
+
+namespace pumicemast {
+
+HttpExchange::HttpExchange(SoupServerMessage* message)
+    : message_(GObjectPointer<SoupServerMessage>::share(message)) {
+  g_signal_connect(message, "disconnected", G_CALLBACK(&HttpExchange::handle_disconnect), this);
+  g_signal_connect(message, "finished", G_CALLBACK(&HttpExchange::handle_finished), this);
+  soup_server_message_pause(message);
+}
+
+HttpExchange::~HttpExchange() {
+  g_signal_handlers_disconnect_by_data(message_.get(), this);
+  if (!finished_ && connected_) abort();
+}
+
+void HttpExchange::handle_disconnect(SoupServerMessage*, gpointer self) {
+  auto* exchange = static_cast<HttpExchange*>(self);
+  if (!exchange->connected_) return;
+  exchange->connected_ = false;
+  if (exchange->finished_ || !exchange->on_disconnect_) return;
+  const auto callback = std::move(exchange->on_disconnect_);
+  callback();
+}
+
+void HttpExchange::handle_finished(SoupServerMessage* message, gpointer self) {
+  handle_disconnect(message, self);
+}
+
+std::string HttpExchange::method() const { return soup_server_message_get_method(message_.get()); }
+
+std::string HttpExchange::path() const {
+  return g_uri_get_path(soup_server_message_get_uri(message_.get()));
+}
+
+std::string HttpExchange::query(const std::string& name) const {
+  const char* text = g_uri_get_query(soup_server_message_get_uri(message_.get()));
+  if (text == nullptr) return {};
+  GHashTable* table = soup_form_decode(text);
+  const auto* value = static_cast<const char*>(g_hash_table_lookup(table, name.c_str()));
+  std::string found = value == nullptr ? "" : value;
+  g_hash_table_unref(table);
+  return found;
+}
+
+std::string HttpExchange::header(const std::string& name) const {
+  const char* value = soup_message_headers_get_one(
+      soup_server_message_get_request_headers(message_.get()), name.c_str());
+  return value == nullptr ? "" : value;
+}
+
+std::string HttpExchange::body() const {
+  SoupMessageBody* body = soup_server_message_get_request_body(message_.get());
+  return body->data == nullptr ? std::string()
+                               : std::string(body->data, static_cast<std::size_t>(body->length));
+}
+
+void HttpExchange::respond(unsigned status, const std::string& content_type,
+                           const std::string& body, const HttpHeaders& headers) {
+  if (!connected_ || finished_) return;
+  finished_ = true;
+  SoupMessageHeaders* target = soup_server_message_get_response_headers(message_.get());
+  for (const auto& [name, value] : headers) {
+    soup_message_headers_replace(target, name.c_str(), value.c_str());
+  }
+  soup_server_message_set_status(message_.get(), status, nullptr);
+  soup_server_message_set_response(message_.get(), content_type.c_str(), SOUP_MEMORY_COPY,
+                                   body.data(), body.size());
+  soup_server_message_unpause(message_.get());
+}
+
+void HttpExchange::start_stream(unsigned status, const std::string& content_type,
+                                const HttpHeaders& headers) {
+  if (!connected_) return;
+  SoupMessageHeaders* target = soup_server_message_get_response_headers(message_.get());
+  for (const auto& [name, value] : headers) {
+    soup_message_headers_replace(target, name.c_str(), value.c_str());
+  }
+  soup_message_headers_set_content_type(target, content_type.c_str(), nullptr);
+  soup_message_headers_set_encoding(target, SOUP_ENCODING_CHUNKED);
+  soup_server_message_set_status(message_.get(), status, nullptr);
+  soup_message_body_set_accumulate(soup_server_message_get_response_body(message_.get()), FALSE);
+}
+
+void HttpExchange::write(const std::string& bytes) {
+  if (!connected_ || finished_ || bytes.empty()) return;
+  soup_message_body_append(soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
+                           bytes.data(), bytes.size());
+  soup_server_message_unpause(message_.get());
+}
+
+void HttpExchange::finish() {
+  if (!connected_ || finished_) return;
+  finished_ = true;
+  soup_message_body_complete(soup_server_message_get_response_body(message_.get()));
+  soup_server_message_unpause(message_.get());
+}
+
+void HttpExchange::abort() {
+  if (!connected_ || finished_) return;
+  finished_ = true;
+  GIOStream* stream = soup_server_message_steal_connection(message_.get());
+  if (stream == nullptr) return;
+  g_io_stream_close(stream, nullptr, nullptr);
+  g_object_unref(stream);
+}
+
+leaf::result<std::unique_ptr<HttpServer>> HttpServer::listen(const Address& address,
+                                                             Handler handler) {
+  std::unique_ptr<HttpServer> server(new HttpServer());
+  server->handler_ = std::move(handler);
+  server->server_ =
+      GObjectPointer<SoupServer>::adopt(soup_server_new("server-header", "pumicemast", nullptr));
+  soup_server_add_handler(server->server_.get(), nullptr, &HttpServer::handle, server.get(),
+                          nullptr);
+  GSocketAddress* socket_address =
+      g_inet_socket_address_new_from_string(address.host.c_str(), address.port);
+  GError* error = nullptr;
+  const gboolean bound = soup_server_listen(server->server_.get(), socket_address,
+                                            static_cast<SoupServerListenOptions>(0), &error);
+  g_object_unref(socket_address);
+  if (bound == FALSE) {
+    const std::string reason = error->message;
+    g_error_free(error);
+    return leaf::new_error(Error{ErrorCode::unavailable, address.to_string(), reason});
+  }
+  return server;
+}
+
+HttpServer::~HttpServer() {
+  if (server_) soup_server_disconnect(server_.get());
+}
+
+void HttpServer::handle(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
+                        gpointer self) {
+  static_cast<HttpServer*>(self)->handler_(std::make_shared<HttpExchange>(message));
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/rollout/rollout_controller.h
@@ -0,0 +1,96 @@
+/// Decides which machine holds and serves which version of which model.
+///
+/// A decision core: no I/O. Only the holder of the controller lease runs it; its decisions
+/// are conditional writes that carry the lease's term. It keeps no state that matters: a
+/// new holder decides the same from the stored objects and the agents' reports.
+///
+/// Invariants:
+/// - a switch of versions or a planned stop is begun only while it leaves at least
+///   max(floor, target - max_unavailable) live replicas;
+/// - a machine is ordered to serve a version only when it has none live, or has verified it.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/state_chart.h"
+#include "configuration/configuration_store.h"
+#include "routing/backend_directory.h"
+
+namespace pumicemast {
+
+struct RolloutControllerOptions {
+  /// A machine that was gone for so long is replaced.
+  Duration replace_after = seconds(10);
+};
+
+// ---- actions: conditional writes ----
+struct WritePlacement {
+  Placement placement;
+  ObjectVersion expected = 0;
+};
+struct WriteRollout {
+  Rollout rollout;
+  ObjectVersion expected = 0;
+};
+struct WritePlannedStop {
+  PlannedStop stop;
+  ObjectVersion expected = 0;
+};
+using ControllerAction = std::variant<WritePlacement, WriteRollout, WritePlannedStop>;
+using ControllerActions = std::vector<ControllerAction>;
+
+class RolloutController {
+ public:
+  RolloutController(const StateChart& rollout_chart, const StateChart& drain_chart,
+                    RolloutControllerOptions options)
+      : rollout_chart_(rollout_chart), drain_chart_(drain_chart), options_(options) {}
+
+  /// This process took the lease at `now`; machines not seen yet get a grace period.
+  void on_lease_acquired(TimePoint now) { acquired_at_ = now; }
+  /// Compares what is with what should be and returns the writes that move it on.
+  /// @param term  the lease's term, stored as the fence of each placement.
+  ControllerActions decide(const ConfigurationStore& configuration,
+                           const BackendDirectory& directory, std::uint64_t term, TimePoint now);
+
+ private:
+  /// Everything one decision about one model looks at.
+  struct ModelContext {
+    const ConfigurationStore& configuration;
+    const BackendDirectory& directory;
+    const Rollout& rollout;
+    const ReplicaTarget& target;
+    std::string desired;  ///< Version to be served; "" for none.
+    TimePoint now;
+  };
+
+  void decide_model(const ConfigurationStore& configuration, const BackendDirectory& directory,
+                    const Versioned<Rollout>& rollout, std::uint64_t term, TimePoint now,
+                    ControllerActions& actions);
+  void decide_stops(const ConfigurationStore& configuration, const BackendDirectory& directory,
+                    TimePoint now, ControllerActions& actions);
+
+  bool is_lost(const BackendDirectory& directory, const std::string& machine, TimePoint now) const;
+  bool is_going(const ModelContext& context, const std::string& machine) const;
+  bool has_live(const ModelContext& context, const std::string& machine,
+                const std::string& version) const;
+  std::uint32_t live_count(const ModelContext& context, const Placement& placement) const;
+  std::uint32_t required_live(const ModelContext& context) const;
+  void remove_lost(const ModelContext& context, Placement& placement) const;
+  void remove_finished_stops(const ModelContext& context, Placement& placement) const;
+  void add_machines(const ModelContext& context, Placement& placement) const;
+  void remove_surplus(const ModelContext& context, Placement& placement) const;
+  void advance_versions(const ModelContext& context, Placement& placement) const;
+  std::string rollout_state(const ModelContext& context, const Placement& placement) const;
+  std::uint64_t planned_bytes(const ModelContext& context, const std::string& machine) const;
+
+  const StateChart& rollout_chart_;
+  const StateChart& drain_chart_;
+  RolloutControllerOptions options_;
+  TimePoint acquired_at_{};
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/routing/request_scheduler.h
@@ -0,0 +1,183 @@
+/// Carries each caller's request from acceptance to its one final answer.
+///
+/// A decision core: no I/O. It queues requests that find no room, dispatches them to back
+/// ends, retries or resumes what failed, and says of every refusal whether the request ran.
+///
+/// Invariants:
+/// - each request gets exactly one final action (FinishAnswer, RefuseRequest, AbortAnswer);
+/// - a refusal says `not_run` only when no back end ever may have started the request;
+/// - a non-repeatable request is submitted again only after a refusal that proves it did
+///   not run;
+/// - a streamed answer continues only from a replica of the same digest.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/time.h"
+#include "routing/backend_directory.h"
+#include "routing/retry_budget.h"
+#include "routing/router.h"
+#include "routing/wait_queue.h"
+
+namespace pumicemast {
+
+/// Identifies a request within one entry.
+using RequestNumber = std::uint64_t;
+
+/// What a caller is told about a request that got no whole answer.
+enum class Outcome { not_run, unknown };
+const char* to_string(Outcome outcome);
+
+enum class RefusalCode {
+  unknown_model,
+  no_capacity,  ///< No room within the longest wait.
+  queue_full,
+  deadline_passed,
+  backend_failed,  ///< A back end failed in mid-request.
+  shutting_down,
+};
+const char* to_string(RefusalCode code);
+
+struct RequestProfile {
+  std::string tenant;
+  RoutingNeed need;
+  bool stream = false;
+  bool non_repeatable = false;
+  int priority = 0;
+  TimePoint deadline = TimePoint::max();
+};
+
+struct SchedulerOptions {
+  std::uint32_t queue_limit = 1024;
+  /// Longest wait for room before the request is refused as not run.
+  Duration queue_wait = seconds(5);
+  /// Submissions of one request that may have run before it is given up.
+  std::uint32_t attempts = 3;
+  /// Refusals by back ends that one request may collect.
+  std::uint32_t refusals = 8;
+  /// Retries may add this share to the requests of the last seconds.
+  double retry_ratio = 0.2;
+  Duration retry_after_hint = seconds(1);
+};
+
+// ---- actions, to be carried out in order ----
+struct SubmitToBackend {
+  RequestNumber request = 0;
+  std::string machine;
+  std::string digest;
+  std::uint32_t resume_from_event = 0;
+};
+struct CancelAtBackend {
+  RequestNumber request = 0;
+  std::string machine;
+};
+struct StartAnswer {
+  RequestNumber request = 0;
+  std::uint16_t status = 0;
+  std::string content_type;
+};
+struct AnswerBytes {
+  RequestNumber request = 0;
+  std::string bytes;
+};
+struct FinishAnswer {
+  RequestNumber request = 0;
+};
+/// Nothing was sent to the caller yet: a plain error answer.
+struct RefuseRequest {
+  RequestNumber request = 0;
+  RefusalCode code = RefusalCode::no_capacity;
+  Outcome outcome = Outcome::not_run;
+  Duration retry_after = Duration::zero();
+};
+/// A streamed answer cannot be completed: an error event, then the connection is cut.
+struct AbortAnswer {
+  RequestNumber request = 0;
+  RefusalCode code = RefusalCode::backend_failed;
+};
+using SchedulerAction = std::variant<SubmitToBackend, CancelAtBackend, StartAnswer, AnswerBytes,
+                                     FinishAnswer, RefuseRequest, AbortAnswer>;
+using SchedulerActions = std::vector<SchedulerAction>;
+
+/// Totals for metrics.
+struct SchedulerCounters {
+  std::uint64_t submitted = 0;
+  std::uint64_t refused_by_backend = 0;
+  std::uint64_t retried = 0;
+  std::uint64_t resumed = 0;
+  std::uint64_t retry_budget_spent = 0;
+  std::uint64_t final_not_run = 0;
+  std::uint64_t final_unknown = 0;
+  std::uint64_t finished = 0;
+};
+
+class RequestScheduler {
+ public:
+  RequestScheduler(BackendDirectory& directory, const Router& router, SchedulerOptions options);
+
+  SchedulerActions on_request(RequestNumber request, RequestProfile profile, TimePoint now);
+  /// The back end answered that the request did not and will not run there.
+  SchedulerActions on_refused(RequestNumber request, const std::string& machine, TimePoint now);
+  SchedulerActions on_head(RequestNumber request, const std::string& machine, std::uint16_t status,
+                           const std::string& content_type, TimePoint now);
+  SchedulerActions on_data(RequestNumber request, const std::string& machine,
+                           const std::string& bytes, TimePoint now);
+  /// @param whole  false when the back end failed in mid-answer.
+  SchedulerActions on_end(RequestNumber request, const std::string& machine, bool whole,
+                          TimePoint now);
+  /// The connection to `machine` broke: everything submitted there may have run.
+  SchedulerActions on_backend_lost(const std::string& machine, TimePoint now);
+  SchedulerActions on_caller_gone(RequestNumber request, TimePoint now);
+  /// Room may have appeared: dispatches queued requests. Call after membership changes too.
+  SchedulerActions on_capacity(TimePoint now);
+  /// Expires waits and deadlines. Call several times a second.
+  SchedulerActions on_tick(TimePoint now);
+  /// Refuses all that is queued; what runs goes on.
+  SchedulerActions on_shutdown(TimePoint now);
+
+  std::size_t active() const { return sessions_.size(); }
+  std::size_t queued() const { return queue_.size(); }
+  const SchedulerCounters& counters() const { return counters_; }
+
+ private:
+  struct Session {
+    RequestProfile profile;
+    std::string machine;             ///< Where it runs; "" while it waits.
+    std::string running_digest;      ///< Version that it was last submitted to.
+    std::set<std::string> excluded;  ///< Back ends that refused or failed it lately.
+    std::uint32_t attempts = 0;
+    std::uint32_t refusals = 0;
+    bool may_have_run = false;
+    bool answer_started = false;  ///< Bytes went to the caller.
+    std::uint32_t events_forwarded = 0;
+    std::uint16_t status = 0;
+    std::string content_type;
+    std::string buffered;  ///< Whole answer, or the unfinished last event.
+    TimePoint queued_at{};
+  };
+  using Sessions = std::map<RequestNumber, Session>;
+
+  Session* running_at(RequestNumber request, const std::string& machine);
+  void dispatch_or_queue(RequestNumber request, TimePoint now, SchedulerActions& actions);
+  bool dispatch(RequestNumber request, Session& session, TimePoint now, SchedulerActions& actions);
+  void leave_backend(Session& session);
+  void fail_attempt(RequestNumber request, TimePoint now, SchedulerActions& actions);
+  void give_up(RequestNumber request, RefusalCode code, SchedulerActions& actions);
+  void finish(RequestNumber request, SchedulerActions& actions);
+  void forward_events(RequestNumber request, Session& session, SchedulerActions& actions);
+
+  BackendDirectory& directory_;
+  const Router& router_;
+  SchedulerOptions options_;
+  Sessions sessions_;
+  WaitQueue queue_;
+  RetryBudget budget_;
+  SchedulerCounters counters_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/swarm/swarm.cpp
@@ -0,0 +1,460 @@
+#include "swarm/swarm.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kRefusalPause = milliseconds(100);
+/// How often neighbours whose connection broke are tried again.
+constexpr Duration kRejoinInterval = seconds(2);
+constexpr Duration kStallPause = seconds(2);
+constexpr std::uint32_t kMaximumStallDoublings = 4;
+/// Response times are smoothed over about this many answers.
+constexpr int kResponseSmoothing = 8;
+constexpr int kTimeoutResponses = 6;
+/// Strangers that may join beyond our own choice of neighbours.
+constexpr std::size_t kMaximumNeighbours = 64;
+
+}  // namespace
+
+Swarm::Swarm(SwarmOptions options, ChunkSet have)
+    : options_(options),
+      picker_(std::move(have), options.pick_policy, options.seed ^ options.self),
+      uploads_(options.upload_slots, options.upload_queue_limit),
+      random_(static_cast<std::minstd_rand::result_type>(
+          (options.seed * 31 + options.self) % std::minstd_rand::modulus + 1)) {}
+
+Swarm::Peer& Swarm::peer(PeerId id) {
+  Peer& record = peers_[id];
+  if (record.held.size() == 0) record.held = ChunkSet(have().size());
+  return record;
+}
+
+bool Swarm::in_other_region(PeerId id) const {
+  if (membership_ == nullptr || self_ == nullptr) return false;
+  const SwarmParticipant* participant = membership_->find(id);
+  return participant != nullptr && participant->region != self_->region;
+}
+
+void Swarm::add_neighbour(PeerId id, SwarmActions& actions) {
+  Peer& record = peer(id);
+  if (record.neighbour) return;
+  record.neighbour = true;
+  neighbours_.push_back(id);
+  actions.push_back(JoinPeer{id});
+}
+
+void Swarm::on_membership(std::shared_ptr<const SwarmMembership> membership, TimePoint now,
+                          SwarmActions& actions) {
+  const bool first = membership_ == nullptr;
+  membership_ = std::move(membership);
+  self_ = membership_->find(options_.self);
+  if (first) last_progress_ = now;
+  for (const PeerId id : membership_->neighbours(options_.self)) add_neighbour(id, actions);
+  plan_duties();
+  if (complete() && !reported_complete_) {
+    reported_complete_ = true;
+    actions.push_back(SwarmComplete{});
+  }
+  request_more(now, actions);
+}
+
+void Swarm::plan_duties() {
+  origin_duties_.clear();
+  region_duties_.clear();
+  if (self_ == nullptr) return;
+  for (ChunkIndex chunk = 0; chunk < have().size(); ++chunk) {
+    if (have().contains(chunk)) continue;
+    if (may_draw_from_origin(chunk)) {
+      origin_duties_.push_back(chunk);
+      continue;
+    }
+    const SwarmParticipant* bringer = membership_->region_owner(chunk, self_->region, 0);
+    if (bringer != nullptr && bringer->id == options_.self) region_duties_.push_back(chunk);
+  }
+  // Owners start at different places, so that the origin's first chunks differ.
+  std::shuffle(origin_duties_.begin(), origin_duties_.end(), random_);
+}
+
+bool Swarm::may_draw_from_origin(ChunkIndex chunk) const {
+  if (options_.use_origin_for_all) return true;
+  for (std::size_t rank = 0; rank < options_.origin_copies; ++rank) {
+    const SwarmParticipant* owner = membership_->owner(chunk, rank);
+    if (owner != nullptr && owner->id == options_.self) return true;
+  }
+  for (std::size_t rank = 0; rank < takeover_rank_; ++rank) {
+    const SwarmParticipant* owner = membership_->region_owner(chunk, self_->region, rank);
+    if (owner != nullptr && owner->id == options_.self) return true;
+  }
+  return false;
+}
+
+void Swarm::on_peer_joined(PeerId id, const ChunkSet& held, TimePoint now, SwarmActions& actions) {
+  if (!peer(id).neighbour) {
+    if (neighbours_.size() >= kMaximumNeighbours) return;
+    add_neighbour(id, actions);
+  }
+  Peer& record = peer(id);
+  if (record.joined) picker_.on_neighbour_lost(record.held);
+  record.joined = true;
+  record.held = ChunkSet(have().size());
+  held.for_each([&](ChunkIndex chunk) {
+    if (record.held.insert(chunk)) picker_.on_neighbour_has(chunk);
+  });
+  request_more(now, actions);
+}
+
+void Swarm::on_peer_has(PeerId id, const std::vector<ChunkIndex>& chunks, TimePoint now,
+                        SwarmActions& actions) {
+  const auto found = peers_.find(id);
+  if (found == peers_.end() || !found->second.joined) return;
+  for (const ChunkIndex chunk : chunks) {
+    if (found->second.held.insert(chunk)) picker_.on_neighbour_has(chunk);
+  }
+  request_more(now, actions);
+}
+
+void Swarm::on_peer_lost(PeerId id, TimePoint now, SwarmActions& actions) {
+  const auto found = peers_.find(id);
+  if (found == peers_.end()) return;
+  std::vector<ChunkIndex> lost;
+  for (const auto& [chunk, request] : requests_) {
+    if (request.peer == id) lost.push_back(chunk);
+  }
+  for (const ChunkIndex chunk : lost) {
+    if (requests_.at(chunk).subscription) ++region_source_rank_[chunk];
+    close_request(chunk);
+    picker_.on_request_failed(chunk);
+  }
+  if (found->second.joined) picker_.on_neighbour_lost(found->second.held);
+  std::erase(neighbours_, id);
+  uploads_.cancel_all(id);
+  // What it sent stays on record: a reconnect must not clear it.
+  Peer kept;
+  kept.received = found->second.received;
+  kept.corrupt = found->second.corrupt;
+  kept.avoided = found->second.avoided;
+  kept.held = ChunkSet(have().size());
+  found->second = std::move(kept);
+  request_more(now, actions);
+}
+
+void Swarm::open_request(PeerId id, ChunkIndex chunk, bool subscription, TimePoint now,
+                         SwarmActions& actions) {
+  requests_[chunk] = {id, now, subscription};
+  picker_.on_requested(chunk);
+  if (!subscription) {
+    ++open_requests_;
+    ++peer(id).open_requests;
+  }
+  actions.push_back(RequestFromPeer{id, chunk, have().count()});
+}
+
+void Swarm::close_request(ChunkIndex chunk) {
+  const auto found = requests_.find(chunk);
+  if (found == requests_.end()) return;
+  if (!found->second.subscription) {
+    --open_requests_;
+    --peer(found->second.peer).open_requests;
+  }
+  requests_.erase(found);
+}
+
+void Swarm::request_more(TimePoint now, SwarmActions& actions) {
+  if (paused_ || membership_ == nullptr || complete()) return;
+  request_from_origin(now, actions);
+  subscribe_across_regions(now, actions);
+  request_from_neighbours(now, actions);
+}
+
+void Swarm::request_from_origin(TimePoint now, SwarmActions& actions) {
+  if (now < origin_not_before_) return;
+  while (origin_requests_.size() < options_.origin_window && !origin_duties_.empty()) {
+    const ChunkIndex chunk = origin_duties_.back();
+    origin_duties_.pop_back();
+    if (!picker_.open().contains(chunk)) continue;
+    picker_.on_requested(chunk);
+    origin_requests_[chunk] = now;
+    actions.push_back(RequestFromOrigin{chunk});
+  }
+}
+
+void Swarm::subscribe_across_regions(TimePoint now, SwarmActions& actions) {
+  std::vector<ChunkIndex> later;
+  for (const ChunkIndex chunk : region_duties_) {
+    if (!picker_.open().contains(chunk)) {
+      if (!have().contains(chunk)) later.push_back(chunk);
+      continue;
+    }
+    std::size_t& rank = region_source_rank_[chunk];
+    const SwarmParticipant* source = membership_->owner(chunk, rank);
+    if (source == nullptr) rank = 0;  // All were tried: begin again.
+    if (source == nullptr || source->region == self_->region) {
+      if (source != nullptr) ++rank;
+      later.push_back(chunk);
+      continue;
+    }
+    Peer& record = peer(source->id);
+    if (record.avoided || now < record.not_before) {
+      if (record.avoided) ++rank;
+      later.push_back(chunk);
+      continue;
+    }
+    open_request(source->id, chunk, true, now, actions);
+    later.push_back(chunk);
+  }
+  region_duties_ = std::move(later);
+}
+
+void Swarm::request_from_neighbours(TimePoint now, SwarmActions& actions) {
+  if (options_.use_origin_for_all || picker_.open().count() == 0) return;
+  std::vector<PeerId> candidates;
+  for (const PeerId id : neighbours_) {
+    const Peer& record = peers_.at(id);
+    if (record.joined && !record.avoided && now >= record.not_before) candidates.push_back(id);
+  }
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  // One request a neighbour in each round: uplinks share the load evenly.
+  for (std::uint32_t round = 0; round < options_.window_per_peer; ++round) {
+    for (const PeerId id : candidates) {
+      if (open_requests_ >= options_.window) return;
+      const Peer& record = peers_.at(id);
+      if (record.open_requests > round) continue;
+      const auto chunk = picker_.pick(record.held);
+      if (chunk) open_request(id, *chunk, false, now, actions);
+    }
+  }
+}
+
+void Swarm::on_chunk(std::optional<PeerId> source, ChunkIndex chunk, ChunkArrival arrival,
+                     TimePoint now, SwarmActions& actions) {
+  if (chunk >= have().size()) return;
+  if (!source) {
+    origin_requests_.erase(chunk);
+    if (arrival == ChunkArrival::verified) ++counters_.chunks_from_origin;
+  } else {
+    Peer& record = peer(*source);
+    ++record.received;
+    record.stalls = 0;
+    record.not_before = TimePoint{};
+    const auto request = requests_.find(chunk);
+    if (request != requests_.end() && request->second.peer == *source) {
+      if (!request->second.subscription) {
+        const Duration response = now - request->second.sent;
+        smoothed_response_ =
+            smoothed_response_ == Duration::zero()
+                ? response
+                : smoothed_response_ + (response - smoothed_response_) / kResponseSmoothing;
+      }
+      close_request(chunk);
+    }
+    if (arrival == ChunkArrival::corrupt) {
+      ++record.corrupt;
+      const bool too_many = record.corrupt >= options_.corrupt_minimum &&
+                            record.corrupt >= options_.corrupt_share * record.received;
+      if (too_many && !record.avoided) {
+        record.avoided = true;
+        actions.push_back(PeerAvoided{*source});
+      }
+    } else {
+      ++counters_.chunks_from_peers;
+      if (in_other_region(*source)) ++counters_.chunks_from_other_regions;
+    }
+  }
+  if (arrival == ChunkArrival::corrupt) {
+    ++counters_.corrupt_chunks;
+    const bool requested_elsewhere = requests_.contains(chunk) || origin_requests_.contains(chunk);
+    if (!requested_elsewhere) picker_.on_request_failed(chunk);
+    if (!source) origin_duties_.push_back(chunk);
+    request_more(now, actions);
+    return;
+  }
+  accept_chunk(chunk, now, actions);
+}
+
+void Swarm::on_local_copy_done(ChunkIndex chunk, TimePoint now, SwarmActions& actions) {
+  accept_chunk(chunk, now, actions);
+}
+
+void Swarm::accept_chunk(ChunkIndex chunk, TimePoint now, SwarmActions& actions) {
+  if (!picker_.on_received(chunk)) {
+    ++counters_.duplicate_chunks;
+    return;
+  }
+  last_progress_ = now;
+  // Late answers to an earlier request: the second request is no longer needed.
+  const auto request = requests_.find(chunk);
+  if (request != requests_.end()) {
+    actions.push_back(CancelFromPeer{request->second.peer, chunk});
+    close_request(chunk);
+  }
+  if (origin_requests_.erase(chunk) > 0) actions.push_back(CancelFromOrigin{chunk});
+  unannounced_.push_back(chunk);
+  answer_subscribers(chunk, actions);
+  if (complete() && !reported_complete_) {
+    reported_complete_ = true;
+    announce(now, actions);
+    actions.push_back(SwarmComplete{});
+  }
+  if (now >= next_announcement_) announce(now, actions);
+  request_more(now, actions);
+}
+
+void Swarm::on_refused(PeerId id, ChunkIndex chunk, TimePoint now, SwarmActions& actions) {
+  const auto request = requests_.find(chunk);
+  if (request == requests_.end() || request->second.peer != id) return;
+  if (request->second.subscription) ++region_source_rank_[chunk];
+  close_request(chunk);
+  picker_.on_request_failed(chunk);
+  peer(id).not_before = now + kRefusalPause;
+  request_more(now, actions);
+}
+
+void Swarm::on_origin_failed(ChunkIndex chunk, Duration retry_after, TimePoint now,
+                             SwarmActions& actions) {
+  if (origin_requests_.erase(chunk) == 0) return;
+  picker_.on_request_failed(chunk);
+  origin_duties_.push_back(chunk);
+  origin_not_before_ = std::max(origin_not_before_, now + retry_after);
+  request_more(now, actions);
+}
+
+void Swarm::on_request(PeerId id, ChunkIndex chunk, std::uint32_t progress, TimePoint,
+                       SwarmActions& actions) {
+  if (chunk >= have().size()) return;
+  if (!have().contains(chunk)) {
+    const SwarmParticipant* owner = membership_ ? membership_->owner(chunk, 0) : nullptr;
+    if (owner != nullptr && owner->id == options_.self && in_other_region(id)) {
+      subscribers_[chunk].push_back(id);
+    } else {
+      actions.push_back(RefuseChunk{id, chunk});
+    }
+    return;
+  }
+  if (!uploads_.push({id, chunk, progress, in_other_region(id)})) {
+    actions.push_back(RefuseChunk{id, chunk});
+    return;
+  }
+  pump_uploads(actions);
+}
+
+void Swarm::answer_subscribers(ChunkIndex chunk, SwarmActions& actions) {
+  const auto found = subscribers_.find(chunk);
+  if (found == subscribers_.end()) return;
+  for (const PeerId id : found->second) uploads_.push({id, chunk, 0, true});
+  subscribers_.erase(found);
+  pump_uploads(actions);
+}
+
+void Swarm::pump_uploads(SwarmActions& actions) {
+  while (const auto next = uploads_.begin_next()) {
+    ++counters_.chunks_sent;
+    actions.push_back(SendChunk{next->peer, next->chunk});
+  }
+}
+
+void Swarm::on_cancel(PeerId id, ChunkIndex chunk) {
+  uploads_.cancel(id, chunk);
+  const auto found = subscribers_.find(chunk);
+  if (found != subscribers_.end()) std::erase(found->second, id);
+}
+
+void Swarm::on_sent(TimePoint, SwarmActions& actions) {
+  uploads_.on_sent();
+  pump_uploads(actions);
+}
+
+void Swarm::announce(TimePoint now, SwarmActions& actions) {
+  next_announcement_ = now + options_.announce_interval;
+  if (unannounced_.empty()) return;
+  actions.push_back(AnnounceChunks{neighbours_, std::move(unannounced_)});
+  unannounced_.clear();
+}
+
+Duration Swarm::request_timeout() const {
+  return std::clamp(smoothed_response_ * kTimeoutResponses, options_.minimum_request_timeout,
+                    options_.maximum_request_timeout);
+}
+
+void Swarm::expire_requests(TimePoint now, SwarmActions& actions) {
+  const Duration timeout = request_timeout();
+  std::vector<ChunkIndex> expired;
+  for (const auto& [chunk, request] : requests_) {
+    const Duration limit = request.subscription ? options_.origin_timeout : timeout;
+    if (now - request.sent >= limit) expired.push_back(chunk);
+  }
+  for (const ChunkIndex chunk : expired) {
+    const OpenRequest request = requests_.at(chunk);
+    Peer& record = peer(request.peer);
+    if (request.subscription) {
+      ++region_source_rank_[chunk];
+    } else {
+      const std::uint32_t doublings = std::min(record.stalls++, kMaximumStallDoublings);
+      record.not_before = now + kStallPause * (1U << doublings);
+    }
+    close_request(chunk);
+    picker_.on_request_failed(chunk);
+    ++counters_.request_timeouts;
+    actions.push_back(CancelFromPeer{request.peer, chunk});
+  }
+  std::vector<ChunkIndex> slow;
+  for (const auto& [chunk, sent] : origin_requests_) {
+    if (now - sent >= options_.origin_timeout) slow.push_back(chunk);
+  }
+  for (const ChunkIndex chunk : slow) {
+    origin_requests_.erase(chunk);
+    picker_.on_request_failed(chunk);
+    origin_duties_.push_back(chunk);
+    actions.push_back(CancelFromOrigin{chunk});
+  }
+}
+
+void Swarm::take_over_if_starved(TimePoint now) {
+  if (paused_ || complete() || self_ == nullptr) return;
+  if (now - last_progress_ < options_.takeover_interval) return;
+  if (!origin_requests_.empty()) return;
+  last_progress_ = now;  // The next rank follows after another interval.
+  ++takeover_rank_;
+  for (ChunkIndex chunk = 0; chunk < have().size(); ++chunk) {
+    if (have().contains(chunk)) continue;
+    const SwarmParticipant* owner =
+        membership_->region_owner(chunk, self_->region, takeover_rank_ - 1);
+    if (owner == nullptr || owner->id != options_.self) continue;
+    origin_duties_.push_back(chunk);
+    ++counters_.origin_takeovers;
+    // A subscription that brought nothing for so long gives way to the origin.
+    const auto request = requests_.find(chunk);
+    if (request == requests_.end() || !request->second.subscription) continue;
+    close_request(chunk);
+    picker_.on_request_failed(chunk);
+  }
+}
+
+void Swarm::join_missing_neighbours(TimePoint now, SwarmActions& actions) {
+  if (membership_ == nullptr || now < next_rejoin_) return;
+  next_rejoin_ = now + kRejoinInterval;
+  for (const PeerId id : membership_->neighbours(options_.self)) add_neighbour(id, actions);
+}
+
+void Swarm::on_tick(TimePoint now, SwarmActions& actions) {
+  join_missing_neighbours(now, actions);
+  expire_requests(now, actions);
+  take_over_if_starved(now);
+  if (now >= next_announcement_) announce(now, actions);
+  request_more(now, actions);
+}
+
+void Swarm::set_paused(bool paused, TimePoint now, SwarmActions& actions) {
+  paused_ = paused;
+  last_progress_ = now;
+  request_more(now, actions);
+}
+
+void Swarm::set_limits(std::uint32_t window, std::uint32_t upload_slots) {
+  options_.window = window;
+  uploads_.set_slots(upload_slots);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/swarm/swarm.h
@@ -0,0 +1,223 @@
+/// One agent's part in distributing one version of weights.
+///
+/// A decision core: no I/O. The shell moves and verifies bytes; the core decides which
+/// chunk to ask whom for, whom to send to next, and who draws a chunk from the origin.
+///
+/// How a chunk travels (docs/design/swarm.md): its overall owner draws it from the origin
+/// once; the owner in each other region gets it from there; within a region it spreads
+/// between neighbours, rarest first. An owner that fails is followed by the next in rank.
+///
+/// Invariants:
+/// - a chunk is announced, sent on or counted as held only after the shell verified it;
+/// - at most `window` requests to neighbours and `origin_window` to the origin are open.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+#include "common/time.h"
+#include "swarm/chunk_picker.h"
+#include "swarm/chunk_set.h"
+#include "swarm/swarm_membership.h"
+#include "swarm/upload_queue.h"
+
+namespace pumicemast {
+
+struct SwarmOptions {
+  PeerId self = 0;
+  std::uint64_t seed = 1;
+  std::uint32_t window = 8;  ///< Open requests to neighbours; bounds memory.
+  std::uint32_t window_per_peer = 2;
+  std::uint32_t origin_window = 2;
+  std::uint32_t upload_slots = 2;  ///< Chunks handed to the link at once.
+  std::uint32_t upload_queue_limit = 16;
+  /// How many of a chunk's owners draw it from the origin: 1 spares the origin most.
+  std::uint32_t origin_copies = 1;
+  Duration announce_interval = milliseconds(50);
+  Duration minimum_request_timeout = seconds(1);
+  Duration maximum_request_timeout = seconds(10);
+  Duration origin_timeout = seconds(60);
+  /// Without any progress for so long, the next owner in rank may draw from the origin.
+  Duration takeover_interval = seconds(3);
+  /// A peer that sent corrupt chunks is avoided from this share and number of them on.
+  /// Links corrupt chunks too, so one is no proof.
+  double corrupt_share = 0.05;
+  std::uint32_t corrupt_minimum = 3;
+  PickPolicy pick_policy = PickPolicy::rarest_first;
+  bool use_origin_for_all = false;  ///< Baseline: no peers at all.
+};
+
+// ---- actions ----
+struct RequestFromPeer {
+  PeerId peer = 0;
+  ChunkIndex chunk = 0;
+  std::uint32_t progress = 0;
+};
+struct CancelFromPeer {
+  PeerId peer = 0;
+  ChunkIndex chunk = 0;
+};
+struct RequestFromOrigin {
+  ChunkIndex chunk = 0;
+};
+struct CancelFromOrigin {
+  ChunkIndex chunk = 0;
+};
+struct SendChunk {
+  PeerId peer = 0;
+  ChunkIndex chunk = 0;
+};
+struct RefuseChunk {
+  PeerId peer = 0;
+  ChunkIndex chunk = 0;
+};
+/// Tell each of `peers` that these chunks are held here now.
+struct AnnounceChunks {
+  std::vector<PeerId> peers;
+  std::vector<ChunkIndex> chunks;
+};
+/// Become `peer`'s neighbour: tell it everything that is held here.
+struct JoinPeer {
+  PeerId peer = 0;
+};
+/// Every chunk is held and verified.
+struct SwarmComplete {};
+/// `peer` sent too many corrupt chunks and is avoided from now on.
+struct PeerAvoided {
+  PeerId peer = 0;
+};
+using SwarmAction =
+    std::variant<RequestFromPeer, CancelFromPeer, RequestFromOrigin, CancelFromOrigin, SendChunk,
+                 RefuseChunk, AnnounceChunks, JoinPeer, SwarmComplete, PeerAvoided>;
+using SwarmActions = std::vector<SwarmAction>;
+
+/// How a chunk came out of the shell's verification.
+enum class ChunkArrival { verified, corrupt };
+
+struct SwarmCounters {
+  std::uint64_t chunks_from_origin = 0;
+  std::uint64_t chunks_from_peers = 0;
+  std::uint64_t chunks_from_other_regions = 0;
+  std::uint64_t duplicate_chunks = 0;
+  std::uint64_t corrupt_chunks = 0;
+  std::uint64_t request_timeouts = 0;
+  std::uint64_t origin_takeovers = 0;
+  std::uint64_t chunks_sent = 0;
+};
+
+class Swarm {
+ public:
+  /// @param have  chunks that are verified here already, from an earlier attempt or because
+  ///              another version shares them.
+  Swarm(SwarmOptions options, ChunkSet have);
+
+  /// Begins, or goes on with a changed list of participants.
+  void on_membership(std::shared_ptr<const SwarmMembership> membership, TimePoint now,
+                     SwarmActions& actions);
+  /// A neighbour told everything that it holds.
+  void on_peer_joined(PeerId peer, const ChunkSet& held, TimePoint now, SwarmActions& actions);
+  void on_peer_has(PeerId peer, const std::vector<ChunkIndex>& chunks, TimePoint now,
+                   SwarmActions& actions);
+  void on_peer_lost(PeerId peer, TimePoint now, SwarmActions& actions);
+  /// A chunk arrived from `peer`, or from the origin when null.
+  void on_chunk(std::optional<PeerId> peer, ChunkIndex chunk, ChunkArrival arrival, TimePoint now,
+                SwarmActions& actions);
+  /// The shell copies `chunk` from another version held here: nobody is asked for it.
+  void on_local_copy_started(ChunkIndex chunk) { picker_.on_requested(chunk); }
+  void on_local_copy_failed(ChunkIndex chunk) { picker_.on_request_failed(chunk); }
+  void on_local_copy_done(ChunkIndex chunk, TimePoint now, SwarmActions& actions);
+  void on_refused(PeerId peer, ChunkIndex chunk, TimePoint now, SwarmActions& actions);
+  void on_origin_failed(ChunkIndex chunk, Duration retry_after, TimePoint now,
+                        SwarmActions& actions);
+  void on_request(PeerId peer, ChunkIndex chunk, std::uint32_t progress, TimePoint now,
+                  SwarmActions& actions);
+  void on_cancel(PeerId peer, ChunkIndex chunk);
+  /// The link took a chunk given by SendChunk (or the peer went away).
+  void on_sent(TimePoint now, SwarmActions& actions);
+  /// Call at least every announce_interval.
+  void on_tick(TimePoint now, SwarmActions& actions);
+  /// Stops or resumes asking for chunks; what is held is still passed on.
+  void set_paused(bool paused, TimePoint now, SwarmActions& actions);
+  /// Shares of the link when several versions are on their way.
+  void set_limits(std::uint32_t window, std::uint32_t upload_slots);
+
+  const ChunkSet& have() const { return picker_.have(); }
+  bool complete() const { return picker_.have().full(); }
+  const SwarmCounters& counters() const { return counters_; }
+  /// Chunks in memory or on their way: what bounds the agent's memory.
+  std::uint32_t chunks_in_memory() const {
+    return open_requests_ + static_cast<std::uint32_t>(origin_requests_.size()) + uploads_.active();
+  }
+
+ private:
+  struct Peer {
+    bool neighbour = false;
+    bool joined = false;  ///< Its have-set is known.
+    bool avoided = false;
+    ChunkSet held;
+    std::uint32_t open_requests = 0;
+    std::uint32_t received = 0;
+    std::uint32_t corrupt = 0;
+    TimePoint not_before{};  ///< After a stall or refusal.
+    std::uint32_t stalls = 0;
+  };
+  struct OpenRequest {
+    PeerId peer = 0;
+    TimePoint sent{};
+    bool subscription = false;  ///< At an owner that may not have it yet.
+  };
+
+  Peer& peer(PeerId id);
+  void add_neighbour(PeerId id, SwarmActions& actions);
+  void request_more(TimePoint now, SwarmActions& actions);
+  void request_from_neighbours(TimePoint now, SwarmActions& actions);
+  void request_from_origin(TimePoint now, SwarmActions& actions);
+  void subscribe_across_regions(TimePoint now, SwarmActions& actions);
+  void join_missing_neighbours(TimePoint now, SwarmActions& actions);
+  bool may_draw_from_origin(ChunkIndex chunk) const;
+  void plan_duties();
+  void open_request(PeerId id, ChunkIndex chunk, bool subscription, TimePoint now,
+                    SwarmActions& actions);
+  void close_request(ChunkIndex chunk);
+  void expire_requests(TimePoint now, SwarmActions& actions);
+  void take_over_if_starved(TimePoint now);
+  void accept_chunk(ChunkIndex chunk, TimePoint now, SwarmActions& actions);
+  void pump_uploads(SwarmActions& actions);
+  void answer_subscribers(ChunkIndex chunk, SwarmActions& actions);
+  void announce(TimePoint now, SwarmActions& actions);
+  Duration request_timeout() const;
+  bool in_other_region(PeerId id) const;
+
+  SwarmOptions options_;
+  std::shared_ptr<const SwarmMembership> membership_;
+  const SwarmParticipant* self_ = nullptr;
+  ChunkPicker picker_;
+  UploadQueue uploads_;
+  std::map<PeerId, Peer> peers_;
+  std::vector<PeerId> neighbours_;
+  std::map<ChunkIndex, OpenRequest> requests_;
+  std::uint32_t open_requests_ = 0;  ///< Those that count against the window.
+  std::map<ChunkIndex, TimePoint> origin_requests_;
+  TimePoint origin_not_before_{};
+  std::vector<ChunkIndex> origin_duties_;  ///< Chunks to draw from the origin.
+  std::vector<ChunkIndex> region_duties_;  ///< Chunks to bring into this region.
+  std::map<ChunkIndex, std::size_t> region_source_rank_;
+  std::size_t takeover_rank_ = 0;
+  TimePoint last_progress_{};
+  std::map<ChunkIndex, std::vector<PeerId>> subscribers_;
+  std::vector<ChunkIndex> unannounced_;
+  TimePoint next_announcement_{};
+  TimePoint next_rejoin_{};
+  Duration smoothed_response_ = Duration::zero();
+  bool paused_ = false;
+  bool reported_complete_ = false;
+  std::minstd_rand random_;
+  SwarmCounters counters_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/swarm/swarm_membership.cpp
@@ -0,0 +1,109 @@
+#include "swarm/swarm_membership.h"
+
+#include <algorithm>
+#include <set>
+
+#include "common/hash.h"
+
+namespace pumicemast {
+namespace {
+
+/// More points even out the owners' shares; 16 keep the largest near twice the mean.
+constexpr std::uint64_t kPointsPerMember = 16;
+/// Regions up to this size are a full mesh.
+constexpr std::size_t kFullMeshSize = 12;
+
+}  // namespace
+
+SwarmMembership::Ring SwarmMembership::build_ring(const std::vector<PeerId>& ids,
+                                                  std::uint64_t seed) {
+  Ring ring;
+  for (const PeerId id : ids) {
+    for (std::uint64_t point = 0; point < kPointsPerMember; ++point) {
+      ring.points.emplace_back(stable_hash(id ^ seed, point), id);
+    }
+  }
+  std::sort(ring.points.begin(), ring.points.end());
+  std::set<PeerId> seen;
+  for (const auto& [position, id] : ring.points) {
+    if (seen.insert(id).second) ring.members.push_back(id);
+  }
+  return ring;
+}
+
+SwarmMembership::SwarmMembership(std::vector<SwarmParticipant> participants, std::uint64_t seed)
+    : seed_(seed) {
+  std::vector<PeerId> all;
+  std::map<std::uint32_t, std::vector<PeerId>> per_region;
+  for (const SwarmParticipant& participant : participants) {
+    if (!by_id_.emplace(participant.id, participant).second) continue;
+    all.push_back(participant.id);
+    per_region[participant.region].push_back(participant.id);
+  }
+  ring_ = build_ring(all, seed);
+  for (const auto& [region, ids] : per_region) region_rings_[region] = build_ring(ids, seed);
+}
+
+const SwarmParticipant* SwarmMembership::find(PeerId id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : &found->second;
+}
+
+std::vector<PeerId> SwarmMembership::neighbours(PeerId self) const {
+  const SwarmParticipant* participant = find(self);
+  if (participant == nullptr) return {};
+  const std::vector<PeerId>& members = region_rings_.at(participant->region).members;
+  const std::size_t count = members.size();
+  const auto own =
+      static_cast<std::size_t>(std::find(members.begin(), members.end(), self) - members.begin());
+  std::vector<PeerId> neighbours;
+  const auto add = [&](std::size_t index) {
+    const PeerId id = members[index % count];
+    if (id == self) return;
+    if (std::find(neighbours.begin(), neighbours.end(), id) == neighbours.end()) {
+      neighbours.push_back(id);
+    }
+  };
+  if (count <= kFullMeshSize) {
+    for (std::size_t index = 0; index < count; ++index) add(index);
+    return neighbours;
+  }
+  for (std::size_t distance = 1; distance <= count / 2; distance *= 2) {
+    add(own + distance);
+    add(own + count - distance);
+  }
+  return neighbours;
+}
+
+PeerId SwarmMembership::Ring::at(std::uint64_t position, std::size_t rank) const {
+  if (rank >= members.size()) return 0;
+  auto point = std::lower_bound(points.begin(), points.end(), std::pair{position, PeerId{0}});
+  std::vector<PeerId> passed;
+  for (std::size_t step = 0; step < points.size(); ++step, ++point) {
+    if (point == points.end()) point = points.begin();
+    const PeerId id = point->second;
+    if (std::find(passed.begin(), passed.end(), id) != passed.end()) continue;
+    if (passed.size() == rank) return id;
+    passed.push_back(id);
+  }
+  return 0;
+}
+
+std::uint64_t SwarmMembership::position(ChunkIndex chunk) const {
+  return stable_hash(seed_, std::uint64_t{chunk});
+}
+
+const SwarmParticipant* SwarmMembership::owner(ChunkIndex chunk, std::size_t rank) const {
+  if (rank >= ring_.members.size()) return nullptr;
+  return find(ring_.at(position(chunk), rank));
+}
+
+const SwarmParticipant* SwarmMembership::region_owner(ChunkIndex chunk, std::uint32_t region,
+                                                      std::size_t rank) const {
+  const auto found = region_rings_.find(region);
+  if (found == region_rings_.end() || rank >= found->second.members.size()) return nullptr;
+  // Both rings place a member's points alike, so the overall owner comes first in its region.
+  return find(found->second.at(position(chunk), rank));
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/swarm/swarm_membership.h
@@ -0,0 +1,62 @@
+/// Who takes part in distributing one version, and what follows from it: neighbours and
+/// the owners of chunks.
+///
+/// Every agent computes the same from the same list, so no coordinator hands out work.
+/// Immutable; a change of the list makes a new object.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "weights/manifest.h"
+
+namespace pumicemast {
+
+/// Stable hash of a machine's name.
+using PeerId = std::uint64_t;
+
+struct SwarmParticipant {
+  PeerId id = 0;
+  std::uint32_t region = 0;
+  std::uint32_t zone = 0;
+  bool operator==(const SwarmParticipant&) const = default;
+};
+
+class SwarmMembership {
+ public:
+  /// @param seed  hash of the version's digest: another version has other owners.
+  SwarmMembership(std::vector<SwarmParticipant> participants, std::uint64_t seed);
+
+  const SwarmParticipant* find(PeerId id) const;
+  std::size_t size() const { return by_id_.size(); }
+  std::size_t region_count() const { return region_rings_.size(); }
+  /// Members of `self`'s region that exchange chunks with it: about 2·log2(region size),
+  /// chosen by distance on the region's ring, so that the relation is symmetric.
+  std::vector<PeerId> neighbours(PeerId self) const;
+  /// The `rank`-th owner of `chunk` over all members; rank 0 draws it from the origin.
+  /// Null when there are fewer members.
+  const SwarmParticipant* owner(ChunkIndex chunk, std::size_t rank) const;
+  /// The `rank`-th owner of `chunk` within `region`; rank 0 brings it into the region.
+  /// In the overall owner's region that is the overall owner itself.
+  const SwarmParticipant* region_owner(ChunkIndex chunk, std::uint32_t region,
+                                       std::size_t rank) const;
+
+ private:
+  /// A consistent-hash ring; several points a member even out the shares.
+  struct Ring {
+    std::vector<std::pair<std::uint64_t, PeerId>> points;
+    std::vector<PeerId> members;  ///< In ring order of their first points.
+    PeerId at(std::uint64_t position, std::size_t rank) const;
+  };
+  static Ring build_ring(const std::vector<PeerId>& ids, std::uint64_t seed);
+  std::uint64_t position(ChunkIndex chunk) const;
+
+  std::uint64_t seed_;
+  std::map<PeerId, SwarmParticipant> by_id_;
+  Ring ring_;
+  std::map<std::uint32_t, Ring> region_rings_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/transport/wire_connection.cpp
@@ -0,0 +1,232 @@
+#include "transport/wire_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+
+namespace pumicemast {
+namespace {
+
+constexpr std::size_t kReadBytes = 256U * 1024U;
+/// Reads in one turn of the loop, so that one busy peer cannot starve the others.
+constexpr int kReadsPerTurn = 4;
+
+}  // namespace
+
+WireConnection::WireConnection(GObjectPointer<GSocketConnection> connection)
+    : connection_(std::move(connection)),
+      socket_(g_socket_connection_get_socket(connection_.get())) {
+  g_socket_set_blocking(socket_, FALSE);
+  g_socket_set_option(socket_, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+}
+
+WireConnection::~WireConnection() {
+  callbacks_ = {};
+  close("destroyed");
+  if (closed_report_ != 0) g_source_remove(closed_report_);
+}
+
+GSource* WireConnection::watch(GIOCondition condition, GSourceFunc callback) {
+  GSource* source = g_socket_create_source(socket_, condition, nullptr);
+  g_source_set_callback(source, callback, this, nullptr);
+  g_source_attach(source, nullptr);
+  return source;
+}
+
+void WireConnection::start(Callbacks callbacks) {
+  callbacks_ = std::move(callbacks);
+  watch_readable();
+}
+
+void WireConnection::set_reading(bool reading) {
+  if (reading == reading_ || !open_) return;
+  reading_ = reading;
+  if (reading) {
+    watch_readable();
+    return;
+  }
+  if (readable_ == nullptr) return;
+  g_source_destroy(readable_);
+  g_source_unref(readable_);
+  readable_ = nullptr;
+}
+
+void WireConnection::watch_readable() {
+  // The socket source's callback type differs from GSourceFunc by design of GIO.
+  readable_ =
+      watch(G_IO_IN, reinterpret_cast<GSourceFunc>(  // NOLINT(bugprone-casting-through-void)
+                         reinterpret_cast<void*>(&WireConnection::handle_readable)));
+}
+
+gboolean WireConnection::handle_readable(GSocket*, GIOCondition, gpointer self) {
+  auto* connection = static_cast<WireConnection*>(self);
+  connection->read_available();
+  return connection->open_ && connection->reading_ ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+void WireConnection::read_available() {
+  static std::array<std::uint8_t, kReadBytes> buffer;  // One loop on one thread.
+  for (int turn = 0; turn < kReadsPerTurn && open_ && reading_; ++turn) {
+    GError* error = nullptr;
+    const gssize count = g_socket_receive(socket_, reinterpret_cast<gchar*>(buffer.data()),
+                                          buffer.size(), nullptr, &error);
+    if (count < 0) {
+      const bool would_block = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != 0;
+      const std::string reason = error->message;
+      g_error_free(error);
+      if (!would_block) close(reason);
+      return;
+    }
+    if (count == 0) {
+      close("end of stream");
+      return;
+    }
+    const FrameFault fault =
+        reader_.consume({buffer.data(), static_cast<std::size_t>(count)}, callbacks_.on_frame);
+    if (fault != FrameFault::none) {
+      close(fault == FrameFault::oversize ? "oversize frame" : "malformed frame");
+    }
+    if (static_cast<std::size_t>(count) < buffer.size()) return;
+  }
+}
+
+void WireConnection::queue(std::vector<std::uint8_t> frame) {
+  if (!open_) return;
+  queued_bytes_ += frame.size();
+  outgoing_.push_back(std::move(frame));
+  if (writable_ != nullptr) return;
+  if (!write_available() || !open_) return;
+  writable_ =
+      watch(G_IO_OUT, reinterpret_cast<GSourceFunc>(  // NOLINT(bugprone-casting-through-void)
+                          reinterpret_cast<void*>(&WireConnection::handle_writable)));
+}
+
+bool WireConnection::write_available() {
+  while (!outgoing_.empty()) {
+    const auto& head = outgoing_.front();
+    GError* error = nullptr;
+    const gssize count =
+        g_socket_send(socket_, reinterpret_cast<const gchar*>(head.data()) + head_offset_,
+                      head.size() - head_offset_, nullptr, &error);
+    if (count < 0) {
+      const bool would_block = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != 0;
+      const std::string reason = error->message;
+      g_error_free(error);
+      if (!would_block) close(reason);
+      return would_block;
+    }
+    head_offset_ += static_cast<std::size_t>(count);
+    queued_bytes_ -= static_cast<std::size_t>(count);
+    if (head_offset_ == head.size()) {
+      outgoing_.pop_front();
+      head_offset_ = 0;
+    }
+  }
+  return false;
+}
+
+gboolean WireConnection::handle_writable(GSocket*, GIOCondition, gpointer self) {
+  auto* connection = static_cast<WireConnection*>(self);
+  if (connection->write_available()) return G_SOURCE_CONTINUE;
+  if (connection->writable_ != nullptr) {
+    g_source_unref(connection->writable_);
+    connection->writable_ = nullptr;
+  }
+  if (connection->open_ && connection->callbacks_.on_drained) connection->callbacks_.on_drained();
+  return G_SOURCE_REMOVE;
+}
+
+void WireConnection::close(const std::string& reason) {
+  if (!open_) return;
+  open_ = false;
+  close_reason_ = reason;
+  for (GSource** source : {&readable_, &writable_}) {
+    if (*source == nullptr) continue;
+    g_source_destroy(*source);
+    g_source_unref(*source);
+    *source = nullptr;
+  }
+  outgoing_.clear();
+  queued_bytes_ = 0;
+  g_io_stream_close(G_IO_STREAM(connection_.get()), nullptr, nullptr);
+  // Reported from the loop, so that the owner may destroy the connection in on_closed.
+  if (callbacks_.on_closed) closed_report_ = g_idle_add(&WireConnection::report_closed, this);
+}
+
+gboolean WireConnection::report_closed(gpointer self) {
+  auto* connection = static_cast<WireConnection*>(self);
+  connection->closed_report_ = 0;
+  const auto on_closed = std::move(connection->callbacks_.on_closed);
+  const std::string reason = connection->close_reason_;
+  if (on_closed) on_closed(reason);
+  return G_SOURCE_REMOVE;
+}
+
+leaf::result<std::unique_ptr<WireListener>> WireListener::listen(const Address& address,
+                                                                 OnConnection on_connection) {
+  std::unique_ptr<WireListener> listener(new WireListener());
+  listener->on_connection_ = std::move(on_connection);
+  listener->service_ = g_socket_service_new();
+  GInetAddress* host = g_inet_address_new_from_string(address.host.c_str());
+  GSocketAddress* socket_address = g_inet_socket_address_new(host, address.port);
+  g_object_unref(host);
+  GError* error = nullptr;
+  const gboolean bound = g_socket_listener_add_address(
+      G_SOCKET_LISTENER(listener->service_), socket_address, G_SOCKET_TYPE_STREAM,
+      G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error);
+  g_object_unref(socket_address);
+  if (bound == FALSE) {
+    const std::string reason = error->message;
+    g_error_free(error);
+    return leaf::new_error(Error{ErrorCode::unavailable, address.to_string(), reason});
+  }
+  g_signal_connect(listener->service_, "incoming", G_CALLBACK(&WireListener::handle_incoming),
+                   listener.get());
+  g_socket_service_start(listener->service_);
+  return listener;
+}
+
+WireListener::~WireListener() {
+  if (service_ == nullptr) return;
+  g_signal_handlers_disconnect_by_data(service_, this);
+  g_socket_service_stop(service_);
+  g_socket_listener_close(G_SOCKET_LISTENER(service_));
+  g_object_unref(service_);
+}
+
+gboolean WireListener::handle_incoming(GSocketService*, GSocketConnection* connection, GObject*,
+                                       gpointer self) {
+  auto shared = GObjectPointer<GSocketConnection>::share(connection);
+  static_cast<WireListener*>(self)->on_connection_(
+      std::make_unique<WireConnection>(std::move(shared)));
+  return TRUE;
+}
+
+void connect_wire(const Address& address, Duration timeout,
+                  std::function<void(std::unique_ptr<WireConnection>)> on_result) {
+  GSocketClient* client = g_socket_client_new();
+  const auto timeout_s = std::max<std::int64_t>(1, to_milliseconds(timeout) / 1000);
+  g_socket_client_set_timeout(client, static_cast<guint>(timeout_s));
+  auto* callback = new std::function<void(std::unique_ptr<WireConnection>)>(std::move(on_result));
+  g_socket_client_connect_to_host_async(
+      client, address.host.c_str(), address.port, nullptr,
+      [](GObject* source, GAsyncResult* result, gpointer data) {
+        std::unique_ptr<std::function<void(std::unique_ptr<WireConnection>)>> on_done(
+            static_cast<std::function<void(std::unique_ptr<WireConnection>)>*>(data));
+        GSocketConnection* connection =
+            g_socket_client_connect_to_host_finish(G_SOCKET_CLIENT(source), result, nullptr);
+        if (connection == nullptr) {
+          (*on_done)(nullptr);
+          return;
+        }
+        // The timeout was for connecting; an idle connection must not fail.
+        g_socket_set_timeout(g_socket_connection_get_socket(connection), 0);
+        (*on_done)(
+            std::make_unique<WireConnection>(GObjectPointer<GSocketConnection>::adopt(connection)));
+      },
+      callback);
+  g_object_unref(client);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/transport/wire_connection.h
@@ -0,0 +1,97 @@
+/// One TCP connection between pumicemast processes, driven by the GLib loop.
+#pragma once
+
+#include <gio/gio.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/error.h"
+#include "common/gobject_pointer.h"
+#include "common/settings.h"
+#include "transport/frame_codec.h"
+
+namespace pumicemast {
+
+/// Sends and receives frames. Callbacks run on the loop; a connection may be closed, but
+/// not destroyed, inside its own callbacks (owners drop it from an idle or timer call).
+class WireConnection {
+ public:
+  struct Callbacks {
+    std::function<void(const wire::Frame&)> on_frame;
+    /// Called once, also after close(). `reason` is for counters and state-change lines.
+    std::function<void(const std::string& reason)> on_closed;
+    /// The queued bytes fell to zero; may be empty.
+    std::function<void()> on_drained;
+  };
+
+  explicit WireConnection(GObjectPointer<GSocketConnection> connection);
+  ~WireConnection();
+  WireConnection(const WireConnection&) = delete;
+  WireConnection& operator=(const WireConnection&) = delete;
+
+  void start(Callbacks callbacks);
+
+  /// Queues one message; a closed connection drops it.
+  template <class Table>
+  void send(const Table& body) {
+    queue(encode_frame(body));
+  }
+  void close(const std::string& reason);
+  /// Stops or resumes reading, so that the sender is held back by TCP itself.
+  void set_reading(bool reading);
+  bool is_open() const { return open_; }
+  std::size_t queued_bytes() const { return queued_bytes_; }
+
+ private:
+  static gboolean handle_readable(GSocket* socket, GIOCondition condition, gpointer self);
+  static gboolean handle_writable(GSocket* socket, GIOCondition condition, gpointer self);
+  static gboolean report_closed(gpointer self);
+  void queue(std::vector<std::uint8_t> frame);
+  void read_available();
+  bool write_available();
+  void watch_readable();
+  GSource* watch(GIOCondition condition, GSourceFunc callback);
+
+  GObjectPointer<GSocketConnection> connection_;
+  GSocket* socket_;
+  GSource* readable_ = nullptr;
+  GSource* writable_ = nullptr;
+  guint closed_report_ = 0;
+  Callbacks callbacks_;
+  FrameReader reader_;
+  std::deque<std::vector<std::uint8_t>> outgoing_;
+  std::size_t head_offset_ = 0;
+  std::size_t queued_bytes_ = 0;
+  bool open_ = true;
+  bool reading_ = true;
+  std::string close_reason_;
+};
+
+/// Accepts connections on one address.
+class WireListener {
+ public:
+  using OnConnection = std::function<void(std::unique_ptr<WireConnection>)>;
+
+  /// Fails with ErrorCode::unavailable when the address cannot be bound.
+  static leaf::result<std::unique_ptr<WireListener>> listen(const Address& address,
+                                                            OnConnection on_connection);
+  ~WireListener();
+
+ private:
+  WireListener() = default;
+  static gboolean handle_incoming(GSocketService* service, GSocketConnection* connection,
+                                  GObject* source, gpointer self);
+
+  GSocketService* service_ = nullptr;
+  OnConnection on_connection_;
+};
+
+/// Starts a connection; calls back with null after a failure or `timeout`.
+void connect_wire(const Address& address, Duration timeout,
+                  std::function<void(std::unique_ptr<WireConnection>)> on_result);
+
+}  // namespace pumicemast
