--- a/src/load/load_generator.cpp
+++ b/src/load/load_generator.cpp
@@ -137,7 +137,8 @@
                          bool service) {
   const std::uint64_t call = next_call_++;
   request.headers["X-Request-Id"] = expected.request_id;
-  request.headers["X-Tenant"] = "tenant-" + std::to_string(call % settings_.tenants);
+  // By sent_, not by call: a repeated key belongs to one tenant.
+  request.headers["X-Tenant"] = "tenant-" + std::to_string(sent_ % settings_.tenants);
   record.request_id = expected.request_id;
   record.sent = loop_now();
   const std::size_t index = records_.size();
