Add the burst simulator: the production cores on virtual time

Cause: 330 machines cannot be run as processes here, and rates, stalls, cuts and deaths must be the same for every way that is compared. Change: a network of first-come links, full or half duplex, seeded faults, and an engine model that keeps what each machine really holds.

--- /dev/null
+++ b/src/simulation/burst_simulation.h
@@ -0,0 +1,141 @@
+/// Simulates one burst: a version reaches every machine of a fleet on virtual time.
+///
+/// Each machine runs the production cores Swarm and ReplicaManager; only sockets, clock,
+/// origin and engine memory are modelled. The simulator keeps what each engine really holds,
+/// so that serving partial or mixed weights would be seen.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "common/state_chart.h"
+#include "replica/replica_manager.h"
+#include "simulation/burst_settings.h"
+#include "simulation/event_queue.h"
+#include "simulation/network_model.h"
+
+namespace pumicemast::simulation {
+
+/// The state of the burst at one time, for plots.
+struct BurstSample {
+  double time_s = 0;
+  std::uint32_t live = 0;
+  std::uint32_t alive = 0;
+  std::uint64_t origin_bytes = 0;
+  std::uint64_t peer_bytes = 0;
+  std::uint64_t inter_region_bytes = 0;
+};
+
+/// One event worth telling, for the history.
+struct BurstEvent {
+  double time_s = 0;
+  std::string what;  ///< live, died, stalled, cut, superseded, avoided.
+  MachineNumber machine = 0;
+  std::uint32_t version = 0;
+};
+
+struct BurstResult {
+  std::vector<double> live_times_s;  ///< Of the survivors, in ascending order.
+  std::uint32_t survivors = 0;
+  std::uint32_t never_live = 0;      ///< Survivors that did not get there in time.
+  double last_order_s = 0;           ///< When the version that counts was ordered.
+  std::uint64_t origin_bytes = 0;
+  std::uint64_t peer_bytes = 0;
+  std::uint64_t inter_region_bytes = 0;
+  std::uint64_t duplicate_bytes = 0;
+  std::uint64_t corrupt_chunks = 0;
+  std::uint64_t request_timeouts = 0;
+  std::uint64_t takeovers = 0;
+  std::uint64_t peak_agent_memory = 0;
+  std::uint32_t partial_or_mixed_served = 0;
+  std::uint64_t messages = 0;        ///< Control messages between agents.
+  std::uint64_t events = 0;
+  std::vector<BurstSample> samples;
+  std::vector<BurstEvent> history;
+};
+
+class BurstSimulation {
+ public:
+  BurstSimulation(BurstSettings settings, const StateChart& replica_chart);
+  ~BurstSimulation();
+  BurstResult run();
+
+ private:
+  struct Agent;
+  struct OriginRequest {
+    MachineNumber machine = 0;
+    std::uint32_t version = 0;
+    ChunkIndex chunk = 0;
+    std::uint64_t number = 0;
+  };
+  using ContentId = std::uint32_t;
+
+  ContentId content_of(std::uint32_t version, ChunkIndex chunk) const;
+  std::uint64_t chunk_size(ChunkIndex chunk) const;
+  void schedule_faults();
+  void schedule_next_death();
+  void die(MachineNumber machine);
+  void supersede();
+  void order(MachineNumber machine, std::uint32_t version);
+  void spread_membership();
+  void sample();
+  void tick(MachineNumber machine);
+  bool finished() const;
+
+  void carry_out(MachineNumber machine, const ReplicaActions& actions);
+  void act(MachineNumber machine, const StartFetch& action);
+  void act(MachineNumber machine, const StopFetch& action);
+  void act(MachineNumber machine, const CloseAdmission& action);
+  void act(MachineNumber machine, const OpenAdmission& action);
+  void act(MachineNumber machine, const ActivateVersion& action);
+  void act(MachineNumber machine, const DropVersion& action);
+  void act(MachineNumber machine, const ReplicaChanged& action);
+
+  void carry_out(MachineNumber machine, std::uint32_t version, const SwarmActions& actions);
+  void act(MachineNumber machine, std::uint32_t version, const RequestFromPeer& action);
+  void act(MachineNumber machine, std::uint32_t version, const CancelFromPeer& action);
+  void act(MachineNumber machine, std::uint32_t version, const RequestFromOrigin& action);
+  void act(MachineNumber machine, std::uint32_t version, const CancelFromOrigin& action);
+  void act(MachineNumber machine, std::uint32_t version, const SendChunk& action);
+  void act(MachineNumber machine, std::uint32_t version, const RefuseChunk& action);
+  void act(MachineNumber machine, std::uint32_t version, const AnnounceChunks& action);
+  void act(MachineNumber machine, std::uint32_t version, const JoinPeer& action);
+  void act(MachineNumber machine, std::uint32_t version, const SwarmComplete& action);
+  void act(MachineNumber machine, std::uint32_t version, const PeerAvoided& action);
+
+  /// Delivers a small message, or tells the sender that the peer cannot be reached.
+  void message(MachineNumber from, PeerId to, std::uint32_t version,
+               std::function<void(Swarm&, SwarmActions&)> deliver);
+  void lose_peer(MachineNumber machine, PeerId peer);
+  void send_join(MachineNumber from, PeerId to, std::uint32_t version, bool reply);
+  void serve_origin();
+  void receive(MachineNumber machine, std::uint32_t version, std::optional<PeerId> source,
+               ChunkIndex chunk, ContentId content);
+  Swarm* swarm_of(MachineNumber machine, std::uint32_t version);
+
+  BurstSettings settings_;
+  const StateChart& replica_chart_;
+  std::mt19937_64 random_;
+  EventQueue events_;
+  NetworkModel network_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+  std::map<PeerId, MachineNumber> numbers_;
+  std::shared_ptr<const SwarmMembership> membership_;
+  std::vector<bool> shared_chunks_;       ///< Between versions 0 and 1.
+  std::deque<OriginRequest> origin_queue_;
+  bool origin_busy_ = false;
+  std::uint64_t next_origin_request_ = 1;
+  std::uint32_t wanted_version_ = 0;
+  std::uint32_t live_wanted_ = 0;
+  std::uint32_t alive_ = 0;
+  TimePoint api_down_from_{};
+  TimePoint api_down_until_{};
+  TimePoint end_;
+  BurstResult result_;
+};
+
+}  // namespace pumicemast::simulation
--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -79,7 +79,7 @@
 }
 
 bool Swarm::may_draw_from_origin(ChunkIndex chunk) const {
-  if (options_.use_origin_for_all) return true;
+  if (options_.origin_for_all) return true;
   for (std::size_t rank = 0; rank < options_.origin_copies; ++rank) {
     const SwarmParticipant* owner = membership_->owner(chunk, rank);
     if (owner != nullptr && owner->id == options_.self) return true;
@@ -209,7 +209,8 @@
 }
 
 void Swarm::request_from_neighbours(TimePoint now, SwarmActions& actions) {
-  if (options_.use_origin_for_all || picker_.open().count() == 0) return;
+  if (!options_.use_peers || picker_.open().count() == 0) return;
+  if (open_requests_ >= options_.window) return;
   std::vector<PeerId> candidates;
   for (const PeerId id : neighbours_) {
     const Peer& record = peers_.at(id);
--- a/src/swarm/swarm.h
+++ b/src/swarm/swarm.h
@@ -49,7 +49,9 @@
   double corrupt_share = 0.05;
   std::uint32_t corrupt_minimum = 3;
   PickPolicy pick_policy = PickPolicy::rarest_first;
-  bool use_origin_for_all = false;  ///< Baseline: no peers at all.
+  // For baselines only:
+  bool origin_for_all = false;  ///< Everyone may draw every chunk from the origin.
+  bool use_peers = true;
 };
 
 // ---- actions ----
