Procure chunks from outside by ranks that follow the first appearance of chunks

Owners that were cut off held chunks back until everyone else had starved; takeovers then went to the origin all at once; and duties of first rank were dropped together with those taken over. Change: ChunkProcurement keeps each duty and its sequence of sources; who follows in rank steps in when no missing chunk has appeared nearby for an interval; other regions are asked before the origin; requests at the origin are cancelled when the chunk appears elsewhere. The objectives differ in that interval (3 s, 10 s).

--- a/src/agent/weight_transfer.cpp
+++ b/src/agent/weight_transfer.cpp
@@ -11,9 +11,6 @@
 /// Bytes that may be on their way in the socket buffers before an upload slot is freed.
 constexpr std::size_t kUndrainedLimit = 4U << 20U;
 constexpr Duration kRestartDelay = seconds(1);
-/// The owners that draw each chunk from the origin when time matters most.
-constexpr std::uint32_t kOriginCopiesForTime = 2;
-constexpr std::uint32_t kOriginCopiesForBytes = 1;
 
 PeerId peer_id(const std::string& machine) { return stable_hash(machine); }
 
@@ -152,7 +149,8 @@
         options.window = settings_.window;
         options.upload_slots = settings_.upload_slots;
         options.announce_interval = kAnnounceInterval;
-        options.origin_copies = opened->spare_origin ? kOriginCopiesForBytes : kOriginCopiesForTime;
+        apply_objective(opened->spare_origin ? SwarmObjective::origin_bytes : SwarmObjective::time,
+                        options);
         const auto held = engine_contents_.find(digest);
         const ChunkIndex count = opened->manifest->chunk_count();
         ChunkSet have = held != engine_contents_.end() && held->second.size() == count
--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -6,6 +6,8 @@
 namespace pumicemast {
 namespace {
 
+constexpr Duration kTakeoverForTime = seconds(3);
+constexpr Duration kTakeoverForOriginBytes = seconds(10);
 constexpr Duration kRefusalPause = milliseconds(100);
 /// How often neighbours whose connection broke are tried again.
 constexpr Duration kRejoinInterval = seconds(2);
@@ -19,9 +21,16 @@
 
 }  // namespace
 
+void apply_objective(SwarmObjective objective, SwarmOptions& options) {
+  const bool time = objective == SwarmObjective::time;
+  options.takeover_interval = time ? kTakeoverForTime : kTakeoverForOriginBytes;
+}
+
 Swarm::Swarm(SwarmOptions options, ChunkSet have)
     : options_(options),
       picker_(std::move(have), options.pick_policy, options.seed ^ options.self),
+      procurement_(
+          {options.self, options.origin_window, options.origin_copies, options.origin_for_all}),
       uploads_(options.upload_slots, options.upload_queue_limit),
       random_(static_cast<std::minstd_rand::result_type>(
           (options.seed * 31 + options.self) % std::minstd_rand::modulus + 1)) {}
@@ -42,7 +51,7 @@
   Peer& record = peer(id);
   if (record.neighbour) return;
   record.neighbour = true;
-  neighbours_.push_back(id);
+  neighbours_.push_back({id, &record});
   actions.push_back(JoinPeer{id});
 }
 
@@ -51,46 +60,17 @@
   const bool first = membership_ == nullptr;
   membership_ = std::move(membership);
   self_ = membership_->find(options_.self);
-  if (first) last_progress_ = now;
+  if (first) last_chunk_ = last_appearance_ = now;
   for (const PeerId id : membership_->neighbours(options_.self)) add_neighbour(id, actions);
-  plan_duties();
+  procurement_.plan(membership_, have());
   if (complete() && !reported_complete_) {
     reported_complete_ = true;
     actions.push_back(SwarmComplete{});
   }
+  request_from_outside(now, actions);
   request_more(now, actions);
 }
 
-void Swarm::plan_duties() {
-  origin_duties_.clear();
-  region_duties_.clear();
-  if (self_ == nullptr) return;
-  for (ChunkIndex chunk = 0; chunk < have().size(); ++chunk) {
-    if (have().contains(chunk)) continue;
-    if (may_draw_from_origin(chunk)) {
-      origin_duties_.push_back(chunk);
-      continue;
-    }
-    const SwarmParticipant* bringer = membership_->region_owner(chunk, self_->region, 0);
-    if (bringer != nullptr && bringer->id == options_.self) region_duties_.push_back(chunk);
-  }
-  // Owners start at different places, so that the origin's first chunks differ.
-  std::shuffle(origin_duties_.begin(), origin_duties_.end(), random_);
-}
-
-bool Swarm::may_draw_from_origin(ChunkIndex chunk) const {
-  if (options_.origin_for_all) return true;
-  for (std::size_t rank = 0; rank < options_.origin_copies; ++rank) {
-    const SwarmParticipant* owner = membership_->owner(chunk, rank);
-    if (owner != nullptr && owner->id == options_.self) return true;
-  }
-  for (std::size_t rank = 0; rank < takeover_rank_; ++rank) {
-    const SwarmParticipant* owner = membership_->region_owner(chunk, self_->region, rank);
-    if (owner != nullptr && owner->id == options_.self) return true;
-  }
-  return false;
-}
-
 void Swarm::on_peer_joined(PeerId id, const ChunkSet& held, TimePoint now, SwarmActions& actions) {
   if (!peer(id).neighbour) {
     if (neighbours_.size() >= kMaximumNeighbours) return;
@@ -101,7 +81,7 @@
   record.joined = true;
   record.held = ChunkSet(have().size());
   held.for_each([&](ChunkIndex chunk) {
-    if (record.held.insert(chunk)) picker_.on_neighbour_has(chunk);
+    if (record.held.insert(chunk)) note_neighbour_has(chunk, now, actions);
   });
   request_more(now, actions);
 }
@@ -111,7 +91,7 @@
   const auto found = peers_.find(id);
   if (found == peers_.end() || !found->second.joined) return;
   for (const ChunkIndex chunk : chunks) {
-    if (found->second.held.insert(chunk)) picker_.on_neighbour_has(chunk);
+    if (found->second.held.insert(chunk)) note_neighbour_has(chunk, now, actions);
   }
   request_more(now, actions);
 }
@@ -124,12 +104,12 @@
     if (request.peer == id) lost.push_back(chunk);
   }
   for (const ChunkIndex chunk : lost) {
-    if (requests_.at(chunk).subscription) ++region_source_rank_[chunk];
     close_request(chunk);
     picker_.on_request_failed(chunk);
+    procurement_.on_draw_failed(chunk, Duration::zero(), now);
   }
   if (found->second.joined) picker_.on_neighbour_lost(found->second.held);
-  std::erase(neighbours_, id);
+  std::erase_if(neighbours_, [&](const Neighbour& neighbour) { return neighbour.id == id; });
   uploads_.cancel_all(id);
   // What it sent stays on record: a reconnect must not clear it.
   Peer kept;
@@ -164,76 +144,56 @@
 
 void Swarm::request_more(TimePoint now, SwarmActions& actions) {
   if (paused_ || membership_ == nullptr || complete()) return;
-  request_from_origin(now, actions);
-  subscribe_across_regions(now, actions);
   request_from_neighbours(now, actions);
 }
 
-void Swarm::request_from_origin(TimePoint now, SwarmActions& actions) {
-  if (now < origin_not_before_) return;
-  while (origin_requests_.size() < options_.origin_window && !origin_duties_.empty()) {
-    const ChunkIndex chunk = origin_duties_.back();
-    origin_duties_.pop_back();
-    if (!picker_.open().contains(chunk)) continue;
-    picker_.on_requested(chunk);
-    origin_requests_[chunk] = now;
-    actions.push_back(RequestFromOrigin{chunk});
-  }
-}
-
-void Swarm::subscribe_across_regions(TimePoint now, SwarmActions& actions) {
-  std::vector<ChunkIndex> later;
-  for (const ChunkIndex chunk : region_duties_) {
-    if (!picker_.open().contains(chunk)) {
-      if (!have().contains(chunk)) later.push_back(chunk);
-      continue;
-    }
-    std::size_t& rank = region_source_rank_[chunk];
-    const SwarmParticipant* source = membership_->owner(chunk, rank);
-    if (source == nullptr) rank = 0;  // All were tried: begin again.
-    if (source == nullptr || source->region == self_->region) {
-      if (source != nullptr) ++rank;
-      later.push_back(chunk);
-      continue;
-    }
-    Peer& record = peer(source->id);
-    if (record.avoided || now < record.not_before) {
-      if (record.avoided) ++rank;
-      later.push_back(chunk);
+void Swarm::request_from_outside(TimePoint now, SwarmActions& actions) {
+  if (paused_ || membership_ == nullptr || complete()) return;
+  for (const ChunkDraw& draw : procurement_.next_draws(picker_.open(), now)) {
+    if (draw.peer) {
+      open_request(*draw.peer, draw.chunk, true, now, actions);
       continue;
     }
-    open_request(source->id, chunk, true, now, actions);
-    later.push_back(chunk);
+    picker_.on_requested(draw.chunk);
+    origin_requests_[draw.chunk] = now;
+    actions.push_back(RequestFromOrigin{draw.chunk});
   }
-  region_duties_ = std::move(later);
 }
 
 void Swarm::request_from_neighbours(TimePoint now, SwarmActions& actions) {
   if (!options_.use_peers || picker_.open().count() == 0) return;
   if (open_requests_ >= options_.window) return;
-  std::vector<PeerId> candidates;
-  for (const PeerId id : neighbours_) {
-    const Peer& record = peers_.at(id);
-    if (record.joined && !record.avoided && now >= record.not_before) candidates.push_back(id);
-  }
-  std::shuffle(candidates.begin(), candidates.end(), random_);
+  const std::vector<Neighbour> suppliers = shuffled_suppliers(now);
   // One request a neighbour in each round: uplinks share the load evenly.
   for (std::uint32_t round = 0; round < options_.window_per_peer; ++round) {
-    for (const PeerId id : candidates) {
+    for (const Neighbour& supplier : suppliers) {
       if (open_requests_ >= options_.window) return;
-      const Peer& record = peers_.at(id);
-      if (record.open_requests > round) continue;
-      const auto chunk = picker_.pick(record.held);
-      if (chunk) open_request(id, *chunk, false, now, actions);
+      if (supplier.peer->open_requests > round) continue;
+      const auto chunk = picker_.pick(supplier.peer->held);
+      if (chunk) open_request(supplier.id, *chunk, false, now, actions);
     }
   }
 }
 
+std::vector<Swarm::Neighbour> Swarm::shuffled_suppliers(TimePoint now) {
+  std::vector<Neighbour> suppliers;
+  suppliers.reserve(neighbours_.size());
+  for (const Neighbour& neighbour : neighbours_) {
+    const Peer& record = *neighbour.peer;
+    if (record.joined && !record.avoided && now >= record.not_before) {
+      suppliers.push_back(neighbour);
+    }
+  }
+  std::shuffle(suppliers.begin(), suppliers.end(), random_);
+  return suppliers;
+}
+
 void Swarm::on_chunk(std::optional<PeerId> source, ChunkIndex chunk, ChunkArrival arrival,
                      TimePoint now, SwarmActions& actions) {
   if (chunk >= have().size()) return;
   if (!source) {
     origin_requests_.erase(chunk);
+    procurement_.on_origin_answered();
     if (arrival == ChunkArrival::verified) ++counters_.chunks_from_origin;
   } else {
     Peer& record = peer(*source);
@@ -268,7 +228,8 @@
     ++counters_.corrupt_chunks;
     const bool requested_elsewhere = requests_.contains(chunk) || origin_requests_.contains(chunk);
     if (!requested_elsewhere) picker_.on_request_failed(chunk);
-    if (!source) origin_duties_.push_back(chunk);
+    procurement_.on_draw_failed(chunk, Duration::zero(), now);
+    request_from_outside(now, actions);
     request_more(now, actions);
     return;
   }
@@ -284,7 +245,12 @@
     ++counters_.duplicate_chunks;
     return;
   }
-  last_progress_ = now;
+  last_chunk_ = now;
+  const bool from_outside = procurement_.on_received(chunk);
+  if (from_outside) {
+    last_appearance_ = now;
+    procurement_.on_progress();
+  }
   // Late answers to an earlier request: the second request is no longer needed.
   const auto request = requests_.find(chunk);
   if (request != requests_.end()) {
@@ -300,15 +266,16 @@
     actions.push_back(SwarmComplete{});
   }
   if (now >= next_announcement_) announce(now, actions);
+  if (from_outside) request_from_outside(now, actions);
   request_more(now, actions);
 }
 
 void Swarm::on_refused(PeerId id, ChunkIndex chunk, TimePoint now, SwarmActions& actions) {
   const auto request = requests_.find(chunk);
   if (request == requests_.end() || request->second.peer != id) return;
-  if (request->second.subscription) ++region_source_rank_[chunk];
   close_request(chunk);
   picker_.on_request_failed(chunk);
+  procurement_.on_draw_refused(chunk, kRefusalPause, now);
   peer(id).not_before = now + kRefusalPause;
   request_more(now, actions);
 }
@@ -317,8 +284,8 @@
                              SwarmActions& actions) {
   if (origin_requests_.erase(chunk) == 0) return;
   picker_.on_request_failed(chunk);
-  origin_duties_.push_back(chunk);
-  origin_not_before_ = std::max(origin_not_before_, now + retry_after);
+  procurement_.on_origin_failed(chunk, retry_after, now);
+  request_from_outside(now, actions);
   request_more(now, actions);
 }
 
@@ -370,7 +337,10 @@
 void Swarm::announce(TimePoint now, SwarmActions& actions) {
   next_announcement_ = now + options_.announce_interval;
   if (unannounced_.empty()) return;
-  actions.push_back(AnnounceChunks{neighbours_, std::move(unannounced_)});
+  AnnounceChunks announcement;
+  for (const Neighbour& neighbour : neighbours_) announcement.peers.push_back(neighbour.id);
+  announcement.chunks = std::move(unannounced_);
+  actions.push_back(std::move(announcement));
   unannounced_.clear();
 }
 
@@ -389,14 +359,13 @@
   for (const ChunkIndex chunk : expired) {
     const OpenRequest request = requests_.at(chunk);
     Peer& record = peer(request.peer);
-    if (request.subscription) {
-      ++region_source_rank_[chunk];
-    } else {
+    if (!request.subscription) {
       const std::uint32_t doublings = std::min(record.stalls++, kMaximumStallDoublings);
       record.not_before = now + kStallPause * (1U << doublings);
     }
     close_request(chunk);
     picker_.on_request_failed(chunk);
+    procurement_.on_draw_failed(chunk, Duration::zero(), now);
     ++counters_.request_timeouts;
     actions.push_back(CancelFromPeer{request.peer, chunk});
   }
@@ -407,27 +376,43 @@
   for (const ChunkIndex chunk : slow) {
     origin_requests_.erase(chunk);
     picker_.on_request_failed(chunk);
-    origin_duties_.push_back(chunk);
+    procurement_.on_draw_failed(chunk, Duration::zero(), now);
+    actions.push_back(CancelFromOrigin{chunk});
+  }
+}
+
+void Swarm::note_neighbour_has(ChunkIndex chunk, TimePoint now, SwarmActions& actions) {
+  const bool appears = picker_.availability(chunk) == 0 && !have().contains(chunk);
+  picker_.on_neighbour_has(chunk);
+  if (!appears) return;
+  if (origin_requests_.erase(chunk) > 0) {
+    // It need not leave the origin again; most requests there are still in its queue.
+    procurement_.on_received(chunk);
+    picker_.on_request_failed(chunk);
     actions.push_back(CancelFromOrigin{chunk});
   }
+  last_appearance_ = now;
+  procurement_.on_progress();
 }
 
-void Swarm::take_over_if_starved(TimePoint now) {
+void Swarm::take_over_if_starved(TimePoint now, SwarmActions& actions) {
   if (paused_ || complete() || self_ == nullptr) return;
-  if (now - last_progress_ < options_.takeover_interval) return;
-  if (!origin_requests_.empty()) return;
-  last_progress_ = now;  // The next rank follows after another interval.
-  ++takeover_rank_;
+  // While owners work, new chunks appear all the time. Long before the neighbourhood has
+  // exchanged what it has, their absence tells that an owner died, stalled or is cut off.
+  const bool none_appears = now - last_appearance_ >= options_.takeover_interval;
+  const bool none_arrives = now - last_chunk_ >= options_.takeover_interval;
+  if (!none_appears) return;
+  last_appearance_ = now;  // The next rank follows after another interval.
+  ChunkSet missing(have().size());
   for (ChunkIndex chunk = 0; chunk < have().size(); ++chunk) {
     if (have().contains(chunk)) continue;
-    const SwarmParticipant* owner =
-        membership_->region_owner(chunk, self_->region, takeover_rank_ - 1);
-    if (owner == nullptr || owner->id != options_.self) continue;
-    origin_duties_.push_back(chunk);
-    ++counters_.origin_takeovers;
-    // A subscription that brought nothing for so long gives way to the origin.
+    if (none_arrives || picker_.availability(chunk) == 0) missing.insert(chunk);
+  }
+  if (missing.count() == 0) return;
+  for (const ChunkIndex chunk : procurement_.on_starved(missing, now)) {
     const auto request = requests_.find(chunk);
-    if (request == requests_.end() || !request->second.subscription) continue;
+    if (request == requests_.end()) continue;
+    actions.push_back(CancelFromPeer{request->second.peer, chunk});
     close_request(chunk);
     picker_.on_request_failed(chunk);
   }
@@ -442,14 +427,15 @@
 void Swarm::on_tick(TimePoint now, SwarmActions& actions) {
   join_missing_neighbours(now, actions);
   expire_requests(now, actions);
-  take_over_if_starved(now);
+  take_over_if_starved(now, actions);
   if (now >= next_announcement_) announce(now, actions);
+  request_from_outside(now, actions);
   request_more(now, actions);
 }
 
 void Swarm::set_paused(bool paused, TimePoint now, SwarmActions& actions) {
   paused_ = paused;
-  last_progress_ = now;
+  last_chunk_ = last_appearance_ = now;
   request_more(now, actions);
 }
 
--- a/src/swarm/swarm.h
+++ b/src/swarm/swarm.h
@@ -22,6 +22,7 @@
 
 #include "common/time.h"
 #include "swarm/chunk_picker.h"
+#include "swarm/chunk_procurement.h"
 #include "swarm/chunk_set.h"
 #include "swarm/swarm_membership.h"
 #include "swarm/upload_queue.h"
@@ -42,7 +43,8 @@
   Duration minimum_request_timeout = seconds(1);
   Duration maximum_request_timeout = seconds(10);
   Duration origin_timeout = seconds(60);
-  /// Without any progress for so long, the next owner in rank may draw from the origin.
+  /// When no chunk that is missing here appeared nearby for so long, the next owners in rank
+  /// bring in those that did not.
   Duration takeover_interval = seconds(3);
   /// A peer that sent corrupt chunks is avoided from this share and number of them on.
   /// Links corrupt chunks too, so one is no proof.
@@ -54,6 +56,12 @@
   bool use_peers = true;
 };
 
+/// What a rollout weighs more.
+enum class SwarmObjective { time, origin_bytes };
+
+/// Sets the options in which the objectives differ (docs/design/swarm.md has the figures).
+void apply_objective(SwarmObjective objective, SwarmOptions& options);
+
 // ---- actions ----
 struct RequestFromPeer {
   PeerId peer = 0;
@@ -108,7 +116,6 @@
   std::uint64_t duplicate_chunks = 0;
   std::uint64_t corrupt_chunks = 0;
   std::uint64_t request_timeouts = 0;
-  std::uint64_t origin_takeovers = 0;
   std::uint64_t chunks_sent = 0;
 };
 
@@ -151,6 +158,7 @@
   const ChunkSet& have() const { return picker_.have(); }
   bool complete() const { return picker_.have().full(); }
   const SwarmCounters& counters() const { return counters_; }
+  std::uint64_t takeovers() const { return procurement_.takeovers(); }
   /// Chunks in memory or on their way: what bounds the agent's memory.
   std::uint32_t chunks_in_memory() const {
     return open_requests_ + static_cast<std::uint32_t>(origin_requests_.size()) + uploads_.active();
@@ -168,6 +176,10 @@
     TimePoint not_before{};  ///< After a stall or refusal.
     std::uint32_t stalls = 0;
   };
+  struct Neighbour {
+    PeerId id = 0;
+    Peer* peer = nullptr;  ///< In peers_, whose nodes stay where they are.
+  };
   struct OpenRequest {
     PeerId peer = 0;
     TimePoint sent{};
@@ -178,16 +190,15 @@
   void add_neighbour(PeerId id, SwarmActions& actions);
   void request_more(TimePoint now, SwarmActions& actions);
   void request_from_neighbours(TimePoint now, SwarmActions& actions);
-  void request_from_origin(TimePoint now, SwarmActions& actions);
-  void subscribe_across_regions(TimePoint now, SwarmActions& actions);
+  std::vector<Neighbour> shuffled_suppliers(TimePoint now);
+  void request_from_outside(TimePoint now, SwarmActions& actions);
   void join_missing_neighbours(TimePoint now, SwarmActions& actions);
-  bool may_draw_from_origin(ChunkIndex chunk) const;
-  void plan_duties();
   void open_request(PeerId id, ChunkIndex chunk, bool subscription, TimePoint now,
                     SwarmActions& actions);
   void close_request(ChunkIndex chunk);
   void expire_requests(TimePoint now, SwarmActions& actions);
-  void take_over_if_starved(TimePoint now);
+  void note_neighbour_has(ChunkIndex chunk, TimePoint now, SwarmActions& actions);
+  void take_over_if_starved(TimePoint now, SwarmActions& actions);
   void accept_chunk(ChunkIndex chunk, TimePoint now, SwarmActions& actions);
   void pump_uploads(SwarmActions& actions);
   void answer_subscribers(ChunkIndex chunk, SwarmActions& actions);
@@ -199,18 +210,15 @@
   std::shared_ptr<const SwarmMembership> membership_;
   const SwarmParticipant* self_ = nullptr;
   ChunkPicker picker_;
+  ChunkProcurement procurement_;
   UploadQueue uploads_;
   std::map<PeerId, Peer> peers_;
-  std::vector<PeerId> neighbours_;
+  std::vector<Neighbour> neighbours_;
   std::map<ChunkIndex, OpenRequest> requests_;
   std::uint32_t open_requests_ = 0;  ///< Those that count against the window.
   std::map<ChunkIndex, TimePoint> origin_requests_;
-  TimePoint origin_not_before_{};
-  std::vector<ChunkIndex> origin_duties_;  ///< Chunks to draw from the origin.
-  std::vector<ChunkIndex> region_duties_;  ///< Chunks to bring into this region.
-  std::map<ChunkIndex, std::size_t> region_source_rank_;
-  std::size_t takeover_rank_ = 0;
-  TimePoint last_progress_{};
+  TimePoint last_chunk_{};       ///< When a chunk last arrived here.
+  TimePoint last_appearance_{};  ///< When a missing chunk last appeared nearby for the first time.
   std::map<ChunkIndex, std::vector<PeerId>> subscribers_;
   std::vector<ChunkIndex> unannounced_;
   TimePoint next_announcement_{};
