--- a/src/experiment/main.cpp
+++ b/src/experiment/main.cpp
@@ -1,41 +1,63 @@
+/// pumicemast-experiment: runs the production cores on virtual time and prints figures.
 #include <chrono>
 #include <iostream>
-#include "common/command_line.h"
-#include "simulation/burst_simulation.h"
+
+#include "experiment/burst_experiment.h"
+#include "experiment/experiment_options.h"
+#include "experiment/report.h"
+
+namespace {
+
 using namespace pumicemast;
-using namespace pumicemast::simulation;
+
+constexpr ExperimentUsage kUsage{
+    R"(pumicemast-experiment: runs an experiment on virtual time
+
+usage: pumicemast-experiment run FILE.ini [OPTIONS]
+
+      --seed N             seed of everything random (default: [run] seed, or 1)
+      --set SECTION.KEY=V  replaces one setting; may be repeated
+      --out DIR            writes figures, history, CSV and SVG plots into DIR
+      --baselines          also runs the baselines and prints the ratio to each
+      --charts DIR         state charts (default: charts)
+
+Prints lines `figure NAME VALUE UNIT`. The same seed prints the same lines, but for
+wall_seconds, and writes the same files.
+
+example
+  pumicemast-experiment run experiments/burst-330.ini --set network.duplex=half --out out/half
+)",
+    "run"};
+
+}  // namespace
+
 int main(int argc, char** argv) {
   Findings findings;
-  DaemonStart start = start_daemon(argc, argv, {"x", "y", "z"}, findings);
-  if (start.should_exit()) return start.exit_code;
-  BurstSettings settings = BurstSettings::read(*start.settings);
-  start.settings->report_unknown();
-  Charts charts = Charts::load("charts", findings);
+  const ExperimentOptions options = read_experiment_options(argc, argv, kUsage, findings);
+  if (!options.settings) return options.exit_code;
+  const auto settings = simulation::BurstSettings::read(*options.settings);
+  options.settings->report_unknown();
+  const Charts charts = Charts::load(options.charts, findings);
   if (refuse_if_any(findings) != kExitOk) return kExitUsage;
-  auto t0 = std::chrono::steady_clock::now();
-  BurstSimulation sim(settings, charts.replica);
-  BurstResult r = sim.run();
-  double wall = std::chrono::duration<double>(std::chrono::steady_clock::now() - t0).count();
-  double bound = settings.bound_s(r.survivors);
-  auto at = [&](double share) {
-    return r.live_times_s.empty() ? -1
-                                  : r.live_times_s[(size_t)(share * (r.live_times_s.size() - 1))];
-  };
-  if (getenv("HIST")) {
-    for (auto& e : r.history)
-      if (e.what != "live") std::cerr << e.time_s << " " << e.what << " " << e.machine << "\n";
-    for (auto& x : r.samples)
-      std::cerr << "t " << x.time_s << " live " << x.live << "/" << x.alive << " origin "
-                << x.origin_bytes / 1e9 << " peer " << x.peer_bytes / 1e9 << " inter "
-                << x.inter_region_bytes / 1e9 << "\n";
-  }
-  std::cout << "all_ratio " << (at(1) - r.last_order_s) / bound << " half "
-            << (at(0.5) - r.last_order_s) / bound << " first " << (at(0) - r.last_order_s) / bound
-            << " never " << r.never_live << " surv " << r.survivors << " origin "
-            << (double)r.origin_bytes / settings.model_bytes << " inter "
-            << (double)r.inter_region_bytes / settings.model_bytes << " dup "
-            << (double)r.duplicate_bytes / settings.model_bytes / r.survivors << " timeouts "
-            << r.request_timeouts << " takeovers " << r.takeovers << " mem "
-            << r.peak_agent_memory / 1e6 << " msgs " << r.messages << " ev " << r.events << " wall "
-            << wall << " bad " << r.partial_or_mixed_served << "\n";
+
+  const auto started = std::chrono::steady_clock::now();
+  const simulation::BurstResult result = run_burst(settings, charts.replica);
+  const std::chrono::duration<double> wall = std::chrono::steady_clock::now() - started;
+  Figures figures = burst_figures(settings, result);
+  if (options.baselines) add_baseline_figures(settings, result, charts.replica, figures);
+  std::cout << figures.format();
+  Figures wall_figure;
+  wall_figure.add("wall_seconds", wall.count(), "s");
+  std::cout << wall_figure.format();
+  if (options.out.empty()) return kExitOk;
+  return handle_error(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(remark, write_report(options.out, settings, result, figures));
+        if (!remark.empty()) std::cerr << "pumicemast-experiment: " << remark << "\n";
+        return kExitOk;
+      },
+      [](const Error& error) {
+        std::cerr << "pumicemast-experiment: " << error.place << ": " << error.reason << "\n";
+        return kExitFailure;
+      });
 }
--- a/src/simulation/burst_simulation.cpp
+++ b/src/simulation/burst_simulation.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 
 #include "common/hash.h"
+#include "simulation/fleet_layout.h"
 
 namespace pumicemast::simulation {
 namespace {
@@ -18,26 +19,11 @@
 constexpr Duration kIdleTick = seconds(1);
 constexpr int kSamplesPerAllowedTime = 100;
 constexpr std::uint32_t kVersions = 2;
-constexpr double kMicroseconds = 1e6;
-
-Duration from_seconds(double value) {
-  return Duration(static_cast<Duration::rep>(value * kMicroseconds));
-}
 
 std::string digest_of(std::uint32_t version) { return "digest-" + std::to_string(version); }
 
 std::uint32_t version_of(const std::string& digest) { return digest == digest_of(0) ? 0 : 1; }
 
-std::vector<MachinePlace> place_machines(const BurstSettings& settings) {
-  std::vector<MachinePlace> places;
-  const std::uint32_t zones = settings.regions * settings.zones_per_region;
-  for (std::uint32_t machine = 0; machine < settings.machines; ++machine) {
-    const std::uint32_t zone = machine % zones;
-    places.push_back({zone / settings.zones_per_region, zone});
-  }
-  return places;
-}
-
 }  // namespace
 
 /// One simulated machine: the production cores and what its engine really holds.
--- /dev/null
+++ b/src/simulation/fleet_layout.h
@@ -0,0 +1,25 @@
+/// Where the machines of a simulated fleet stand.
+#pragma once
+
+#include <vector>
+
+#include "simulation/burst_settings.h"
+
+namespace pumicemast::simulation {
+
+/// Spreads the machines evenly over all zones, one after the other.
+inline std::vector<MachinePlace> place_machines(const BurstSettings& settings) {
+  std::vector<MachinePlace> places;
+  const std::uint32_t zones = settings.regions * settings.zones_per_region;
+  for (std::uint32_t machine = 0; machine < settings.machines; ++machine) {
+    const std::uint32_t zone = machine % zones;
+    places.push_back({zone / settings.zones_per_region, zone});
+  }
+  return places;
+}
+
+inline Duration from_seconds(double value) {
+  return Duration(static_cast<Duration::rep>(value * Duration::period::den));
+}
+
+}  // namespace pumicemast::simulation
