--- a/src/commands/command_executor.cpp
+++ b/src/commands/command_executor.cpp
@@ -115,9 +115,10 @@
   if (const auto* running = view.configuration.find<Rollout>(body.model)) {
     const bool backwards = running->value.state == "ABORTING" || running->value.state == "ABORTED";
     rollout.previous_version = backwards ? running->value.previous_version : running->value.version;
-    // A superseded rollout never became the one to go back to.
+    // A superseded rollout is not the one to go back to, unless it is the first of its model.
     const bool unfinished = running->value.state == "RUNNING" || running->value.state == "PAUSED";
-    if (unfinished) rollout.previous_version = running->value.previous_version;
+    if (unfinished && !running->value.previous_version.empty())
+      rollout.previous_version = running->value.previous_version;
   }
   return Change{Rollout::kKind,
                 body.model,
--- a/src/replica/replica_manager.cpp
+++ b/src/replica/replica_manager.cpp
@@ -59,6 +59,11 @@
   }
 }
 
+void ReplicaManager::reopen_previous(const std::string& model, ReplicaActions& actions) const {
+  const Replica* previous = live(model);
+  if (previous != nullptr) actions.push_back(OpenAdmission{model, previous->version.digest});
+}
+
 void ReplicaManager::drop_unwanted(ReplicaActions& actions) {
   for (auto iterator = replicas_.begin(); iterator != replicas_.end();) {
     Replica& replica = iterator->second;
@@ -69,7 +74,8 @@
     // A live version whose successor is not live yet goes on serving.
     const bool awaits_successor =
         replica.state == "LIVE" && order != nullptr && order->serve.present();
-    if (wanted || awaits_successor) {
+    // The engine may be about to serve it: dropping it now would leave nothing serving.
+    if (wanted || awaits_successor || replica.activation_ordered) {
       ++iterator;
       continue;
     }
@@ -77,7 +83,8 @@
     const std::uint64_t fence = order == nullptr ? 0 : order->fence;
     step(replica, "drop_ordered", actions);
     if (before == "FETCHING") actions.push_back(StopFetch{digest});
-    if (before == "LIVE" || before == "SWITCHING") actions.push_back(CloseAdmission{replica.model});
+    if (before == "LIVE") actions.push_back(CloseAdmission{replica.model});
+    if (before == "SWITCHING") reopen_previous(replica.model, actions);
     if (replica.state == "ABSENT") {
       actions.push_back(DropVersion{replica.model, digest, fence});
       iterator = replicas_.erase(iterator);
@@ -141,9 +148,7 @@
     step(found->second, "activation_failed", actions);
     actions.push_back(StartFetch{model, found->second.version});
     // The engine still serves what it served before.
-    if (const Replica* previous = live(model)) {
-      actions.push_back(OpenAdmission{model, previous->version.digest});
-    }
+    reopen_previous(model, actions);
     return actions;
   }
   for (auto& [other_digest, other] : replicas_) {
--- a/src/replica/replica_manager.h
+++ b/src/replica/replica_manager.h
@@ -108,6 +108,7 @@
   void ensure_fetched(const ReplicaOrder& order, const VersionReference& version,
                       ReplicaActions& actions);
   void reconcile_model(const ReplicaOrder& order, ReplicaActions& actions);
+  void reopen_previous(const std::string& model, ReplicaActions& actions) const;
   void drop_unwanted(ReplicaActions& actions);
   ReplicaActions reconcile();
   const ReplicaOrder* order_of(const std::string& model) const;
--- a/src/rollout/rollout_controller.cpp
+++ b/src/rollout/rollout_controller.cpp
@@ -83,6 +83,14 @@
   return bytes;
 }
 
+std::uint32_t RolloutController::wanted_replicas(const ModelContext& context) const {
+  const bool switching =
+      context.rollout.state == "RUNNING" && !context.rollout.previous_version.empty();
+  // A floor as high as the target leaves no replica to switch: one extra goes first.
+  const bool needs_surge = switching && required_live(context) >= context.target.replicas;
+  return context.target.replicas + (needs_surge ? 1 : 0);
+}
+
 void RolloutController::add_machines(const ModelContext& context, Placement& placement) const {
   if (context.desired.empty()) return;
   const std::string version_name = context.rollout.model + "@" + context.desired;
@@ -96,11 +104,7 @@
     const Backend* backend = context.directory.find(machine);
     if (backend != nullptr) ++per_zone[backend->hello.location.zone];
   }
-  // A floor as high as the target leaves no replica to switch: one extra goes first.
-  const bool switching =
-      context.rollout.state == "RUNNING" && !context.rollout.previous_version.empty();
-  const bool needs_surge = switching && required_live(context) >= context.target.replicas;
-  const std::uint32_t wanted = context.target.replicas + (needs_surge ? 1 : 0);
+  const std::uint32_t wanted = wanted_replicas(context);
 
   using Order = std::tuple<std::uint32_t, bool, std::uint64_t, std::string>;
   while (staying < wanted) {
@@ -132,7 +136,7 @@
     if (!is_going(context, machine)) staying.push_back(machine);
   }
   const bool settled = context.rollout.state == "COMPLETED" || context.rollout.state == "ABORTED";
-  while (staying.size() > context.target.replicas) {
+  while (staying.size() > wanted_replicas(context)) {
     // Those without a live replica first, then from the fullest zone.
     std::map<std::string, std::uint32_t> per_zone;
     for (const std::string& machine : staying) {
--- a/src/rollout/rollout_controller.h
+++ b/src/rollout/rollout_controller.h
@@ -79,6 +79,7 @@
                 const std::string& version) const;
   std::uint32_t live_count(const ModelContext& context, const Placement& placement) const;
   std::uint32_t required_live(const ModelContext& context) const;
+  std::uint32_t wanted_replicas(const ModelContext& context) const;
   void remove_lost(const ModelContext& context, Placement& placement) const;
   void remove_finished_stops(const ModelContext& context, Placement& placement) const;
   void add_machines(const ModelContext& context, Placement& placement) const;
--- /dev/null
+++ b/tests/entry/execution_claims_test.cpp
@@ -0,0 +1,74 @@
+#include "entry/execution_claims.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/memory_object_store.h"
+
+namespace pumicemast {
+
+class ExecutionClaimsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ExecutionClaimsTest);
+  CPPUNIT_TEST(grants_one_claim_over_all_entries);
+  CPPUNIT_TEST(a_lost_answer_is_judged_by_what_is_stored);
+  CPPUNIT_TEST(nothing_is_granted_without_the_platform);
+  CPPUNIT_TEST(a_request_that_did_not_run_frees_its_key);
+  CPPUNIT_TEST(names_keep_tenants_apart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void grants_one_claim_over_all_entries() {
+    CPPUNIT_ASSERT(ClaimResult::granted == claim(first_));
+    CPPUNIT_ASSERT(ClaimResult::taken == claim(second_));
+    CPPUNIT_ASSERT(ClaimResult::taken == claim(first_));
+    first_.settle(name_, true);
+    CPPUNIT_ASSERT(ClaimResult::finished == claim(second_));
+  }
+
+  void a_lost_answer_is_judged_by_what_is_stored() {
+    store_.faults = {tests::WriteFault::lost_after};
+    CPPUNIT_ASSERT(ClaimResult::granted == claim(first_));
+    CPPUNIT_ASSERT(ClaimResult::taken == claim(second_));
+  }
+
+  void nothing_is_granted_without_the_platform() {
+    store_.faults = {tests::WriteFault::refused, tests::WriteFault::lost_before,
+                     tests::WriteFault::lost_after};
+    CPPUNIT_ASSERT(ClaimResult::unavailable == claim(first_));
+    CPPUNIT_ASSERT(ClaimResult::unavailable == claim(first_));
+    store_.readable = false;
+    CPPUNIT_ASSERT(ClaimResult::unavailable == claim(first_));
+    store_.readable = true;
+    // That claim did take effect, and nobody may run under it any more.
+    CPPUNIT_ASSERT(ClaimResult::taken == claim(second_));
+  }
+
+  void a_request_that_did_not_run_frees_its_key() {
+    CPPUNIT_ASSERT(ClaimResult::granted == claim(first_));
+    first_.settle(name_, false);
+    CPPUNIT_ASSERT(ClaimResult::granted == claim(second_));
+    CPPUNIT_ASSERT(ClaimResult::taken == claim(first_));
+  }
+
+  void names_keep_tenants_apart() {
+    CPPUNIT_ASSERT(ExecutionClaims::claim_name("a", "bc") !=
+                   ExecutionClaims::claim_name("ab", "c"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{64}, name_.size());
+  }
+
+ private:
+  ClaimResult claim(ExecutionClaims& claims) const {
+    std::optional<ClaimResult> answer;
+    claims.claim(name_, [&](ClaimResult result) { answer = result; });
+    CPPUNIT_ASSERT(answer.has_value());
+    return *answer;
+  }
+
+  const std::string name_ = ExecutionClaims::claim_name("tenant", "key");
+  tests::MemoryObjectStore store_;
+  ExecutionClaims first_{store_, "e1/1"};
+  ExecutionClaims second_{store_, "e2/1"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExecutionClaimsTest);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/tests/support/charts.h
@@ -0,0 +1,20 @@
+/// The repository's state charts, loaded once for all tests.
+#pragma once
+
+#include <stdexcept>
+
+#include "common/state_chart.h"
+
+namespace pumicemast::tests {
+
+inline const Charts& charts() {
+  static const Charts loaded = [] {
+    Findings findings;
+    Charts result = Charts::load(PUMICEMAST_CHARTS, findings);
+    if (!findings.empty()) throw std::runtime_error(findings.report());
+    return result;
+  }();
+  return loaded;
+}
+
+}  // namespace pumicemast::tests
