--- /dev/null
+++ b/tests/processes/process_test.py
@@ -0,0 +1,81 @@
+"""What the real-process tests share: a small fleet with one model live."""
+
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "scripts"))
+
+import fleet as fleets  # noqa: E402  (found only after the path is set)
+
+BUILD = None  # Set by main().
+
+
+def make_weights(folder, seed, size=3 << 20):
+    generator = random.Random(seed)
+    (folder / "layers").mkdir(parents=True, exist_ok=True)
+    (folder / "layers" / "0.bin").write_bytes(generator.randbytes(size))
+    (folder / "config.json").write_text(json.dumps({"seed": seed}))
+    (folder / "empty.txt").write_text("")
+    return folder
+
+
+class ProcessTest(unittest.TestCase):
+    """A fleet of real processes; options of Fleet in `fleet_options`."""
+
+    fleet_options = {}
+
+    def setUp(self):
+        self.folder_handle = tempfile.TemporaryDirectory(prefix="pumicemast-")
+        self.addCleanup(self.folder_handle.cleanup)
+        self.folder = pathlib.Path(self.folder_handle.name)
+        options = {"zones": 3, "entries": 3, "engines": 4, "services": 1, **self.fleet_options}
+        self.fleet = fleets.Fleet(self.folder / "run", BUILD, **options)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def publish(self, version, seed):
+        weights = make_weights(self.folder / version, seed)
+        self.fleet.ctl("publish", "forms", version, str(weights),
+                       options=("--chunk-bytes", "262144"))
+        self.wait_for_rows(f"show versions where version={version}", 1)
+        return weights
+
+    def wait_for_rows(self, query, count):
+        fleets.wait_until(lambda: len(self.fleet.rows(query)) == count, f"{count} of: {query}")
+
+    def roll_out(self, version, replicas=3, floor=1, **options):
+        if not self.fleet.rows("show targets"):
+            self.fleet.ctl("set", "target", "forms", f"replicas={replicas}", f"floor={floor}")
+            self.wait_for_rows("show targets", 1)
+        self.fleet.ctl("create", "rollout", "forms", version,
+                       *(f"{key}={value}" for key, value in options.items()))
+        # The entry asked next may not have seen the new rollout yet.
+        self.wait_for_rows(f"show rollouts where version={version}", 1)
+        self.fleet.ctl("watch", "rollout", "forms")
+
+    def call(self, path, body, entry=0, headers=None, timeout=30):
+        """A caller's request; returns (status, headers in lower case, body)."""
+        status, answer_headers, answer = fleets.http_call(
+            self.fleet.entries[entry]["callers"], "POST", path, json.dumps(body),
+            {"Content-Type": "application/json", **(headers or {})}, timeout)
+        return status, {key.lower(): value for key, value in answer_headers.items()}, answer
+
+    def complete(self, entry=0, headers=None, **body):
+        return self.call("/v1/completions", {"model": "forms", "prompt": "hi", **body}, entry,
+                         headers)
+
+    def executions(self, machine):
+        address = self.fleet.machine(machine)["backend"]
+        return json.loads(fleets.http_call(address, "GET", "/executions")[2])["executions"]
+
+
+def main():
+    """Runs the calling module's tests; the build folder is the first argument."""
+    global BUILD
+    BUILD = str(pathlib.Path(sys.argv.pop(1)).resolve())
+    unittest.main(module="__main__", verbosity=2)
