--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -81,6 +81,7 @@
         if self.alive():
             self.popen.kill()
         self.popen.wait()
+        self._output.close()
 
     def wait(self, limit_s=30):
         try:
--- a/src/adapters/object_store_client.cpp
+++ b/src/adapters/object_store_client.cpp
@@ -90,6 +90,8 @@
   request.url = base_url_ + path;
   if (!body.empty()) request.content_type = "application/json";
   request.body = body;
+  // A write resent after a lost answer would meet its own effect as a conflict.
+  request.send_once = method != "GET";
   client_.fetch_owned(request, std::move(on_done));
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -12,6 +12,7 @@
   auto message = GObjectPointer<SoupMessage>::adopt(
       soup_message_new(request.method.c_str(), request.url.c_str()));
   if (!message) return message;
+  if (request.send_once) soup_message_add_flags(message.get(), SOUP_MESSAGE_NEW_CONNECTION);
   SoupMessageHeaders* headers = soup_message_get_request_headers(message.get());
   for (const auto& [name, value] : request.headers) {
     soup_message_headers_replace(headers, name.c_str(), value.c_str());
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -20,6 +20,10 @@
   std::map<std::string, std::string> headers;
   std::string content_type;
   std::string body;
+  /// Never sent twice. libsoup resends a request with an idempotent method, such as PUT, when
+  /// a kept-alive connection breaks before the answer; what may not be repeated, or whose
+  /// second try would look like another's change, must not go over such a connection.
+  bool send_once = false;
 };
 
 /// What became of a request.
--- a/src/standins/plain_service.cpp
+++ b/src/standins/plain_service.cpp
@@ -18,6 +18,11 @@
     if (exchange->path() == "/executions") {
       return respond_json(exchange, 200, {{"executions", executions_}});
     }
+    if (exchange->path() == "/control") {
+      // POST /control?drop_answers=N: the next N calls run, but their connections are cut.
+      drop_answers_ = query_integer(exchange, "drop_answers", 0);
+      return respond_json(exchange, 200, json::object());
+    }
     const std::string request_id = exchange->header("X-Request-Id");
     executions_.push_back(
         {{"request_id", request_id}, {"path", exchange->path()}, {"body", exchange->body()}});
@@ -39,6 +44,10 @@
   };
 
   void answer(const HttpExchangePointer& exchange) {
+    if (drop_answers_ > 0) {
+      --drop_answers_;
+      return exchange->abort();
+    }
     respond_json(exchange, 200,
                  {{"service", name_},
                   {"path", exchange->path()},
@@ -48,6 +57,7 @@
 
   std::string name_;
   Duration work_time_;
+  std::int64_t drop_answers_ = 0;
   json executions_ = json::array();
 };
 
