Add the real-process burst bench; answer a command once it is in force

Cause: the bench's watch asked the entry that had just accepted the rollout, and was told that there is none: the entry had not seen its own write through the watch yet. Change: an accepted change is answered when the answering entry has it in force, or after 2 s. scripts/bench burst runs 24 agents under their own rate limits.

--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,136 @@
+"""Benches of real processes. `burst`: one model to every agent, each under its own rate limit,
+against the fluid bound; prints lines `figure NAME VALUE UNIT`."""
+
+import argparse
+import json
+import os
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+
+import fleet as fleets
+
+MEBIBYTE = 1 << 20
+GIBIBYTE = 1 << 30
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def cpu_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_bytes(pid):
+    return int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def fluid_bound_s(machines, size, origin_rate, link_rate):
+    """Each machine receives the whole; what the origin does not send, machines do."""
+    return max(size / link_rate, size / origin_rate,
+               machines * size / (origin_rate + machines * link_rate))
+
+
+class Sampler(threading.Thread):
+    """Follows the agents' live times and resident memory while a rollout runs."""
+
+    def __init__(self, fleet, agents):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.agents = agents
+        self.peak_resident = 0
+        self.stopping = threading.Event()
+
+    def run(self):
+        while not self.stopping.wait(0.2):
+            for name in self.agents:
+                pid = self.fleet.processes[name].popen.pid
+                self.peak_resident = max(self.peak_resident, resident_bytes(pid))
+
+
+def live_times(fleet, agents, started):
+    """Seconds from `started` until each replica was live, from the agents' logs."""
+    import datetime
+    times = []
+    for name in agents:
+        for line in fleet.processes[name].log.read_text().splitlines():
+            if "->LIVE" in line:
+                stamp = datetime.datetime.strptime(line.split()[0], "%Y-%m-%dT%H:%M:%S.%f")
+                times.append(stamp.timestamp() - started)
+    return sorted(times)
+
+
+def burst(arguments):
+    size = arguments.model_mib * MEBIBYTE
+    link_rate = 2 * size / arguments.allowed_s
+    origin_rate = 4 * size / arguments.allowed_s
+    agents = [f"a{index + 1:02d}" for index in range(arguments.agents)]
+    with tempfile.TemporaryDirectory(prefix="pumicemast-") as name:
+        folder = pathlib.Path(name)
+        weights = folder / "weights"
+        weights.mkdir()
+        generator = random.Random(arguments.seed)
+        with open(weights / "model.bin", "wb") as model:
+            for _ in range(arguments.model_mib):
+                model.write(generator.randbytes(MEBIBYTE))
+        with fleets.Fleet(folder / "run", arguments.build, zones=3, entries=3,
+                          engines=arguments.agents, services=0,
+                          origin_bytes_per_second=int(origin_rate),
+                          link_bytes_per_second=int(link_rate),
+                          engine={"memory_bytes": 3 * size}) as fleet:
+            fleet.ctl("publish", "forms", "v1", str(weights),
+                      options=("--chunk-bytes", str(arguments.chunk_kib * 1024)))
+            fleet.ctl("set", "target", "forms", f"replicas={arguments.agents}")
+            fleets.wait_until(lambda: fleet.rows("show targets") and fleet.rows("show versions"),
+                              "the target")
+            before = {agent: cpu_seconds(fleet.processes[agent].popen.pid) for agent in agents}
+            sampler = Sampler(fleet, agents)
+            sampler.start()
+            started = time.time()
+            fleet.ctl("create", "rollout", "forms", "v1", f"objective={arguments.objective}")
+            fleet.ctl("watch", "rollout", "forms",
+                      options=("--timeout-ms", str(int(arguments.allowed_s * 5000))))
+            sampler.stopping.set()
+            sampler.join()
+            cpu = sum(cpu_seconds(fleet.processes[agent].popen.pid) - before[agent]
+                      for agent in agents)
+            times = live_times(fleet, agents, started)
+            rows = fleet.rows("show machines")
+            origin = fleet.stats(fleet.origin)["chunk_bytes_out"]
+    bound = fluid_bound_s(arguments.agents, size, origin_rate, link_rate)
+    received = sum(int(row["origin_bytes"]) + int(row["peer_bytes"]) for row in rows)
+    peer = sum(int(row["peer_bytes"]) for row in rows)
+    figures = [
+        ("agents", arguments.agents, "agents"), ("replicas_live", len(times), "replicas"),
+        ("bound", bound, "s"), ("time_to_half_live", times[len(times) // 2 - 1], "s"),
+        ("time_to_all_live", times[-1], "s"), ("time_to_all_live_ratio", times[-1] / bound, "x"),
+        ("origin_copies", origin / size, "copies"),
+        ("duplicate_bytes_ratio", received / (arguments.agents * size) - 1, "x"),
+        ("agent_cpu_seconds_per_gib", cpu / ((received + peer) / GIBIBYTE), "s/GiB"),
+        ("agent_peak_resident", sampler.peak_resident / MEBIBYTE, "MiB")]
+    for name, value, unit in figures:
+        print(f"figure {name} {value:.4g} {unit}")
+    return 0 if len(times) == arguments.agents else 1
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/bench", description=__doc__)
+    parser.add_argument("--build", default="build", help=argparse.SUPPRESS)
+    commands = parser.add_subparsers(dest="command", required=True)
+    burst_parser = commands.add_parser("burst", help="one model to every agent")
+    burst_parser.add_argument("--agents", type=int, default=24)
+    burst_parser.add_argument("--model-mib", type=int, default=256)
+    burst_parser.add_argument("--chunk-kib", type=int, default=1024)
+    burst_parser.add_argument("--allowed-s", type=float, default=60,
+                              help="time in which a link carries two models, the origin's four")
+    burst_parser.add_argument("--objective", choices=("time", "origin_bytes"), default="time")
+    burst_parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    return burst(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -13,6 +13,8 @@
 /// Changes within this time go out together.
 constexpr Duration kPushDelay = milliseconds(20);
 constexpr Duration kTickInterval = milliseconds(100);
+/// Longest wait for an accepted change to be in force at this entry before it is answered.
+constexpr Duration kInForceLimit = seconds(2);
 constexpr Duration kForgetLostAfter = seconds(600);
 /// A silent agent's connection is broken after this many silence limits.
 constexpr int kSilenceLimitsBeforeDrop = 4;
@@ -140,6 +142,7 @@
   front_end_->on_configuration();
   push_assignments();
   front_end_->on_capacity();
+  answer_commands();
 }
 
 void EntryDaemon::push_assignments_soon() {
@@ -164,6 +167,7 @@
 
 void EntryDaemon::tick() {
   front_end_->on_tick();
+  answer_commands();
   const TimePoint now = loop_now();
   directory_.forget_lost(kForgetLostAfter, now);
   std::vector<std::string> silent;
@@ -234,8 +238,21 @@
     return;
   }
   metrics_.count("pumicemast_entry_commands_total");
-  commands_->run(words, user, [exchange](const CommandResult& result) {
-    exchange->respond(status_of(result), "application/json", result_document(result).dump());
+  commands_->run(words, user, [this, exchange](const CommandResult& result) {
+    pending_commands_.push_back({exchange, result, loop_now() + kInForceLimit});
+    answer_commands();
+  });
+}
+
+void EntryDaemon::answer_commands() {
+  const TimePoint now = loop_now();
+  std::erase_if(pending_commands_, [&](const PendingCommand& pending) {
+    const CommandResult& result = pending.result;
+    const bool in_force = !result.ok || result.version <= configuration_.revision();
+    if (!in_force && now < pending.give_up) return false;
+    pending.exchange->respond(status_of(result), "application/json",
+                              result_document(result).dump());
+    return true;
   });
 }
 
--- a/src/entry/entry_daemon.h
+++ b/src/entry/entry_daemon.h
@@ -36,6 +36,7 @@
   void tick();
   void handle_operator(const HttpExchangePointer& exchange);
   void handle_command(const HttpExchangePointer& exchange);
+  void answer_commands();
   void update_gauges();
   QueryView query_view() const;
 
@@ -55,6 +56,14 @@
   std::unique_ptr<CommandExecutor> commands_;
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> operators_;
+  /// A change that was accepted; answered once it is in force here, so that the operator's
+  /// next question to this entry sees it.
+  struct PendingCommand {
+    HttpExchangePointer exchange;
+    CommandResult result;
+    TimePoint give_up{};
+  };
+  std::vector<PendingCommand> pending_commands_;
   AssignmentBuilder assignments_;
   Timer push_timer_;
   Timer tick_timer_;
