Share links between versions by priority; split what had grown in the agent

Cause: two versions on their way each took a whole window, so an urgent one had half of the links; WeightTransfer held manifests, pacing and transfers together; the daemons' main functions stood twice. Change: rollouts carry a priority: the highest gets the window and goes first at the uplink, others keep one request. ManifestFetcher, UplinkPacer and run_daemon are units of their own.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -153,8 +153,12 @@
     LOG(INFO) << "backend state=" << (was_draining ? "DRAINING->SERVING" : "SERVING->DRAINING");
   }
   std::vector<ReplicaOrder> orders;
-  std::map<std::string, bool> paused;
-  std::map<std::string, bool> spare_origin;
+  struct TransferOrder {
+    bool paused = false;
+    bool spare_origin = false;
+    int priority = 0;
+  };
+  std::map<std::string, TransferOrder> transfers;
   auto& told = participants_[entry];
   told.clear();
   const auto* models = assignment.models();
@@ -178,15 +182,16 @@
     for (const std::string& digest : {order.stage.digest, order.serve.digest}) {
       if (digest.empty()) continue;
       told[digest] = peers;
-      paused[digest] = model.paused();
-      spare_origin[digest] = text_of(model.objective()) == "origin_bytes";
+      transfers[digest] = {model.paused(), text_of(model.objective()) == "origin_bytes",
+                           model.priority()};
     }
     orders.push_back(std::move(order));
   }
   carry_out(replicas_.on_orders(orders));
-  for (const auto& [digest, is_paused] : paused) {
-    transfer_->set_objective(digest, spare_origin[digest]);
-    transfer_->set_paused(digest, is_paused);
+  for (const auto& [digest, transfer] : transfers) {
+    transfer_->set_objective(digest, transfer.spare_origin);
+    transfer_->set_priority(digest, transfer.priority);
+    transfer_->set_paused(digest, transfer.paused);
   }
   apply_participants();
   report_soon();
--- a/src/agent/agent_settings.h
+++ b/src/agent/agent_settings.h
@@ -31,6 +31,7 @@
   Duration drain_limit = seconds(600);
 
   static AgentSettings read(Settings& settings);
+  const std::string& process_name() const { return machine; }
 };
 
 }  // namespace pumicemast
--- /dev/null
+++ b/src/agent/uplink_pacer.cpp
@@ -0,0 +1,75 @@
+#include "agent/uplink_pacer.h"
+
+#include <algorithm>
+
+namespace pumicemast {
+namespace {
+
+/// Bytes that may wait in one connection before an upload slot is freed.
+constexpr std::size_t kUndrainedLimit = 4U << 20U;
+
+}  // namespace
+
+UplinkPacer::UplinkPacer(double bytes_per_second, PeerLinks& links, Metrics& metrics,
+                         std::function<void(const std::string&)> on_sent)
+    : bytes_per_second_(bytes_per_second),
+      links_(links),
+      metrics_(metrics),
+      on_sent_(std::move(on_sent)),
+      bucket_(bytes_per_second, 0) {}
+
+void UplinkPacer::push(ChunkUpload upload) {
+  waiting_.push_back(std::move(upload));
+  pump();
+}
+
+ChunkUpload UplinkPacer::take_next() {
+  const auto next = std::max_element(
+      waiting_.begin(), waiting_.end(),
+      [](const auto& left, const auto& right) { return left.priority < right.priority; });
+  ChunkUpload upload = std::move(*next);
+  waiting_.erase(next);
+  return upload;
+}
+
+void UplinkPacer::send(const ChunkUpload& upload) {
+  wire::ChunkDataT message;
+  message.digest = upload.digest;
+  message.chunk = upload.chunk;
+  message.bytes.assign(upload.bytes->begin(), upload.bytes->end());
+  links_.send(upload.peer, message);
+  metrics_.count("pumicemast_agent_bytes_sent_total", {},
+                 static_cast<double>(upload.bytes->size()));
+}
+
+void UplinkPacer::pump() {
+  while (!waiting_.empty() && !timer_.active()) {
+    const ChunkUpload upload = take_next();
+    send(upload);
+    if (bytes_per_second_ > 0) {
+      // Sent into debt; the next one waits until the link has carried this one.
+      const TimePoint now = loop_now();
+      bucket_.take_into_debt(static_cast<double>(upload.bytes->size()), now);
+      timer_.start_once(bucket_.time_until(0, now), [this, digest = upload.digest] {
+        on_sent_(digest);
+        pump();
+      });
+      return;
+    }
+    if (links_.queued_bytes(upload.peer) > kUndrainedLimit) {
+      undrained_[upload.peer].push_back(upload.digest);
+    } else {
+      on_sent_(upload.digest);
+    }
+  }
+}
+
+void UplinkPacer::on_drained(PeerId peer) {
+  const auto drained = undrained_.extract(peer);
+  if (drained.empty()) return;
+  for (const std::string& digest : drained.mapped()) on_sent_(digest);
+}
+
+void UplinkPacer::on_peer_lost(PeerId peer) { on_drained(peer); }
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/agent/uplink_pacer.h
@@ -0,0 +1,55 @@
+/// Sends chunks to other agents at the uplink's share for weights, one after the other, the
+/// most urgent version first.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "agent/chunk_cache.h"
+#include "agent/peer_links.h"
+#include "common/event_loop.h"
+#include "limits/token_bucket.h"
+
+namespace pumicemast {
+
+/// A chunk that is ready to be sent.
+struct ChunkUpload {
+  std::string digest;
+  PeerId peer = 0;
+  ChunkIndex chunk = 0;
+  ChunkCache::Bytes bytes;
+  int priority = 0;  ///< Of the version's rollout; higher goes first.
+};
+
+class UplinkPacer {
+ public:
+  /// @param bytes_per_second  the share for weights; 0 for no limit.
+  /// @param on_sent           the link took a chunk of this version: its slot is free.
+  UplinkPacer(double bytes_per_second, PeerLinks& links, Metrics& metrics,
+              std::function<void(const std::string& digest)> on_sent);
+
+  void push(ChunkUpload upload);
+  /// All that was queued to `peer` was taken by the system.
+  void on_drained(PeerId peer);
+  void on_peer_lost(PeerId peer);
+
+ private:
+  void pump();
+  ChunkUpload take_next();
+  void send(const ChunkUpload& upload);
+
+  double bytes_per_second_;
+  PeerLinks& links_;
+  Metrics& metrics_;
+  std::function<void(const std::string&)> on_sent_;
+  std::list<ChunkUpload> waiting_;
+  /// Versions of chunks that a connection has not taken whole yet.
+  std::map<PeerId, std::vector<std::string>> undrained_;
+  TokenBucket bucket_;
+  Timer timer_;
+};
+
+}  // namespace pumicemast
--- a/src/agent/weight_transfer.cpp
+++ b/src/agent/weight_transfer.cpp
@@ -1,5 +1,7 @@
 #include "agent/weight_transfer.h"
 
+#include <climits>
+
 #include "common/hash.h"
 #include "common/log.h"
 
@@ -8,8 +10,8 @@
 
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr Duration kAnnounceInterval = milliseconds(20);
-/// Bytes that may be on their way in the socket buffers before an upload slot is freed.
-constexpr std::size_t kUndrainedLimit = 4U << 20U;
+/// Open requests that a version of lower priority keeps, so that it does not starve.
+constexpr std::uint32_t kBackgroundWindow = 1;
 constexpr Duration kRestartDelay = seconds(1);
 
 PeerId peer_id(const std::string& machine) { return stable_hash(machine); }
@@ -26,13 +28,14 @@
       links_(settings.machine, metrics,
              {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
               [this](PeerId peer) { on_peer_lost(peer); },
-              [this](PeerId peer) {
-                const auto drained = undrained_.extract(peer);
-                if (drained.empty()) return;
-                for (const std::string& digest : drained.mapped()) finish_upload(digest);
-              }}),
+              [this](PeerId peer) { uplink_.on_drained(peer); }}),
       cache_(settings.cache_bytes),
-      uplink_(settings.up_bytes_per_second, 0),
+      manifests_(origin_, metrics,
+                 [this](const ManifestFetcher::ManifestPointer& manifest, std::size_t bytes) {
+                   on_manifest(manifest, bytes);
+                 }),
+      uplink_(settings.up_bytes_per_second, links_, metrics,
+              [this](const std::string& digest) { finish_upload(digest); }),
       downlink_(settings.down_bytes_per_second, 0) {
   tick_timer_.start_repeating(kTickInterval, [this] { tick(); });
 }
@@ -59,7 +62,7 @@
   Transfer& transfer = transfers_[digest];
   if (transfer.digest.empty()) {
     transfer.digest = digest;
-    fetch_manifest(digest);
+    manifests_.fetch(digest);
     return;
   }
   if (!transfer.manifest) return;
@@ -81,52 +84,17 @@
 
 void WeightTransfer::stop(const std::string& digest) {
   transfers_.erase(digest);
+  manifests_.cancel(digest);
   restart_timers_.erase(digest);
   engine_contents_.erase(digest);
 }
 
-void WeightTransfer::fetch_manifest(const std::string& digest) {
-  Transfer* transfer = find(digest);
-  if (transfer == nullptr) return;
-  const auto known = manifests_.find(digest);
-  if (known != manifests_.end()) {
-    on_manifest(digest, *known->second);
-    return;
-  }
-  transfer->manifest_call =
-      origin_.read_manifest(digest, [this, digest](const WeightReadResult& result) {
-        const bool usable =
-            result.found && handle_error(
-                                [&]() -> leaf::result<bool> {
-                                  BOOST_LEAF_AUTO(manifest, Manifest::parse(result.bytes));
-                                  if (manifest.digest() != digest) return false;
-                                  totals_.origin_bytes += result.bytes.size();
-                                  on_manifest(digest, std::move(manifest));
-                                  return true;
-                                },
-                                [](const Error&) { return false; });
-        if (usable) return;
-        metrics_.count("pumicemast_agent_manifest_failures_total");
-        struct Retry {
-          WeightTransfer* self;
-          std::string digest;
-        };
-        g_timeout_add(
-            static_cast<guint>(to_milliseconds(result.retry_after)),
-            [](gpointer data) -> gboolean {
-              std::unique_ptr<Retry> retry(static_cast<Retry*>(data));
-              retry->self->fetch_manifest(retry->digest);
-              return G_SOURCE_REMOVE;
-            },
-            new Retry{this, digest});
-      });
-}
-
-void WeightTransfer::on_manifest(const std::string& digest, Manifest manifest) {
-  Transfer* transfer = find(digest);
+void WeightTransfer::on_manifest(const ManifestFetcher::ManifestPointer& manifest,
+                                 std::size_t bytes) {
+  totals_.origin_bytes += bytes;
+  Transfer* transfer = find(manifest->digest());
   if (transfer == nullptr || transfer->manifest) return;
-  manifests_[digest] = std::make_shared<const Manifest>(manifest);
-  transfer->manifest = std::make_unique<Manifest>(std::move(manifest));
+  transfer->manifest = manifest;
   begin_swarm(*transfer);
 }
 
@@ -175,10 +143,10 @@
   std::map<Sha256, std::pair<std::string, ChunkIndex>> available;
   for (const auto& contents : engine_contents_) {
     const std::string& digest = contents.first;
-    const auto manifest = manifests_.find(digest);
-    if (digest == transfer.digest || manifest == manifests_.end()) continue;
+    const ManifestFetcher::ManifestPointer manifest = manifests_.find(digest);
+    if (digest == transfer.digest || !manifest) continue;
     contents.second.for_each([&](ChunkIndex chunk) {
-      available[manifest->second->chunk_hashes()[chunk]] = {digest, chunk};
+      available[manifest->chunk_hashes()[chunk]] = {digest, chunk};
     });
   }
   const auto& hashes = transfer.manifest->chunk_hashes();
@@ -256,7 +224,30 @@
   if (transfer != nullptr) transfer->spare_origin = spare_origin;
 }
 
+void WeightTransfer::set_priority(const std::string& digest, int priority) {
+  Transfer* transfer = find(digest);
+  if (transfer != nullptr) transfer->priority = priority;
+}
+
+void WeightTransfer::share_links() {
+  std::uint32_t sharing = 0;
+  int highest = INT_MIN;
+  for (const auto& [digest, transfer] : transfers_) {
+    if (!transfer.swarm || transfer.swarm->complete() || transfer.paused) continue;
+    if (transfer.priority > highest) sharing = 0;
+    highest = std::max(highest, transfer.priority);
+    if (transfer.priority == highest) ++sharing;
+  }
+  for (auto& [digest, transfer] : transfers_) {
+    if (!transfer.swarm) continue;
+    const bool first = transfer.priority >= highest;
+    const std::uint32_t share = std::max(1U, settings_.window / std::max(1U, sharing));
+    transfer.swarm->set_limits(first ? share : kBackgroundWindow, settings_.upload_slots);
+  }
+}
+
 void WeightTransfer::tick() {
+  share_links();
   std::vector<std::string> digests;
   for (const auto& [digest, transfer] : transfers_) {
     if (transfer.swarm) digests.push_back(digest);
@@ -406,7 +397,7 @@
 }
 
 void WeightTransfer::on_peer_lost(PeerId peer) {
-  undrained_.erase(peer);
+  uplink_.on_peer_lost(peer);
   std::vector<std::string> digests;
   for (const auto& [digest, transfer] : transfers_) digests.push_back(digest);
   for (const std::string& digest : digests) {
@@ -467,21 +458,22 @@
 
 void WeightTransfer::act(Transfer& transfer, const SendChunk& action) {
   const std::string digest = transfer.digest;
+  const int priority = transfer.priority;
   if (auto cached = cache_.find(digest, action.chunk)) {
-    upload({digest, action.peer, action.chunk, std::move(cached)});
+    uplink_.push({digest, action.peer, action.chunk, std::move(cached), priority});
     return;
   }
   const PeerId peer = action.peer;
   const ChunkIndex chunk = action.chunk;
   engine_.read_chunk(digest, chunk,
-                     [this, digest, peer, chunk](bool found, const std::string& bytes) {
+                     [this, digest, peer, chunk, priority](bool found, const std::string& bytes) {
                        if (!found) {
                          finish_upload(digest);
                          return;
                        }
                        auto content = std::make_shared<const std::string>(bytes);
                        cache_.insert(digest, chunk, content);
-                       upload({digest, peer, chunk, std::move(content)});
+                       uplink_.push({digest, peer, chunk, std::move(content), priority});
                      });
 }
 
@@ -521,42 +513,6 @@
                << " state=TRUSTED->AVOIDED reason=corrupt chunks";
 }
 
-void WeightTransfer::upload(PendingUpload pending) {
-  uploads_.push_back(std::move(pending));
-  pump_uploads();
-}
-
-void WeightTransfer::pump_uploads() {
-  while (!uploads_.empty()) {
-    if (uplink_timer_.active()) return;
-    const PendingUpload next = std::move(uploads_.front());
-    uploads_.pop_front();
-    wire::ChunkDataT message;
-    message.digest = next.digest;
-    message.chunk = next.chunk;
-    message.bytes.assign(next.bytes->begin(), next.bytes->end());
-    links_.send(next.peer, message);
-    metrics_.count("pumicemast_agent_bytes_sent_total", {},
-                   static_cast<double>(next.bytes->size()));
-    if (settings_.up_bytes_per_second > 0) {
-      const TimePoint now = loop_now();
-      uplink_.take_into_debt(static_cast<double>(next.bytes->size()), now);
-      const Duration wait = uplink_.time_until(0, now);
-      const std::string digest = next.digest;
-      uplink_timer_.start_once(wait, [this, digest] {
-        finish_upload(digest);
-        pump_uploads();
-      });
-      return;
-    }
-    if (links_.queued_bytes(next.peer) > kUndrainedLimit) {
-      undrained_[next.peer].push_back(next.digest);
-    } else {
-      finish_upload(next.digest);
-    }
-  }
-}
-
 void WeightTransfer::finish_upload(const std::string& digest) {
   Transfer* transfer = find(digest);
   if (transfer == nullptr || !transfer->swarm) return;
--- a/src/agent/weight_transfer.h
+++ b/src/agent/weight_transfer.h
@@ -14,7 +14,9 @@
 #include "adapters/weight_store_client.h"
 #include "agent/agent_settings.h"
 #include "agent/chunk_cache.h"
+#include "agent/manifest_fetcher.h"
 #include "agent/peer_links.h"
+#include "agent/uplink_pacer.h"
 #include "common/metrics.h"
 #include "limits/token_bucket.h"
 #include "swarm/swarm.h"
@@ -61,6 +63,8 @@
   void set_participants(const std::string& digest, const std::set<TransferPeer>& peers);
   void set_paused(const std::string& digest, bool paused);
   void set_objective(const std::string& digest, bool spare_origin);
+  /// When several versions are on their way, the highest priority gets nearly all the links.
+  void set_priority(const std::string& digest, int priority);
   /// What the engine held when the agent started or the engine restarted.
   void set_engine_contents(const std::map<std::string, ChunkSet>& held);
 
@@ -71,28 +75,20 @@
   /// One version on its way or held.
   struct Transfer {
     std::string digest;
-    std::unique_ptr<Manifest> manifest;
+    ManifestFetcher::ManifestPointer manifest;
     std::unique_ptr<Swarm> swarm;
     bool opened = false;  ///< The engine has staging memory for it.
     bool paused = false;
     bool spare_origin = false;
+    int priority = 0;
     std::set<TransferPeer> peers;
-    HttpCallPointer manifest_call;
     std::map<ChunkIndex, HttpCallPointer> origin_calls;
     /// Joins that came before the manifest did.
     std::map<PeerId, std::vector<std::uint8_t>> early_joins;
   };
-  struct PendingUpload {
-    std::string digest;
-    PeerId peer = 0;
-    ChunkIndex chunk = 0;
-    ChunkCache::Bytes bytes;
-  };
-
   Transfer* find(const std::string& digest);
   void restart(const std::string& digest);
-  void fetch_manifest(const std::string& digest);
-  void on_manifest(const std::string& digest, Manifest manifest);
+  void on_manifest(const ManifestFetcher::ManifestPointer& manifest, std::size_t bytes);
   void begin_swarm(Transfer& transfer);
   void apply_membership(Transfer& transfer);
   void copy_shared_chunks(Transfer& transfer);
@@ -121,8 +117,7 @@
   /// Verifies `bytes`, writes them to the engine, then tells the core.
   void take_in(const std::string& digest, std::optional<PeerId> source, ChunkIndex chunk,
                std::string bytes);
-  void upload(PendingUpload upload);
-  void pump_uploads();
+  void share_links();
   void finish_upload(const std::string& digest);
   void charge_downlink(std::size_t bytes);
 
@@ -135,15 +130,11 @@
   ChunkCache cache_;
   std::map<std::string, Transfer> transfers_;
   std::map<std::string, ChunkSet> engine_contents_;
-  std::map<std::string, std::shared_ptr<const Manifest>> manifests_;
-  std::deque<PendingUpload> uploads_;
-  /// Uploads handed to a connection that has not taken all of them yet.
-  std::map<PeerId, std::vector<std::string>> undrained_;
-  TokenBucket uplink_;
+  ManifestFetcher manifests_;
+  UplinkPacer uplink_;
   TokenBucket downlink_;
   std::map<std::string, Timer> restart_timers_;
   Timer tick_timer_;
-  Timer uplink_timer_;
   Timer downlink_timer_;
   TransferTotals totals_;
 };
--- a/src/commands/command.h
+++ b/src/commands/command.h
@@ -4,6 +4,7 @@
 ///   explain MODEL MACHINE
 ///   create version MODEL VERSION digest=D bytes=N chunks=N
 ///   create rollout MODEL VERSION [objective=time|origin_bytes] [max_unavailable=N]
+///                  [priority=N]
 ///   pause|resume|abort|rollback rollout MODEL
 ///   set target MODEL replicas=N [floor=N]
 ///   set route NAME path=/PREFIX service=SERVICE  |  set route NAME alias=ALIAS model=MODEL
@@ -60,6 +61,7 @@
   std::string version;
   RolloutObjective objective = RolloutObjective::time;
   std::optional<std::uint32_t> max_unavailable;
+  int priority = 0;
 };
 enum class RolloutOrder { pause, resume, abort, rollback };
 struct OrderRolloutCommand {
--- a/src/commands/command_executor.cpp
+++ b/src/commands/command_executor.cpp
@@ -111,6 +111,7 @@
   rollout.objective = body.objective;
   rollout.max_unavailable = body.max_unavailable.value_or(
       std::max(1U, target->value.replicas / kDefaultUnavailableDivisor));
+  rollout.priority = body.priority;
   rollout.created_by = user;
   if (const auto* running = view.configuration.find<Rollout>(body.model)) {
     const bool backwards = running->value.state == "ABORTING" || running->value.state == "ABORTED";
--- a/src/commands/command_parser.cpp
+++ b/src/commands/command_parser.cpp
@@ -177,8 +177,10 @@
   CreateRolloutCommand create;
   BOOST_LEAF_ASSIGN(create.model, words.take_name("a model"));
   BOOST_LEAF_ASSIGN(create.version, words.take_name("a version"));
-  BOOST_LEAF_AUTO(options, words.take_options({"objective", "max_unavailable", "expect"}));
+  BOOST_LEAF_AUTO(options,
+                  words.take_options({"objective", "max_unavailable", "priority", "expect"}));
   BOOST_LEAF_ASSIGN(create.objective, parse_objective(option_or(options, "objective", "time")));
+  BOOST_LEAF_ASSIGN(create.priority, number_option<int>(options, "priority", 0));
   if (options.contains("max_unavailable")) {
     BOOST_LEAF_ASSIGN(create.max_unavailable,
                       number_option<std::uint32_t>(options, "max_unavailable", std::nullopt));
--- a/src/configuration/objects.cpp
+++ b/src/configuration/objects.cpp
@@ -25,6 +25,7 @@
           {"state", object.state},
           {"objective", to_string(object.objective)},
           {"max_unavailable", object.max_unavailable},
+          {"priority", object.priority},
           {"created_by", object.created_by}};
 }
 
@@ -106,6 +107,7 @@
                          ? RolloutObjective::origin_bytes
                          : RolloutObjective::time;
   read(value, "max_unavailable", object.max_unavailable);
+  object.priority = value.value("priority", 0);  // Absent in objects of earlier releases.
   read(value, "created_by", object.created_by);
 }
 
--- a/src/configuration/objects.h
+++ b/src/configuration/objects.h
@@ -39,6 +39,7 @@
   std::string state = "RUNNING";  ///< A state of charts/rollout.ini.
   RolloutObjective objective = RolloutObjective::time;
   std::uint32_t max_unavailable = 1;
+  int priority = 0;  ///< Higher gets more of the links when several run.
   std::string created_by;
   std::string name() const { return model; }
 };
--- a/src/ctl/ctl_options.cpp
+++ b/src/ctl/ctl_options.cpp
@@ -29,6 +29,7 @@
 changes (each takes expect=VERSION, the object's version it is meant for)
   publish MODEL VERSION DIRECTORY  hashes a directory, stores it at the origin
   create rollout MODEL VERSION [objective=time|origin_bytes] [max_unavailable=N]
+                 [priority=N]
   pause|resume|abort|rollback rollout MODEL
   set target MODEL replicas=N [floor=N]
   set route NAME path=/PREFIX service=SERVICE
--- a/src/entry/assignment_builder.cpp
+++ b/src/entry/assignment_builder.cpp
@@ -25,7 +25,10 @@
   order->fence = placement.fence;
   order->paused = placement.paused;
   const auto* rollout = configuration.find<Rollout>(placement.model);
-  if (rollout != nullptr) order->objective = to_string(rollout->value.objective);
+  if (rollout != nullptr) {
+    order->objective = to_string(rollout->value.objective);
+    order->priority = rollout->value.priority;
+  }
   for (const auto& [machine, other] : placement.machines) {
     const Backend* backend = directory.find(machine);
     if (backend == nullptr || !backend->connected) continue;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -35,6 +35,7 @@
   Duration drain_limit = seconds(600);
 
   static EntrySettings read(Settings& settings);
+  const std::string& process_name() const { return name; }
 };
 
 }  // namespace pumicemast
--- a/src/swarm/chunk_procurement.cpp
+++ b/src/swarm/chunk_procurement.cpp
@@ -56,8 +56,7 @@
   return sources;
 }
 
-bool ChunkProcurement::origin_is_due(const Duty& duty, std::size_t others,
-                                     TimePoint now) const {
+bool ChunkProcurement::origin_is_due(const Duty& duty, std::size_t others, TimePoint now) const {
   if (others == 0) return true;
   // A region's owner goes to the origin only when nobody else brings the chunk.
   if (!duty.origin_allowed) return false;
@@ -71,6 +70,8 @@
 }
 
 std::optional<ChunkDraw> ChunkProcurement::draw(ChunkIndex chunk, Duty& duty, TimePoint now) {
+  const bool window_full = at_origin_ >= options_.origin_window;
+  if (duty.from_origin && duty.step == 0 && window_full) return std::nullopt;  // The usual case.
   const std::vector<const SwarmParticipant*> others = other_region_sources(chunk);
   const std::size_t round = others.size() + 1;
   const std::size_t position = duty.step % round;
@@ -82,7 +83,7 @@
       duty.not_before = now + kRoundPause;
       return std::nullopt;
     }
-    if (at_origin_ >= options_.origin_window) return std::nullopt;
+    if (window_full) return std::nullopt;
     duty.at_origin = true;
     ++at_origin_;
     return ChunkDraw{chunk, std::nullopt, false};
@@ -159,9 +160,8 @@
     // Cut off, or the origin is down: more agents asking would not help, and would all ask
     // at once when it comes back.
     takeover_rank_ = 0;
-    std::erase_if(duties_, [](const auto& entry) {
-      return entry.second.takeover && !entry.second.drawing;
-    });
+    std::erase_if(duties_,
+                  [](const auto& entry) { return entry.second.takeover && !entry.second.drawing; });
     return in_vain;
   }
   ++takeover_rank_;
--- a/tests/configuration/configuration_store_test.cpp
+++ b/tests/configuration/configuration_store_test.cpp
@@ -78,7 +78,7 @@
     expect_round_trip(placement);
     expect_round_trip(ModelVersion{"forms", "v1", "d", 5, 2});
     expect_round_trip(
-        Rollout{"forms", "v2", "v1", "PAUSED", RolloutObjective::origin_bytes, 3, "me"});
+        Rollout{"forms", "v2", "v1", "PAUSED", RolloutObjective::origin_bytes, 3, -2, "me"});
     expect_round_trip(Route{"r", "/p", "s", "", ""});
     expect_round_trip(Tenant{"t", 1.5, 2, 3, -4});
     expect_round_trip(PlannedStop{"a01", "DRAINING", "note", true, "me"});
