Draw faults before the run and judge it by what links could carry at all

Cause: strategies met different faults, as each drew them while it ran; and a run's ratio could not be told from what stalls and cuts made impossible. Change: FaultSchedule and OriginModel are units of their own; the figure time_to_all_live_over_blocked_bound compares with the best that a stalled link and a cut region allow.

--- a/src/experiment/burst_experiment.cpp
+++ b/src/experiment/burst_experiment.cpp
@@ -64,6 +64,10 @@
   figures.add("time_to_all_live", time_to_share(result, 1), "s");
   figures.add("time_to_half_live_ratio", time_to_share(result, 0.5) / bound_s, "x");
   figures.add("time_to_all_live_ratio", time_to_share(result, 1) / bound_s, "x");
+  const auto faults = simulation::FaultSchedule::draw(settings);
+  const double blocked_s = faults.blocked_bound_s(settings, result.survived);
+  figures.add("blocked_bound", blocked_s, "s");
+  figures.add("time_to_all_live_over_blocked_bound", time_to_share(result, 1) / blocked_s, "x");
   figures.add("planned_time_to_all_live", plan.time_to_all_live_s, "s");
   figures.add("measured_over_planned", time_to_share(result, 1) / plan.time_to_all_live_s, "x");
   figures.add("origin_copies", static_cast<double>(result.origin_bytes) / bytes, "copies");
--- a/src/simulation/burst_simulation.cpp
+++ b/src/simulation/burst_simulation.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr char kModel[] = "model";
-/// How long a sender takes to see that a peer or the origin cannot be reached.
-constexpr Duration kUnreachableAfter = seconds(3);
 /// How long the entries take to see that a machine died.
 constexpr Duration kDeathSeenAfter = seconds(3);
 /// Orders reach the agents within this time of being accepted.
@@ -33,11 +31,9 @@
   PeerId id = 0;
   MachinePlace place;
   bool alive = true;
-  bool corrupting = false;
   ReplicaManager replicas;
   std::unique_ptr<Swarm> swarms[kVersions];
   std::vector<ContentId> staged[kVersions];  ///< What the engine's memory holds.
-  std::set<std::pair<std::uint32_t, ChunkIndex>> cancelled_origin;
   bool ticking = false;
   double live_at_s = -1;  ///< Of the wanted version.
 };
@@ -46,7 +42,17 @@
     : settings_(std::move(settings)),
       replica_chart_(replica_chart),
       random_(settings_.seed),
+      faults_(FaultSchedule::draw(settings_)),
       network_(settings_.network, place_machines(settings_), settings_.seed),
+      origin_(events_, network_, [this](ChunkIndex chunk) { return chunk_size(chunk); },
+              {[this](const OriginRequest& request) {
+                 return swarm_of(request.machine, request.version) != nullptr;
+               },
+               [this](const OriginRequest& request) {
+                 receive(request.machine, request.version, std::nullopt, request.chunk,
+                         content_of(request.version, request.chunk));
+               },
+               [this](const OriginRequest& request) { on_origin_failed(request); }}),
       end_(TimePoint(from_seconds(settings_.allowed_s * settings_.time_limit_share))) {
   const std::vector<MachinePlace> places = place_machines(settings_);
   std::vector<SwarmParticipant> participants;
@@ -103,6 +109,7 @@
   }
   sample();
   for (const auto& agent : agents_) {
+    result_.survived.push_back(agent->alive);
     if (!agent->alive) continue;
     ++result_.survivors;
     if (agent->live_at_s >= 0) {
@@ -122,6 +129,7 @@
     }
   }
   std::sort(result_.live_times_s.begin(), result_.live_times_s.end());
+  result_.origin_bytes = origin_.bytes_sent();
   result_.events = events_.executed();
   return std::move(result_);
 }
@@ -133,47 +141,30 @@
 
 void BurstSimulation::sample() {
   result_.samples.push_back({to_seconds(events_.now().time_since_epoch()), live_wanted_, alive_,
-                             result_.origin_bytes, result_.peer_bytes, result_.inter_region_bytes});
+                             origin_.bytes_sent(), result_.peer_bytes, result_.inter_region_bytes});
   if (finished()) return;
   events_.schedule_in(from_seconds(settings_.allowed_s / kSamplesPerAllowedTime),
                       [this] { sample(); });
 }
 
+void BurstSimulation::remember(const char* what, std::uint32_t subject) {
+  result_.history.push_back(
+      {to_seconds(events_.now().time_since_epoch()), what, subject, wanted_version_});
+}
+
 void BurstSimulation::schedule_faults() {
-  const FaultSettings& faults = settings_.faults;
-  std::uniform_real_distribution<double> uniform(0, 1);
-  const double run_s = settings_.bound_s(settings_.machines);
-  for (MachineNumber machine = 0; machine < settings_.machines; ++machine) {
-    agents_[machine]->corrupting = uniform(random_) < faults.corrupting_peers;
-    if (uniform(random_) >= faults.stall_share) continue;
-    const TimePoint from(from_seconds(uniform(random_) * run_s));
-    network_.stall(machine, from, from + faults.stall_duration);
-    events_.schedule_at(from, [this, machine] {
-      result_.history.push_back(
-          {to_seconds(events_.now().time_since_epoch()), "stalled", machine, 0});
-    });
+  faults_.apply_to(network_, settings_.faults);
+  for (const ScheduledStall& stall : faults_.stalls) {
+    events_.schedule_at(stall.from, [this, stall] { remember("stalled", stall.machine); });
+  }
+  if (faults_.has_cut) {
+    events_.schedule_at(faults_.cut_from, [this] { remember("cut", faults_.cut_region); });
   }
-  if (faults.region_cut_share > 0) {
-    const auto region = static_cast<std::uint32_t>(random_() % settings_.regions);
-    const TimePoint from(from_seconds(uniform(random_) * run_s / 2));
-    network_.cut_region(region, from, from + from_seconds(faults.region_cut_share * run_s));
-    events_.schedule_at(from, [this, region] {
-      result_.history.push_back({to_seconds(events_.now().time_since_epoch()), "cut", region, 0});
+  for (const auto& [time, machine] : faults_.deaths) {
+    events_.schedule_at(time, [this, victim = machine] {
+      if (alive_ > 1) die(victim);
     });
   }
-  api_down_from_ = TimePoint(from_seconds(uniform(random_) * run_s / 2));
-  api_down_until_ = api_down_from_ + from_seconds(faults.api_down_share * run_s);
-  if (faults.deaths_per_minute > 0) schedule_next_death();
-}
-
-void BurstSimulation::schedule_next_death() {
-  const double per_second = settings_.faults.deaths_per_minute * settings_.machines / 60;
-  std::exponential_distribution<double> interval_s(per_second);
-  events_.schedule_in(from_seconds(interval_s(random_)), [this] {
-    const auto machine = static_cast<MachineNumber>(random_() % settings_.machines);
-    if (alive_ > 1) die(machine);
-    schedule_next_death();
-  });
 }
 
 void BurstSimulation::die(MachineNumber machine) {
@@ -182,8 +173,7 @@
   agent.alive = false;
   --alive_;
   if (agent.live_at_s >= 0) --live_wanted_;
-  result_.history.push_back(
-      {to_seconds(events_.now().time_since_epoch()), "died", machine, wanted_version_});
+  remember("died", machine);
   events_.schedule_in(kDeathSeenAfter, [this] { spread_membership(); });
 }
 
@@ -210,9 +200,9 @@
 
 void BurstSimulation::supersede() {
   const TimePoint now = events_.now();
-  if (now >= api_down_from_ && now < api_down_until_) {
+  if (now >= faults_.api_down_from && now < faults_.api_down_until) {
     // Nothing is accepted while the object API is down.
-    events_.schedule_at(api_down_until_, [this] { supersede(); });
+    events_.schedule_at(faults_.api_down_until, [this] { supersede(); });
     return;
   }
   wanted_version_ = 1;
@@ -409,63 +399,20 @@
 
 void BurstSimulation::act(MachineNumber machine, std::uint32_t version,
                           const RequestFromOrigin& action) {
-  agents_[machine]->cancelled_origin.erase({version, action.chunk});
-  if (!network_.connected(machine, kOrigin, events_.now())) {
-    fail_origin_request({machine, version, action.chunk});
-    return;
-  }
-  const TimePoint arrival = network_.message(machine, kOrigin, events_.now());
-  events_.schedule_at(arrival, [this, machine, version, action] {
-    origin_queue_.push_back({machine, version, action.chunk});
-    serve_origin();
-  });
+  origin_.request({machine, version, action.chunk});
 }
 
 void BurstSimulation::act(MachineNumber machine, std::uint32_t version,
                           const CancelFromOrigin& action) {
-  agents_[machine]->cancelled_origin.insert({version, action.chunk});
+  origin_.cancel({machine, version, action.chunk});
 }
 
-void BurstSimulation::fail_origin_request(const OriginRequest& request) {
-  events_.schedule_in(kUnreachableAfter, [this, request] {
-    Swarm* swarm = swarm_of(request.machine, request.version);
-    if (swarm == nullptr) return;
-    SwarmActions actions;
-    swarm->on_origin_failed(request.chunk, seconds(1), events_.now(), actions);
-    carry_out(request.machine, request.version, actions);
-  });
-}
-
-void BurstSimulation::serve_origin() {
-  while (!origin_busy_ && !origin_queue_.empty()) {
-    const OriginRequest request = origin_queue_.front();
-    origin_queue_.pop_front();
-    Agent& agent = *agents_[request.machine];
-    // The origin sees that a caller hung up before it begins to send.
-    if (agent.cancelled_origin.erase({request.version, request.chunk}) > 0) continue;
-    if (swarm_of(request.machine, request.version) == nullptr) continue;
-    if (!network_.connected(request.machine, kOrigin, events_.now())) {
-      fail_origin_request(request);
-      continue;
-    }
-    origin_busy_ = true;
-    const std::uint64_t bytes = chunk_size(request.chunk);
-    const TimePoint sent = network_.send(kOrigin, bytes, events_.now());
-    events_.schedule_at(sent, [this, request, bytes] {
-      origin_busy_ = false;
-      result_.origin_bytes += bytes;
-      if (network_.connected(request.machine, kOrigin, events_.now())) {
-        const TimePoint arrived = network_.deliver(kOrigin, request.machine, bytes, events_.now());
-        events_.schedule_at(arrived, [this, request] {
-          receive(request.machine, request.version, std::nullopt, request.chunk,
-                  content_of(request.version, request.chunk));
-        });
-      } else {
-        fail_origin_request(request);
-      }
-      serve_origin();
-    });
-  }
+void BurstSimulation::on_origin_failed(const OriginRequest& request) {
+  Swarm* swarm = swarm_of(request.machine, request.version);
+  if (swarm == nullptr) return;
+  SwarmActions actions;
+  swarm->on_origin_failed(request.chunk, seconds(1), events_.now(), actions);
+  carry_out(request.machine, request.version, actions);
 }
 
 void BurstSimulation::act(MachineNumber machine, std::uint32_t version, const SendChunk& action) {
@@ -491,7 +438,7 @@
       return;
     }
     const TimePoint arrived = network_.deliver(machine, receiver, bytes, events_.now());
-    const ContentId carried = sender.corrupting ? 0 : content;
+    const ContentId carried = faults_.corrupting[machine] ? 0 : content;
     const PeerId source = sender.id;
     events_.schedule_at(arrived,
                         [this, machine, receiver, version, action, bytes, carried, source] {
@@ -579,9 +526,8 @@
   });
 }
 
-void BurstSimulation::act(MachineNumber machine, std::uint32_t version, const PeerAvoided&) {
-  result_.history.push_back(
-      {to_seconds(events_.now().time_since_epoch()), "avoided", machine, version});
+void BurstSimulation::act(MachineNumber machine, std::uint32_t, const PeerAvoided&) {
+  remember("avoided", machine);
 }
 
 }  // namespace pumicemast::simulation
--- a/src/simulation/burst_simulation.h
+++ b/src/simulation/burst_simulation.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <random>
 #include <string>
@@ -17,7 +16,9 @@
 #include "replica/replica_manager.h"
 #include "simulation/burst_settings.h"
 #include "simulation/event_queue.h"
+#include "simulation/fault_schedule.h"
 #include "simulation/network_model.h"
+#include "simulation/origin_model.h"
 
 namespace pumicemast::simulation {
 
@@ -41,6 +42,7 @@
 
 struct BurstResult {
   std::vector<double> live_times_s;  ///< Of the survivors, in ascending order.
+  std::vector<bool> survived;  ///< By machine.
   std::uint32_t survivors = 0;
   std::uint32_t never_live = 0;  ///< Survivors that did not get there in time.
   double last_order_s = 0;       ///< When the version that counts was ordered.
@@ -67,17 +69,11 @@
 
  private:
   struct Agent;
-  struct OriginRequest {
-    MachineNumber machine = 0;
-    std::uint32_t version = 0;
-    ChunkIndex chunk = 0;
-  };
   using ContentId = std::uint32_t;
 
   ContentId content_of(std::uint32_t version, ChunkIndex chunk) const;
   std::uint64_t chunk_size(ChunkIndex chunk) const;
   void schedule_faults();
-  void schedule_next_death();
   void die(MachineNumber machine);
   void supersede();
   void order(MachineNumber machine, std::uint32_t version);
@@ -112,8 +108,8 @@
                std::function<void(Swarm&, SwarmActions&)> deliver);
   void lose_peer(MachineNumber machine, PeerId peer);
   void send_join(MachineNumber from, PeerId to, std::uint32_t version, bool reply);
-  void serve_origin();
-  void fail_origin_request(const OriginRequest& request);
+  void on_origin_failed(const OriginRequest& request);
+  void remember(const char* what, std::uint32_t subject);
   void hear(MachineNumber receiver, MachineNumber sender, std::uint32_t version,
             const std::vector<ChunkIndex>& chunks);
   void receive(MachineNumber machine, std::uint32_t version, std::optional<PeerId> source,
@@ -123,19 +119,17 @@
   BurstSettings settings_;
   const StateChart& replica_chart_;
   std::mt19937_64 random_;
+  FaultSchedule faults_;
   EventQueue events_;
   NetworkModel network_;
+  OriginModel origin_;
   std::vector<std::unique_ptr<Agent>> agents_;
   std::unordered_map<PeerId, MachineNumber> numbers_;
   std::shared_ptr<const SwarmMembership> membership_;
   std::vector<bool> shared_chunks_;  ///< Between versions 0 and 1.
-  std::deque<OriginRequest> origin_queue_;
-  bool origin_busy_ = false;
   std::uint32_t wanted_version_ = 0;
   std::uint32_t live_wanted_ = 0;
   std::uint32_t alive_ = 0;
-  TimePoint api_down_from_{};
-  TimePoint api_down_until_{};
   TimePoint end_;
   BurstResult result_;
 };
--- /dev/null
+++ b/src/simulation/fault_schedule.cpp
@@ -0,0 +1,78 @@
+#include "simulation/fault_schedule.h"
+
+#include <algorithm>
+#include <random>
+
+#include "simulation/fleet_layout.h"
+
+namespace pumicemast::simulation {
+namespace {
+
+constexpr double kSecondsPerMinute = 60;
+
+}  // namespace
+
+FaultSchedule FaultSchedule::draw(const BurstSettings& settings) {
+  FaultSchedule schedule;
+  const FaultSettings& faults = settings.faults;
+  std::mt19937_64 random(settings.seed);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const double run_s = settings.bound_s(settings.machines);
+  for (MachineNumber machine = 0; machine < settings.machines; ++machine) {
+    schedule.corrupting.push_back(uniform(random) < faults.corrupting_peers);
+    const bool stalls = uniform(random) < faults.stall_share;
+    const TimePoint from(from_seconds(uniform(random) * run_s));
+    if (stalls) schedule.stalls.push_back({machine, from});
+  }
+  schedule.has_cut = faults.region_cut_share > 0;
+  schedule.cut_region = static_cast<std::uint32_t>(random() % settings.regions);
+  schedule.cut_from = TimePoint(from_seconds(uniform(random) * run_s / 2));
+  schedule.cut_until = schedule.cut_from + from_seconds(faults.region_cut_share * run_s);
+  schedule.api_down_from = TimePoint(from_seconds(uniform(random) * run_s / 2));
+  schedule.api_down_until = schedule.api_down_from + from_seconds(faults.api_down_share * run_s);
+  if (faults.deaths_per_minute <= 0) return schedule;
+  const double per_second = faults.deaths_per_minute * settings.machines / kSecondsPerMinute;
+  std::exponential_distribution<double> interval_s(per_second);
+  const double limit_s = settings.allowed_s * settings.time_limit_share;
+  for (double at_s = interval_s(random); at_s < limit_s; at_s += interval_s(random)) {
+    schedule.deaths.emplace_back(TimePoint(from_seconds(at_s)),
+                                 static_cast<MachineNumber>(random() % settings.machines));
+  }
+  return schedule;
+}
+
+double FaultSchedule::blocked_bound_s(const BurstSettings& settings,
+                                      const std::vector<bool>& survived) const {
+  const double bytes = static_cast<double>(settings.model_bytes);
+  const double link_s = bytes / settings.network.machine_bytes_per_second;
+  const double origin_s = bytes / settings.network.origin_bytes_per_second;
+  const double cut_from_s = to_seconds(cut_from.time_since_epoch());
+  const double cut_until_s = to_seconds(cut_until.time_since_epoch());
+  const std::vector<MachinePlace> places = place_machines(settings);
+  std::vector<double> stalled_s(settings.machines, 0);
+  for (const ScheduledStall& stall : stalls) {
+    stalled_s[stall.machine] = to_seconds(settings.faults.stall_duration);
+  }
+  const double free_s = settings.bound_s(settings.machines);
+  double latest_s = 0;
+  for (MachineNumber machine = 0; machine < settings.machines; ++machine) {
+    if (machine < survived.size() && !survived[machine]) continue;
+    double at_s = std::max(free_s, link_s + stalled_s[machine]);
+    if (has_cut && places[machine].region == cut_region) {
+      // What the origin had sent by then is all that the region can exchange meanwhile.
+      const double held = std::min(1.0, cut_from_s / origin_s);
+      at_s = std::max(at_s, cut_until_s + (1 - held) * link_s);
+    }
+    latest_s = std::max(latest_s, at_s);
+  }
+  return latest_s;
+}
+
+void FaultSchedule::apply_to(NetworkModel& network, const FaultSettings& faults) const {
+  for (const ScheduledStall& stall : stalls) {
+    network.stall(stall.machine, stall.from, stall.from + faults.stall_duration);
+  }
+  if (has_cut) network.cut_region(cut_region, cut_from, cut_until);
+}
+
+}  // namespace pumicemast::simulation
--- a/src/simulation/network_model.h
+++ b/src/simulation/network_model.h
@@ -20,6 +20,9 @@
 using MachineNumber = std::uint32_t;
 constexpr MachineNumber kOrigin = UINT32_MAX;
 
+/// How long a sender takes to see that its peer cannot be reached.
+constexpr Duration kUnreachableAfter = seconds(3);
+
 enum class Duplex { full, half };
 
 struct NetworkOptions {
--- a/src/simulation/tree_baseline.cpp
+++ b/src/simulation/tree_baseline.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "simulation/event_queue.h"
+#include "simulation/fault_schedule.h"
 #include "simulation/fleet_layout.h"
 
 namespace pumicemast::simulation {
@@ -15,7 +16,7 @@
  public:
   explicit TreeRun(const BurstSettings& settings)
       : settings_(settings),
-        random_(settings.seed),
+        faults_(FaultSchedule::draw(settings)),
         places_(place_machines(settings)),
         network_(settings.network, places_, settings.seed),
         received_(settings.machines, 0),
@@ -23,12 +24,16 @@
         live_at_s_(settings.machines, -1) {}
 
   BurstResult run() {
-    if (settings_.faults.deaths_per_minute > 0) schedule_next_death();
+    faults_.apply_to(network_, settings_.faults);
+    for (const auto& [time, machine] : faults_.deaths) {
+      events_.schedule_at(time, [this, victim = machine] { alive_[victim] = false; });
+    }
     send_from_origin(0);
     const TimePoint end(from_seconds(settings_.allowed_s * settings_.time_limit_share));
     while (open_transfers_ > 0 && events_.now() < end && events_.run_next()) {
     }
     for (MachineNumber machine = 0; machine < settings_.machines; ++machine) {
+      result_.survived.push_back(alive_[machine]);
       if (!alive_[machine]) continue;
       ++result_.survivors;
       if (live_at_s_[machine] < 0) {
@@ -43,15 +48,6 @@
   }
 
  private:
-  void schedule_next_death() {
-    const double per_second = settings_.faults.deaths_per_minute * settings_.machines / 60;
-    std::exponential_distribution<double> interval_s(per_second);
-    events_.schedule_in(from_seconds(interval_s(random_)), [this] {
-      alive_[random_() % settings_.machines] = false;
-      schedule_next_death();
-    });
-  }
-
   void send_from_origin(ChunkIndex chunk) {
     if (chunk >= settings_.chunk_count()) return;
     ++open_transfers_;
@@ -102,7 +98,7 @@
   }
 
   const BurstSettings& settings_;
-  std::mt19937_64 random_;
+  FaultSchedule faults_;
   std::vector<MachinePlace> places_;
   EventQueue events_;
   NetworkModel network_;
