--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -1,8 +1,10 @@
-"""Benches of real processes. `burst`: one model to every agent, each under its own rate limit,
-against the fluid bound; prints lines `figure NAME VALUE UNIT`."""
+"""Benches of real processes; they print lines `figure NAME VALUE UNIT`.
+
+burst: one model to every agent, each under its own rate limit, against the fluid bound.
+scale: one real entry before more and more hollow agents; the slopes of docs/CAPACITY.md.
+"""
 
 import argparse
-import json
 import os
 import pathlib
 import random
@@ -116,6 +118,78 @@
     return 0 if len(times) == arguments.agents else 1
 
 
+def hollow_process(fleet, name, agents, first, zones):
+    path = fleets.write_ini(fleet.folder / f"{name}.ini", {
+        "hollow": {"entries": ";".join(entry["agents"] for entry in fleet.entries),
+                   "agents": agents, "first_number": first, "zones": zones}})
+    return fleets.Process(name, [str(fleet.bin / "pumicemast-hollow"), "--settings", str(path)],
+                          fleet.folder)
+
+
+def figure_of(process, name):
+    for line in process.log.read_text().splitlines():
+        if line.startswith(f"figure {name} "):
+            return float(line.split()[2])
+    raise ValueError(f"{process.name} printed no figure {name}")
+
+
+def measure_entry(fleet, pid, seconds):
+    """Share of a core and resident bytes of the entry over some seconds of steady state."""
+    before = cpu_seconds(pid)
+    time.sleep(seconds)
+    return (cpu_seconds(pid) - before) / seconds, resident_bytes(pid)
+
+
+def scale_step(arguments, folder, count):
+    """One real entry before `count` hollow agents."""
+    with fleets.Fleet(folder / str(count), arguments.build, zones=1, entries=1, engines=0,
+                      services=0) as fleet:
+        pid = fleet.processes["e1"].popen.pid
+        hollow = [hollow_process(fleet, f"hollow-{first}",
+                                 min(arguments.agents_per_process, count - first), first, 8)
+                  for first in range(0, count, arguments.agents_per_process)]
+        try:
+            fleets.wait_until(lambda: len(fleet.rows("show machines where state=SERVING"))
+                              == count, f"{count} hollow agents")
+            cpu, resident = measure_entry(fleet, pid, arguments.seconds)
+            print(f"figure entry_cpu_at_{count}_agents {cpu:.4f} cores")
+            print(f"figure entry_resident_at_{count}_agents {resident / MEBIBYTE:.1f} MiB")
+            if count == 0:
+                return
+            replicas = min(330, count)
+            fleet.ctl("create", "version", "forms", "v1", "digest=" + "a" * 64, "bytes=1000",
+                      "chunks=1")
+            fleet.ctl("set", "target", "forms", f"replicas={replicas}")
+            started = time.monotonic()
+            cpu_before = cpu_seconds(pid)
+            fleet.ctl("create", "rollout", "forms", "v1")
+            fleet.ctl("watch", "rollout", "forms")
+            taken = time.monotonic() - started
+            print(f"figure rollout_of_{replicas}_at_{count}_agents {taken:.2f} s")
+            print(f"figure rollout_cpu_at_{count}_agents {cpu_seconds(pid) - cpu_before:.2f} s")
+        finally:
+            for process in hollow:
+                process.stop()
+            for process in hollow:
+                process.wait()
+        total = {name: sum(figure_of(process, name) for process in hollow)
+                 for name in ("statuses_sent", "status_bytes_sent", "assignments_received",
+                              "assignment_bytes_received")}
+        print(f"figure status_bytes_at_{count}_agents "
+              f"{total['status_bytes_sent'] / total['statuses_sent']:.0f} bytes/message")
+        print(f"figure assignment_bytes_at_{count}_agents "
+              f"{total['assignment_bytes_received'] / total['assignments_received']:.0f} "
+              f"bytes/message")
+        print(f"figure assignments_at_{count}_agents {total['assignments_received']:.0f} messages")
+
+
+def scale(arguments):
+    with tempfile.TemporaryDirectory(prefix="pumicemast-") as folder:
+        for count in map(int, arguments.agents.split(",")):
+            scale_step(arguments, pathlib.Path(folder), count)
+    return 0
+
+
 def main():
     parser = argparse.ArgumentParser(prog="scripts/bench", description=__doc__)
     parser.add_argument("--build", default="build", help=argparse.SUPPRESS)
@@ -128,8 +202,13 @@
                               help="time in which a link carries two models, the origin's four")
     burst_parser.add_argument("--objective", choices=("time", "origin_bytes"), default="time")
     burst_parser.add_argument("--seed", type=int, default=1)
+    scale_parser = commands.add_parser("scale", help="one entry before hollow agents")
+    scale_parser.add_argument("--agents", default="0,250,500,1000,2000",
+                              help="counts of hollow agents to measure")
+    scale_parser.add_argument("--agents-per-process", type=int, default=500)
+    scale_parser.add_argument("--seconds", type=float, default=10)
     arguments = parser.parse_args()
-    return burst(arguments)
+    return {"burst": burst, "scale": scale}[arguments.command](arguments)
 
 
 if __name__ == "__main__":
--- a/src/adapters/configuration_watcher.cpp
+++ b/src/adapters/configuration_watcher.cpp
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr Duration kWatchWait = seconds(20);
-/// Shortest time between two watches: several changes share one read of the API.
-constexpr Duration kWatchPause = milliseconds(50);
 constexpr std::int64_t kFirstRetryMs = 200;
 constexpr std::int64_t kLongestRetryMs = 2000;
 constexpr std::uint32_t kMaximumDoublings = 8;
@@ -15,9 +13,10 @@
 }  // namespace
 
 ConfigurationWatcher::ConfigurationWatcher(ObjectStore& store, std::vector<std::string> kinds,
-                                           Callbacks callbacks, std::uint64_t seed)
+                                           Duration pause, Callbacks callbacks, std::uint64_t seed)
     : store_(store),
       kinds_(std::move(kinds)),
+      pause_(pause),
       callbacks_(std::move(callbacks)),
       random_(static_cast<std::minstd_rand::result_type>(seed % std::minstd_rand::modulus + 1)) {}
 
@@ -67,7 +66,7 @@
     }
     revision_ = result.revision;
     if (!result.events.empty()) callbacks_.on_events(result.revision, result.events);
-    timer_.start_once(kWatchPause, [this] { watch(); });
+    timer_.start_once(pause_, [this] { watch(); });
   });
 }
 
--- a/src/adapters/configuration_watcher.h
+++ b/src/adapters/configuration_watcher.h
@@ -21,8 +21,10 @@
     std::function<void(bool reachable)> on_reachability;
   };
 
-  ConfigurationWatcher(ObjectStore& store, std::vector<std::string> kinds, Callbacks callbacks,
-                       std::uint64_t seed);
+  /// @param pause  shortest time between two watches: changes within it share one read, which
+  ///               bounds the reads that many processes cost the platform together.
+  ConfigurationWatcher(ObjectStore& store, std::vector<std::string> kinds, Duration pause,
+                       Callbacks callbacks, std::uint64_t seed);
   void start();
   bool reachable() const { return reachable_; }
 
@@ -34,6 +36,7 @@
 
   ObjectStore& store_;
   std::vector<std::string> kinds_;
+  Duration pause_;
   Callbacks callbacks_;
   std::minstd_rand random_;
   Timer timer_;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -67,6 +67,7 @@
       *store_,
       std::vector<std::string>{ModelVersion::kKind, Rollout::kKind, ReplicaTarget::kKind,
                                Route::kKind, Tenant::kKind, PlannedStop::kKind, Placement::kKind},
+      settings_.watch_pause,
       ConfigurationWatcher::Callbacks{
           [this](std::uint64_t revision, const std::vector<StoredObject>& objects) {
             on_configuration_change(configuration_.apply_listing(revision, objects));
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -17,6 +17,7 @@
       settings.integer_or("listen", "maximum_body_bytes", 16LL << 20U, {1024, 32LL << 20U}));
   result.platform_url = settings.required_url("platform", "url");
   result.platform_timeout = settings.milliseconds_or("platform", "timeout_ms", 5000, kDurationMs);
+  result.watch_pause = settings.milliseconds_or("platform", "watch_pause_ms", 50, kDurationMs);
   result.machine_list_interval =
       settings.milliseconds_or("platform", "machine_list_interval_ms", 2000, kDurationMs);
   result.controller_candidate = settings.boolean_or("lease", "candidate", true);
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -18,6 +18,7 @@
   Address operators_listen;
   std::string platform_url;
   Duration platform_timeout = seconds(5);
+  Duration watch_pause = milliseconds(50);
   Duration machine_list_interval = seconds(2);
   bool controller_candidate = true;
   Duration lease_ttl = seconds(5);
--- a/src/swarm/chunk_procurement.cpp
+++ b/src/swarm/chunk_procurement.cpp
@@ -9,6 +9,9 @@
 constexpr std::size_t kOtherRegionSources = 3;
 /// Ranks looked through for them; enough unless nearly all members are in one region.
 constexpr std::size_t kRanksSearched = 12;
+/// Ranks that step in one after the other before the first is asked again. All of them
+/// failing means a fault that more agents would not mend.
+constexpr std::uint32_t kTakeoverRanks = 12;
 constexpr Duration kOriginProbeInterval = seconds(10);
 /// Pause before the sequence of sources begins again.
 constexpr Duration kRoundPause = seconds(1);
@@ -164,7 +167,7 @@
                   [](const auto& entry) { return entry.second.takeover && !entry.second.drawing; });
     return in_vain;
   }
-  ++takeover_rank_;
+  takeover_rank_ = takeover_rank_ % kTakeoverRanks + 1;
   missing.for_each([&](ChunkIndex chunk) {
     const SwarmParticipant* next = membership_->owner(chunk, takeover_rank_);
     const SwarmParticipant* next_here =
