Judge stalls and takeovers by what a link usually does, not by fixed times

On links ten times slower 1.86 copies left the origin, since chunks are rarer there than the fixed takeover interval. Change: a request fails when its peer delivered nothing for six usual responses, ten seconds before any was measured, longer after failures; a takeover waits sixteen usual gaps between appearances of new chunks.

--- a/src/simulation/burst_simulation.h
+++ b/src/simulation/burst_simulation.h
@@ -42,7 +42,7 @@
 
 struct BurstResult {
   std::vector<double> live_times_s;  ///< Of the survivors, in ascending order.
-  std::vector<bool> survived;  ///< By machine.
+  std::vector<bool> survived;        ///< By machine.
   std::uint32_t survivors = 0;
   std::uint32_t never_live = 0;  ///< Survivors that did not get there in time.
   double last_order_s = 0;       ///< When the version that counts was ordered.
--- a/src/swarm/chunk_procurement.h
+++ b/src/swarm/chunk_procurement.h
@@ -68,8 +68,8 @@
     bool takeover = false;     ///< Taken over from an owner of a better rank.
     bool origin_allowed = false;
     bool drawing = false;
-    bool at_origin = false;    ///< The draw under way is at the origin.
-    std::uint32_t step = 0;    ///< Position in the sequence of sources.
+    bool at_origin = false;      ///< The draw under way is at the origin.
+    std::uint32_t step = 0;      ///< Position in the sequence of sources.
     std::uint32_t refusals = 0;  ///< Other regions' machines that answered without the chunk.
     TimePoint not_before{};
   };
--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -16,6 +16,10 @@
 /// Response times are smoothed over about this many answers.
 constexpr int kResponseSmoothing = 8;
 constexpr int kTimeoutResponses = 6;
+constexpr int kMaximumTimeoutScale = 16;
+constexpr int kTakeoverGaps = 16;
+/// Before any chunk appeared, the origin may just be slow to send the first.
+constexpr int kFirstTakeoverScale = 4;
 /// Strangers that may join beyond our own choice of neighbours.
 constexpr std::size_t kMaximumNeighbours = 64;
 
@@ -200,6 +204,8 @@
     ++record.received;
     record.stalls = 0;
     record.not_before = TimePoint{};
+    record.last_arrival = now;
+    timeout_scale_ = std::max(1, timeout_scale_ / 2);
     const auto request = requests_.find(chunk);
     if (request != requests_.end() && request->second.peer == *source) {
       if (!request->second.subscription) {
@@ -247,10 +253,7 @@
   }
   last_chunk_ = now;
   const bool from_outside = procurement_.on_received(chunk);
-  if (from_outside) {
-    last_appearance_ = now;
-    procurement_.on_progress();
-  }
+  if (from_outside) note_appearance(now);
   // Late answers to an earlier request: the second request is no longer needed.
   const auto request = requests_.find(chunk);
   if (request != requests_.end()) {
@@ -345,8 +348,11 @@
 }
 
 Duration Swarm::request_timeout() const {
-  return std::clamp(smoothed_response_ * kTimeoutResponses, options_.minimum_request_timeout,
-                    options_.maximum_request_timeout);
+  const Duration usual =
+      smoothed_response_ == Duration::zero()
+          ? options_.initial_request_timeout
+          : std::max(smoothed_response_ * kTimeoutResponses, options_.minimum_request_timeout);
+  return std::min(usual * timeout_scale_, options_.maximum_request_timeout);
 }
 
 void Swarm::expire_requests(TimePoint now, SwarmActions& actions) {
@@ -354,7 +360,9 @@
   std::vector<ChunkIndex> expired;
   for (const auto& [chunk, request] : requests_) {
     const Duration limit = request.subscription ? options_.origin_timeout : timeout;
-    if (now - request.sent >= limit) expired.push_back(chunk);
+    // A peer that delivers other chunks meanwhile is busy, not stalled.
+    const TimePoint last_sign = std::max(request.sent, peer(request.peer).last_arrival);
+    if (now - last_sign >= limit) expired.push_back(chunk);
   }
   for (const ChunkIndex chunk : expired) {
     const OpenRequest request = requests_.at(chunk);
@@ -369,6 +377,7 @@
     ++counters_.request_timeouts;
     actions.push_back(CancelFromPeer{request.peer, chunk});
   }
+  if (!expired.empty()) timeout_scale_ = std::min(timeout_scale_ * 2, kMaximumTimeoutScale);
   std::vector<ChunkIndex> slow;
   for (const auto& [chunk, sent] : origin_requests_) {
     if (now - sent >= options_.origin_timeout) slow.push_back(chunk);
@@ -385,22 +394,38 @@
   const bool appears = picker_.availability(chunk) == 0 && !have().contains(chunk);
   picker_.on_neighbour_has(chunk);
   if (!appears) return;
+  note_appearance(now);
   if (origin_requests_.erase(chunk) > 0) {
     // It need not leave the origin again; most requests there are still in its queue.
     procurement_.on_received(chunk);
     picker_.on_request_failed(chunk);
     actions.push_back(CancelFromOrigin{chunk});
   }
+}
+
+void Swarm::note_appearance(TimePoint now) {
+  const Duration gap = now - last_appearance_;
+  if (gap > Duration::zero()) {
+    appearance_gap_ = appearance_gap_ == Duration::zero()
+                          ? gap
+                          : appearance_gap_ + (gap - appearance_gap_) / kResponseSmoothing;
+  }
   last_appearance_ = now;
   procurement_.on_progress();
 }
 
+Duration Swarm::takeover_interval() const {
+  // Slow links and large chunks make chunks rare without anything being wrong.
+  if (appearance_gap_ == Duration::zero()) return options_.takeover_interval * kFirstTakeoverScale;
+  return std::max(options_.takeover_interval, appearance_gap_ * kTakeoverGaps);
+}
+
 void Swarm::take_over_if_starved(TimePoint now, SwarmActions& actions) {
   if (paused_ || complete() || self_ == nullptr) return;
   // While owners work, new chunks appear all the time. Long before the neighbourhood has
   // exchanged what it has, their absence tells that an owner died, stalled or is cut off.
-  const bool none_appears = now - last_appearance_ >= options_.takeover_interval;
-  const bool none_arrives = now - last_chunk_ >= options_.takeover_interval;
+  const bool none_appears = now - last_appearance_ >= takeover_interval();
+  const bool none_arrives = now - last_chunk_ >= takeover_interval();
   if (!none_appears) return;
   last_appearance_ = now;  // The next rank follows after another interval.
   ChunkSet missing(have().size());
--- a/src/swarm/swarm.h
+++ b/src/swarm/swarm.h
@@ -40,11 +40,14 @@
   /// How many of a chunk's owners draw it from the origin: 1 spares the origin most.
   std::uint32_t origin_copies = 1;
   Duration announce_interval = milliseconds(50);
+  /// A request fails when its peer delivered nothing for several times the usual response
+  /// time, within these limits; the first is used before any response was measured.
+  Duration initial_request_timeout = seconds(10);
   Duration minimum_request_timeout = seconds(1);
-  Duration maximum_request_timeout = seconds(10);
+  Duration maximum_request_timeout = seconds(120);
   Duration origin_timeout = seconds(60);
-  /// When no chunk that is missing here appeared nearby for so long, the next owners in rank
-  /// bring in those that did not.
+  /// When no chunk that is missing here appeared nearby for so long, and for many times the
+  /// usual gap between two that do, the next owners in rank bring in those that did not.
   Duration takeover_interval = seconds(3);
   /// A peer that sent corrupt chunks is avoided from this share and number of them on.
   /// Links corrupt chunks too, so one is no proof.
@@ -175,6 +178,7 @@
     std::uint32_t corrupt = 0;
     TimePoint not_before{};  ///< After a stall or refusal.
     std::uint32_t stalls = 0;
+    TimePoint last_arrival{};
   };
   struct Neighbour {
     PeerId id = 0;
@@ -204,6 +208,8 @@
   void answer_subscribers(ChunkIndex chunk, SwarmActions& actions);
   void announce(TimePoint now, SwarmActions& actions);
   Duration request_timeout() const;
+  Duration takeover_interval() const;
+  void note_appearance(TimePoint now);
   bool in_other_region(PeerId id) const;
 
   SwarmOptions options_;
@@ -219,11 +225,13 @@
   std::map<ChunkIndex, TimePoint> origin_requests_;
   TimePoint last_chunk_{};       ///< When a chunk last arrived here.
   TimePoint last_appearance_{};  ///< When a missing chunk last appeared nearby for the first time.
+  Duration appearance_gap_ = Duration::zero();  ///< Usual time between two appearances.
   std::map<ChunkIndex, std::vector<PeerId>> subscribers_;
   std::vector<ChunkIndex> unannounced_;
   TimePoint next_announcement_{};
   TimePoint next_rejoin_{};
   Duration smoothed_response_ = Duration::zero();
+  int timeout_scale_ = 1;  ///< Grows while requests fail, as responses are then not measured.
   bool paused_ = false;
   bool reported_complete_ = false;
   std::minstd_rand random_;
