--- a/src/experiment/burst_experiment.cpp
+++ b/src/experiment/burst_experiment.cpp
@@ -25,8 +25,8 @@
 /// The settings under which the simulator plays a baseline.
 BurstSettings baseline_settings(BurstSettings settings, Strategy strategy) {
   settings.strategy = strategy;
-  settings.swarm.origin_for_all = true;
   if (strategy == Strategy::origin_only) {
+    settings.swarm.origin_for_all = true;
     settings.swarm.use_peers = false;
     settings.swarm.announce_interval = seconds(5);  // Nobody listens.
     // Queues at the origin are as long as the fleet is large.
@@ -41,7 +41,8 @@
 }  // namespace
 
 BurstResult run_burst(const BurstSettings& settings, const StateChart& replica_chart) {
-  if (settings.strategy == Strategy::tree) return simulation::run_tree_baseline(settings);
+  const bool fixed = settings.strategy == Strategy::tree || settings.strategy == Strategy::pipeline;
+  if (fixed) return simulation::run_tree_baseline(settings);
   if (settings.strategy == Strategy::swarm) {
     return simulation::BurstSimulation(settings, replica_chart).run();
   }
@@ -97,7 +98,8 @@
 void add_baseline_figures(const BurstSettings& settings, const BurstResult& result,
                           const StateChart& replica_chart, Figures& figures) {
   const double own_s = time_to_share(result, 1);
-  for (const Strategy strategy : {Strategy::origin_only, Strategy::tree, Strategy::random}) {
+  for (const Strategy strategy :
+       {Strategy::origin_only, Strategy::tree, Strategy::pipeline, Strategy::random}) {
     BurstSettings baseline = settings;
     baseline.strategy = strategy;
     const BurstResult other = run_burst(baseline, replica_chart);
--- a/src/simulation/burst_settings.cpp
+++ b/src/simulation/burst_settings.cpp
@@ -75,6 +75,8 @@
       return "origin_only";
     case Strategy::tree:
       return "tree";
+    case Strategy::pipeline:
+      return "pipeline";
     case Strategy::random:
       return "random";
   }
@@ -99,10 +101,10 @@
   read_faults(settings, result.faults);
   result.supersede.at_share = settings.number_or("supersede", "at_share", 0, 0, 10);
   result.supersede.shared_chunks = settings.number_or("supersede", "shared_chunks", 0.5, 0, 1);
-  const std::string strategy =
-      settings.choice("rollout", "strategy", {"swarm", "origin_only", "tree", "random"});
-  for (const Strategy candidate :
-       {Strategy::swarm, Strategy::origin_only, Strategy::tree, Strategy::random}) {
+  const std::string strategy = settings.choice(
+      "rollout", "strategy", {"swarm", "origin_only", "tree", "pipeline", "random"});
+  for (const Strategy candidate : {Strategy::swarm, Strategy::origin_only, Strategy::tree,
+                                   Strategy::pipeline, Strategy::random}) {
     if (strategy == to_string(candidate)) result.strategy = candidate;
   }
   result.seed = static_cast<std::uint64_t>(settings.integer_or("run", "seed", 1, {0, INT64_MAX}));
--- a/src/simulation/burst_settings.h
+++ b/src/simulation/burst_settings.h
@@ -10,7 +10,7 @@
 
 namespace pumicemast::simulation {
 
-enum class Strategy { swarm, origin_only, tree, random };
+enum class Strategy { swarm, origin_only, tree, pipeline, random };
 const char* to_string(Strategy strategy);
 
 struct FaultSettings {
--- a/src/simulation/tree_baseline.cpp
+++ b/src/simulation/tree_baseline.cpp
@@ -10,12 +10,12 @@
 namespace {
 
 constexpr MachineNumber kRoot = 0;
-constexpr MachineNumber kChildren = 2;
 
 class TreeRun {
  public:
   explicit TreeRun(const BurstSettings& settings)
       : settings_(settings),
+        children_(settings.strategy == Strategy::pipeline ? 1 : 2),
         faults_(FaultSchedule::draw(settings)),
         places_(place_machines(settings)),
         network_(settings.network, places_, settings.seed),
@@ -82,8 +82,8 @@
   }
 
   void pass_on(MachineNumber machine) {
-    for (MachineNumber child = 1; child <= kChildren; ++child) {
-      const MachineNumber receiver = machine * kChildren + child;
+    for (MachineNumber child = 1; child <= children_; ++child) {
+      const MachineNumber receiver = machine * children_ + child;
       if (receiver >= settings_.machines) return;
       ++open_transfers_;
       const TimePoint sent = network_.send(machine, settings_.chunk_bytes, events_.now());
@@ -98,6 +98,7 @@
   }
 
   const BurstSettings& settings_;
+  MachineNumber children_;  ///< Of each machine.
   FaultSchedule faults_;
   std::vector<MachinePlace> places_;
   EventQueue events_;
--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -52,6 +52,7 @@
 }
 
 void Swarm::add_neighbour(PeerId id, SwarmActions& actions) {
+  if (!options_.use_peers) return;
   Peer& record = peer(id);
   if (record.neighbour) return;
   record.neighbour = true;
@@ -77,7 +78,7 @@
 
 void Swarm::on_peer_joined(PeerId id, const ChunkSet& held, TimePoint now, SwarmActions& actions) {
   if (!peer(id).neighbour) {
-    if (neighbours_.size() >= kMaximumNeighbours) return;
+    if (neighbours_.size() >= kMaximumNeighbours || !options_.use_peers) return;
     add_neighbour(id, actions);
   }
   Peer& record = peer(id);
--- a/tests/simulation/burst_simulation_test.cpp
+++ b/tests/simulation/burst_simulation_test.cpp
@@ -106,8 +106,9 @@
   }
 
   void beats_the_tree() {
-    const BurstSettings settings = small_burst();
+    BurstSettings settings = small_burst();
     const BurstResult ours = run(settings);
+    settings.strategy = Strategy::tree;
     const BurstResult tree = run_tree_baseline(settings);
     CPPUNIT_ASSERT_EQUAL(std::size_t{24}, tree.live_times_s.size());
     CPPUNIT_ASSERT(tree.live_times_s.back() > 1.3 * ours.live_times_s.back());
