Ask for late chunks elsewhere in the end game

Change: once every chunk is asked for, a request that waits for three usual responses is made elsewhere; at most a window of chunks can double.

--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -16,6 +16,7 @@
 /// Response times are smoothed over about this many answers.
 constexpr int kResponseSmoothing = 8;
 constexpr int kTimeoutResponses = 6;
+constexpr int kEndGameResponses = 3;
 constexpr int kMaximumTimeoutScale = 16;
 constexpr int kTakeoverGaps = 16;
 /// Before any chunk appeared, the origin may just be slow to send the first.
@@ -357,12 +358,18 @@
 }
 
 void Swarm::expire_requests(TimePoint now, SwarmActions& actions) {
-  const Duration timeout = request_timeout();
+  // Once everything is asked for, one late answer is all that keeps the replica from going
+  // live: it is asked for elsewhere soon, which can double at most a window of chunks.
+  const bool end_game = picker_.open().count() == 0;
+  const Duration timeout =
+      end_game ? std::max(smoothed_response_ * kEndGameResponses, options_.minimum_request_timeout)
+               : request_timeout();
   std::vector<ChunkIndex> expired;
   for (const auto& [chunk, request] : requests_) {
     const Duration limit = request.subscription ? options_.origin_timeout : timeout;
     // A peer that delivers other chunks meanwhile is busy, not stalled.
-    const TimePoint last_sign = std::max(request.sent, peer(request.peer).last_arrival);
+    const TimePoint last_sign =
+        end_game ? request.sent : std::max(request.sent, peer(request.peer).last_arrival);
     if (now - last_sign >= limit) expired.push_back(chunk);
   }
   for (const ChunkIndex chunk : expired) {
@@ -378,7 +385,8 @@
     ++counters_.request_timeouts;
     actions.push_back(CancelFromPeer{request.peer, chunk});
   }
-  if (!expired.empty()) timeout_scale_ = std::min(timeout_scale_ * 2, kMaximumTimeoutScale);
+  if (!expired.empty() && !end_game)
+    timeout_scale_ = std::min(timeout_scale_ * 2, kMaximumTimeoutScale);
   std::vector<ChunkIndex> slow;
   for (const auto& [chunk, sent] : origin_requests_) {
     if (now - sent >= options_.origin_timeout) slow.push_back(chunk);
