--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+import urllib.parse
 
 import fleet as fleets
 
@@ -60,7 +61,7 @@
                 continue
             name = path.relative_to(folder).as_posix()
             status, _, body = fleets.http_call(
-                backend, "GET", f"/admin/file?digest={digest}&path={name}")
+                backend, "GET", f"/admin/file?digest={digest}&path={urllib.parse.quote(name)}")
             want = hashlib.sha256(path.read_bytes()).digest()
             if status != 200 or hashlib.sha256(body).digest() != want:
                 wrong += 1
