--- a/src/agent/uplink_pacer.h
+++ b/src/agent/uplink_pacer.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "agent/chunk_cache.h"
-#include "agent/peer_links.h"
+#include "transport/peer_links.h"
 #include "common/event_loop.h"
 #include "limits/token_bucket.h"
 
--- a/src/agent/weight_transfer.h
+++ b/src/agent/weight_transfer.h
@@ -15,7 +15,7 @@
 #include "agent/agent_settings.h"
 #include "agent/chunk_cache.h"
 #include "agent/manifest_fetcher.h"
-#include "agent/peer_links.h"
+#include "transport/peer_links.h"
 #include "agent/uplink_pacer.h"
 #include "common/metrics.h"
 #include "limits/token_bucket.h"
--- a/src/common/daemon_main.h
+++ b/src/common/daemon_main.h
@@ -14,7 +14,8 @@
 /// Reads the command line, settings and charts, refuses them with all findings, and runs the
 /// daemon until its end.
 /// @tparam Daemon          has Daemon(DaemonSettings, Charts, EventLoop&), start(), terminate().
-/// @tparam DaemonSettings  has read(Settings&), process_name() and charts.
+/// @tparam DaemonSettings  has read(Settings&), process_name() and charts; with a member
+///                         kLogsDecisions it logs to standard output, without waiting.
 template <class Daemon, class DaemonSettings>
 int run_daemon(int argc, char** argv, const DaemonUsage& usage) {
   Findings findings;
@@ -25,7 +26,11 @@
   if (!settings.charts.empty()) charts = Charts::load(settings.charts, findings);
   if (refuse_if_any(findings) != kExitOk) return kExitUsage;
 
-  configure_log(settings.process_name());
+  if constexpr (requires { DaemonSettings::kLogsDecisions; }) {
+    configure_decision_log(settings.process_name());
+  } else {
+    configure_log(settings.process_name());
+  }
   EventLoop loop;
   Daemon daemon(std::move(settings), std::move(charts), loop);
   return handle_error(
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,5 +1,8 @@
 #include "common/log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <iostream>
 
 INITIALIZE_EASYLOGGINGPP
@@ -17,9 +20,33 @@
   }
 };
 
-}  // namespace
+/// Lines beyond this many gathered bytes are left out: the reader has stopped reading.
+constexpr std::size_t kGatheredLimitBytes = 256U * 1024U;
 
-void configure_log(const std::string& process_name) {
+struct GatheredLines {
+  std::string bytes;
+  std::uint64_t left_out = 0;
+};
+
+GatheredLines& gathered_lines() {
+  static GatheredLines lines;
+  return lines;
+}
+
+class GatheringDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    GatheredLines& lines = gathered_lines();
+    if (lines.bytes.size() > kGatheredLimitBytes) {
+      ++lines.left_out;
+      return;
+    }
+    lines.bytes += data->logMessage()->logger()->logBuilder()->build(
+        data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog);
+  }
+};
+
+void configure_format(const std::string& process_name) {
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -29,7 +56,32 @@
   el::Loggers::reconfigureAllLoggers(configuration);
   el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
       "DefaultLogDispatchCallback");
+}
+
+}  // namespace
+
+void configure_log(const std::string& process_name) {
+  configure_format(process_name);
   el::Helpers::installLogDispatchCallback<StandardErrorDispatch>("StandardErrorDispatch");
 }
 
+void configure_decision_log(const std::string& process_name) {
+  configure_format(process_name);
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  el::Helpers::installLogDispatchCallback<GatheringDispatch>("GatheringDispatch");
+}
+
+void flush_decision_log() {
+  GatheredLines& lines = gathered_lines();
+  if (lines.left_out > 0 && lines.bytes.size() < kGatheredLimitBytes) {
+    const std::uint64_t left_out = lines.left_out;
+    lines.left_out = 0;
+    LOG(WARNING) << "log lines_left_out=" << left_out << " reason=reader_slow";
+  }
+  if (lines.bytes.empty()) return;
+  const ssize_t count = ::write(STDOUT_FILENO, lines.bytes.data(), lines.bytes.size());
+  if (count > 0) lines.bytes.erase(0, static_cast<std::size_t>(count));
+}
+
 }  // namespace pumicemast
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -17,4 +17,11 @@
 /// Sends lines to standard error as `TIME LEVEL PROCESS text`. Call once at start.
 void configure_log(const std::string& process_name);
 
+/// Sends lines to standard output in the same form, without ever waiting for its reader: what
+/// the system does not take is gathered up to a bound, then left out and counted. Call once at
+/// start, instead of configure_log().
+void configure_decision_log(const std::string& process_name);
+/// Writes what was gathered. Call several times a second.
+void flush_decision_log();
+
 }  // namespace pumicemast
--- a/src/common/settings.cpp
+++ b/src/common/settings.cpp
@@ -193,20 +193,30 @@
   return address.value_or(Address{});
 }
 
-std::vector<Address> Settings::required_addresses(const std::string& section,
-                                                  const std::string& key) {
+std::vector<Address> Settings::parse_addresses(const std::string& section, const std::string& key,
+                                               const std::string& text) {
   std::vector<Address> addresses;
-  for (const std::string& text : split_list(required_string(section, key))) {
-    const auto address = parse_address(text);
+  for (const std::string& item : split_list(text)) {
+    const auto address = parse_address(item);
     if (address) {
       addresses.push_back(*address);
     } else {
-      complain(section, key, "\"" + text + "\" is not IP:PORT");
+      complain(section, key, "\"" + item + "\" is not IP:PORT");
     }
   }
   return addresses;
 }
 
+std::vector<Address> Settings::required_addresses(const std::string& section,
+                                                  const std::string& key) {
+  return parse_addresses(section, key, required_string(section, key));
+}
+
+std::vector<Address> Settings::addresses_or_none(const std::string& section,
+                                                 const std::string& key) {
+  return parse_addresses(section, key, string_or(section, key, ""));
+}
+
 std::string Settings::required_url(const std::string& section, const std::string& key) {
   const std::string text = required_string(section, key);
   if (text.empty()) return text;
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -62,6 +62,8 @@
   Address required_address(const std::string& section, const std::string& key);
   /// `;`-separated addresses; at least one.
   std::vector<Address> required_addresses(const std::string& section, const std::string& key);
+  /// `;`-separated addresses; none when the key is absent or empty.
+  std::vector<Address> addresses_or_none(const std::string& section, const std::string& key);
   /// An `http://IP:PORT` base address without a trailing slash.
   std::string required_url(const std::string& section, const std::string& key);
 
@@ -76,6 +78,8 @@
 
  private:
   std::optional<std::string> find(const std::string& section, const std::string& key);
+  std::vector<Address> parse_addresses(const std::string& section, const std::string& key,
+                                       const std::string& text);
   void complain(const std::string& section, const std::string& key, const std::string& reason);
 
   std::string path_;
--- a/src/common/state_chart.cpp
+++ b/src/common/state_chart.cpp
@@ -50,6 +50,14 @@
                                        {"FOLLOWING", "ACQUIRING", "HOLDING", "RENEWING"},
                                        {"expired", "write_applied", "write_conflict",
                                         "write_unknown", "renew_due", "deadline_passed"}};
+const ChartVocabulary kGatewayVocabulary{"gateway",
+                                         {"STARTING", "SERVING", "STOPPING", "STOPPED"},
+                                         {"configured", "stop", "finished"}};
+const ChartVocabulary kStagingVocabulary{
+    "staging",
+    {"UNKNOWN", "FETCHING", "CHECKING", "READY", "STARTING", "LIVE"},
+    {"manifest_read", "all_staged", "verified", "spoilt", "turn_came", "check_expired", "serving",
+     "start_failed", "engine_lost", "target_changed"}};
 
 }  // namespace
 
@@ -102,6 +110,8 @@
   charts.rollout = StateChart::load(directory + "/rollout.ini", kRolloutVocabulary, findings);
   charts.drain = StateChart::load(directory + "/drain.ini", kDrainVocabulary, findings);
   charts.lease = StateChart::load(directory + "/lease.ini", kLeaseVocabulary, findings);
+  charts.gateway = StateChart::load(directory + "/gateway.ini", kGatewayVocabulary, findings);
+  charts.staging = StateChart::load(directory + "/staging.ini", kStagingVocabulary, findings);
   return charts;
 }
 
--- a/src/common/state_chart.h
+++ b/src/common/state_chart.h
@@ -44,8 +44,10 @@
   StateChart rollout;
   StateChart drain;
   StateChart lease;
+  StateChart gateway;
+  StateChart staging;
 
-  /// Loads all four from `directory`.
+  /// Loads all of them from `directory`.
   static Charts load(const std::string& directory, Findings& findings);
 };
 
--- /dev/null
+++ b/src/fleet/backend_record.h
@@ -0,0 +1,33 @@
+/// A back end as service discovery and its own reports describe it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "common/settings.h"
+
+namespace pumicemast {
+
+/// One incarnation of a back end; a restart makes a new one with another id.
+struct BackendRecord {
+  std::string id;
+  std::string service;
+  Address address;
+  std::string zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  /// Version of which all layers are held and serve; 0 for none, or for a plain service.
+  std::uint64_t weight_version = 0;
+};
+
+/// The load of an engine, as the agent on its machine last read it.
+struct LoadReport {
+  bool alive = false;  ///< The engine answered its agent.
+  bool busy = false;   ///< It is changing weights.
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint64_t weight_version = 0;  ///< Held whole and serving; 0 for none.
+  double pace = 1;                   ///< Over 1: slower than its profile.
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/fleet/feeds.h
@@ -0,0 +1,39 @@
+/// Where a process learns what operators declare and which back ends there are.
+///
+/// Implemented by a translator of the surrounding platform.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/backend_record.h"
+#include "fleet/fleet_configuration.h"
+
+namespace pumicemast {
+
+class FleetListener {
+ public:
+  virtual ~FleetListener() = default;
+  /// @param document  the configuration in the platform's own form, to pass on to others.
+  virtual void on_configuration(FleetConfiguration configuration, const std::string& document) = 0;
+  /// The whole list of back ends.
+  virtual void on_backend_list(const std::vector<BackendRecord>& records) = 0;
+  virtual void on_backend(const BackendRecord& record) = 0;
+  virtual void on_backend_gone(const std::string& id) = 0;
+  virtual void on_weights_named(const std::string& model, std::uint64_t version) = 0;
+  /// The platform's store answers, or has ceased to.
+  virtual void on_store_reachable(bool reachable) = 0;
+};
+
+class FleetFeed {
+ public:
+  virtual ~FleetFeed() = default;
+  /// Begins to tell `listener`, first the present state, then each change.
+  virtual void start(FleetListener& listener) = 0;
+  /// Reads a document that another process passed on; empty when it is not valid.
+  virtual std::optional<FleetConfiguration> read_document(const std::string& document) = 0;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/backend_connections.cpp
@@ -0,0 +1,159 @@
+#include "gateway/backend_connections.h"
+
+#include <algorithm>
+
+#include "common/event_loop.h"
+
+namespace pumicemast {
+namespace {
+
+/// Bytes that a back end does not acknowledge for so long end the connection.
+constexpr Duration kUnansweredLimit = milliseconds(1500);
+/// An idle connection is used until this long before its peer would close it.
+constexpr Duration kKeepAliveMargin = milliseconds(1000);
+/// Where the peer states no time.
+constexpr Duration kUnstatedIdleLimit = seconds(4);
+constexpr std::size_t kIdlePerBackend = 24;
+
+}  // namespace
+
+/// One request on one connection.
+class BackendConnections::Attempt : public ExchangeObserver {
+ public:
+  Attempt(BackendConnections& owner, const SendToBackend& send)
+      : owner_(owner), number_(send.request), backend_(send.backend) {}
+
+  void run(std::unique_ptr<ClientConnection> connection, const std::string& bytes,
+           bool head_request) {
+    connection_ = std::move(connection);
+    connection_->send_request(bytes, head_request, *this);
+  }
+  std::unique_ptr<ClientConnection> release() { return std::move(connection_); }
+  const std::string& backend() const { return backend_; }
+
+ private:
+  void on_response_connected() override { owner_.observer_.on_attempt_connected(number_); }
+  bool on_response_head(const ResponseHead& head) override {
+    return owner_.observer_.on_attempt_head(number_, head);
+  }
+  void on_response_body(std::string_view bytes) override {
+    owner_.observer_.on_attempt_body(number_, bytes);
+  }
+  void on_response_complete() override { owner_.finish(number_, true); }
+  void on_exchange_failed(ExchangeFailure failure) override {
+    const RequestNumber number = number_;
+    AttemptObserver& observer = owner_.observer_;
+    owner_.finish(number, false);
+    observer.on_attempt_failed(number, failure);
+  }
+
+  BackendConnections& owner_;
+  RequestNumber number_;
+  std::string backend_;
+  std::unique_ptr<ClientConnection> connection_;
+};
+
+BackendConnections::BackendConnections(AttemptObserver& observer) : observer_(observer) {}
+
+BackendConnections::~BackendConnections() = default;
+
+bool BackendConnections::too_old(const ClientConnection& connection, TimePoint now) {
+  const int stated_s = connection.keep_alive_timeout_s();
+  const Duration limit = stated_s < 0 ? kUnstatedIdleLimit : seconds(stated_s) - kKeepAliveMargin;
+  return now - connection.idle_since() >= limit;
+}
+
+std::unique_ptr<ClientConnection> BackendConnections::take_idle(const SendToBackend& send) {
+  const auto found = idle_.find(send.backend);
+  if (found == idle_.end()) return nullptr;
+  auto& connections = found->second.connections;
+  const TimePoint now = loop_now();
+  while (!connections.empty()) {
+    std::unique_ptr<ClientConnection> connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection->reusable() && !too_old(*connection, now)) return connection;
+    connection->abandon();
+    deleter_.defer(std::move(connection));
+  }
+  return nullptr;
+}
+
+void BackendConnections::start(const SendToBackend& send, const std::string& bytes,
+                               bool head_request) {
+  std::unique_ptr<ClientConnection> connection = take_idle(send);
+  if (!connection) {
+    ++connections_opened_;
+    connection = std::make_unique<ClientConnection>(send.address, kUnansweredLimit, *this);
+  }
+  auto attempt = std::make_unique<Attempt>(*this, send);
+  Attempt& started = *attempt;
+  attempts_[send.request] = std::move(attempt);
+  const bool connected = connection->connected();
+  started.run(std::move(connection), bytes, head_request);
+  if (connected) observer_.on_attempt_connected(send.request);
+}
+
+void BackendConnections::finish(RequestNumber number, bool keep_connection) {
+  auto node = attempts_.extract(number);
+  if (node.empty()) return;
+  std::unique_ptr<ClientConnection> connection = node.mapped()->release();
+  const std::string backend = node.mapped()->backend();
+  deleter_.defer(std::move(node.mapped()));
+  if (keep_connection && connection->reusable()) {
+    keep(backend, std::move(connection));
+  } else {
+    connection->abandon();
+    deleter_.defer(std::move(connection));
+  }
+  if (keep_connection) observer_.on_attempt_complete(number);
+}
+
+void BackendConnections::keep(const std::string& backend,
+                              std::unique_ptr<ClientConnection> connection) {
+  auto& connections = idle_[backend].connections;
+  connection->set_idle_since(loop_now());
+  connections.push_back(std::move(connection));
+  if (connections.size() <= kIdlePerBackend) return;
+  connections.front()->abandon();
+  deleter_.defer(std::move(connections.front()));
+  connections.erase(connections.begin());
+}
+
+void BackendConnections::cancel(RequestNumber number) { finish(number, false); }
+
+void BackendConnections::on_idle_connection_ended(ClientConnection& connection) {
+  for (auto& [backend, idle] : idle_) {
+    auto& connections = idle.connections;
+    const auto found =
+        std::find_if(connections.begin(), connections.end(),
+                     [&](const auto& candidate) { return candidate.get() == &connection; });
+    if (found == connections.end()) continue;
+    deleter_.defer(std::move(*found));
+    connections.erase(found);
+    return;
+  }
+}
+
+void BackendConnections::expire_idle(TimePoint now) {
+  for (auto& [backend, idle] : idle_) {
+    std::erase_if(idle.connections, [&](std::unique_ptr<ClientConnection>& connection) {
+      if (connection->reusable() && !too_old(*connection, now)) return false;
+      connection->abandon();
+      deleter_.defer(std::move(connection));
+      return true;
+    });
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.connections.empty(); });
+}
+
+void BackendConnections::drop_backend(const std::string& backend) {
+  const auto found = idle_.find(backend);
+  if (found == idle_.end()) return;
+  for (auto& connection : found->second.connections) {
+    connection->abandon();
+    deleter_.defer(std::move(connection));
+  }
+  idle_.erase(found);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/backend_connections.h
@@ -0,0 +1,62 @@
+/// Carries single attempts to back ends over kept connections.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/request_forwarder.h"
+#include "http1/client_connection.h"
+#include "http1/deferred_deleter.h"
+
+namespace pumicemast {
+
+/// Told how attempts go, by the number of their request.
+class AttemptObserver {
+ public:
+  virtual ~AttemptObserver() = default;
+  virtual void on_attempt_connected(RequestNumber number) = 0;
+  /// @return false when the answer belongs to another request.
+  virtual bool on_attempt_head(RequestNumber number, const ResponseHead& head) = 0;
+  virtual void on_attempt_body(RequestNumber number, std::string_view bytes) = 0;
+  virtual void on_attempt_complete(RequestNumber number) = 0;
+  virtual void on_attempt_failed(RequestNumber number, ExchangeFailure failure) = 0;
+};
+
+class BackendConnections : public ClientConnection::Owner {
+ public:
+  explicit BackendConnections(AttemptObserver& observer);
+  ~BackendConnections() override;
+
+  /// Sends `bytes` to the back end of `send`. Observers are told from the loop, never from
+  /// within this call.
+  void start(const SendToBackend& send, const std::string& bytes, bool head_request);
+  /// Ends the attempt's connection, so that the back end stops.
+  void cancel(RequestNumber number);
+  /// Drops what has rested too long, and what belongs to a back end that is gone.
+  void expire_idle(TimePoint now);
+  void drop_backend(const std::string& backend);
+
+  std::uint64_t connections_opened() const { return connections_opened_; }
+
+ private:
+  class Attempt;
+  struct IdleConnections {
+    std::vector<std::unique_ptr<ClientConnection>> connections;  ///< Newest last.
+  };
+
+  std::unique_ptr<ClientConnection> take_idle(const SendToBackend& send);
+  void keep(const std::string& backend, std::unique_ptr<ClientConnection> connection);
+  void on_idle_connection_ended(ClientConnection& connection) override;
+  void finish(RequestNumber number, bool keep_connection);
+  static bool too_old(const ClientConnection& connection, TimePoint now);
+
+  AttemptObserver& observer_;
+  std::map<RequestNumber, std::unique_ptr<Attempt>> attempts_;
+  std::map<std::string, IdleConnections> idle_;
+  DeferredDeleter deleter_;
+  std::uint64_t connections_opened_ = 0;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/backend_pool.cpp
@@ -0,0 +1,212 @@
+#include "gateway/backend_pool.h"
+
+#include <algorithm>
+
+namespace pumicemast {
+namespace {
+
+/// A report tells of what reached the engine so long before it arrives here.
+constexpr Duration kReportTransit = milliseconds(8);
+constexpr std::size_t kRememberedLeavers = 64;
+constexpr double kMillisecondsPerSecond = 1000;
+/// One plain request in flight weighs like so much waiting.
+constexpr double kPlainRequestMs = 12;
+constexpr double kTieBreakMs = 2;
+
+}  // namespace
+
+BackendPool::BackendPool(BackendPoolOptions options)
+    : options_(std::move(options)), random_(static_cast<std::minstd_rand::result_type>(options_.seed)) {}
+
+BackendPool::Backend* BackendPool::find(const std::string& id) {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : &found->second;
+}
+
+void BackendPool::note_left(const std::string& id) {
+  if (!left_.insert(id).second) return;
+  left_order_.push_back(id);
+  if (left_order_.size() <= kRememberedLeavers) return;
+  left_.erase(left_order_.front());
+  left_order_.pop_front();
+}
+
+void BackendPool::on_record(const BackendRecord& record, TimePoint) {
+  Backend& backend = backends_[record.id];
+  const bool was_draining = backend.record.draining || left_.contains(record.id);
+  // The engine's own report is newer than the list.
+  const std::uint64_t version =
+      backend.has_report ? backend.record.weight_version : record.weight_version;
+  backend.record = record;
+  backend.record.weight_version = version;
+  backend.record.draining = record.draining || was_draining;
+  if (record.draining) note_left(record.id);
+  ids_by_address_[record.address] = record.id;
+}
+
+void BackendPool::on_gone(const std::string& id, TimePoint) {
+  note_left(id);
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  const auto by_address = ids_by_address_.find(found->second.record.address);
+  if (by_address != ids_by_address_.end() && by_address->second == id) {
+    ids_by_address_.erase(by_address);
+  }
+  backends_.erase(found);
+}
+
+void BackendPool::on_leaving(const std::string& id, TimePoint) {
+  note_left(id);
+  if (Backend* backend = find(id)) backend->record.draining = true;
+}
+
+void BackendPool::on_list(const std::vector<BackendRecord>& records, TimePoint now) {
+  std::set<std::string> named;
+  for (const BackendRecord& record : records) named.insert(record.id);
+  std::vector<std::string> missing;
+  for (const auto& [id, backend] : backends_) {
+    if (!named.contains(id)) missing.push_back(id);
+  }
+  for (const std::string& id : missing) on_gone(id, now);
+  for (const BackendRecord& record : records) on_record(record, now);
+}
+
+void BackendPool::on_report(const Address& address, const LoadReport& report, TimePoint now) {
+  const auto id = ids_by_address_.find(address);
+  if (id == ids_by_address_.end()) return;
+  Backend* backend = find(id->second);
+  if (backend == nullptr) return;
+  backend->report = report;
+  backend->reported_at = now;
+  backend->has_report = true;
+  backend->record.weight_version = report.weight_version;
+}
+
+void BackendPool::on_agent_lost(const Address& address) {
+  const auto id = ids_by_address_.find(address);
+  if (id == ids_by_address_.end()) return;
+  if (Backend* backend = find(id->second)) backend->has_report = false;
+}
+
+void BackendPool::on_sent(const std::string& id, double prompt_tokens, TimePoint now) {
+  Backend* backend = find(id);
+  if (backend == nullptr) return;
+  ++backend->in_flight;
+  backend->sent.push_back(now);
+  backend->unread_prompt_tokens += prompt_tokens;
+}
+
+void BackendPool::on_first_token(const std::string& id, double prompt_tokens) {
+  Backend* backend = find(id);
+  if (backend == nullptr) return;
+  backend->unread_prompt_tokens = std::max(0.0, backend->unread_prompt_tokens - prompt_tokens);
+}
+
+void BackendPool::on_finished(const std::string& id) {
+  Backend* backend = find(id);
+  if (backend != nullptr && backend->in_flight > 0) --backend->in_flight;
+}
+
+void BackendPool::on_failure(const std::string& id, TimePoint now) {
+  Backend* backend = find(id);
+  if (backend == nullptr) return;
+  const Duration pause = options_.first_pause * (1 << std::min(backend->failures, 5U));
+  ++backend->failures;
+  backend->avoid_until = now + std::min(pause, options_.longest_pause);
+}
+
+void BackendPool::on_success(const std::string& id) {
+  Backend* backend = find(id);
+  if (backend != nullptr) backend->failures = 0;
+}
+
+void BackendPool::on_refusal(const std::string& id, TimePoint now) {
+  constexpr Duration kRefusalPause = milliseconds(60);
+  Backend* backend = find(id);
+  if (backend != nullptr) {
+    backend->avoid_until = std::max(backend->avoid_until, now + kRefusalPause);
+  }
+}
+
+bool BackendPool::leaving(const std::string& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() || found->second.record.draining;
+}
+
+std::vector<BackendRecord> BackendPool::records() const {
+  std::vector<BackendRecord> result;
+  for (const auto& [id, backend] : backends_) result.push_back(backend.record);
+  return result;
+}
+
+bool BackendPool::may_take(const Backend& backend, const BackendNeed& need, TimePoint now) const {
+  const BackendRecord& record = backend.record;
+  if (record.service != need.service->name || record.draining) return false;
+  if (now < backend.avoid_until) return false;
+  if (!need.service->engine) return true;
+  if (record.weight_version == 0 || record.weight_version < need.lowest_version) return false;
+  const bool fresh = backend.has_report && now - backend.reported_at < options_.report_lifetime;
+  return !fresh || (backend.report.alive && !backend.report.busy);
+}
+
+double BackendPool::engine_wait_ms(Backend& backend, const EngineProfile& engine,
+                                   const BackendNeed& need, TimePoint now) const {
+  const bool fresh = backend.has_report && now - backend.reported_at < options_.report_lifetime;
+  const TimePoint known_until = backend.reported_at - kReportTransit;
+  while (!backend.sent.empty() && (backend.sent.front() <= known_until ||
+                                   now - backend.sent.front() > options_.report_lifetime)) {
+    backend.sent.pop_front();
+  }
+  const double pace = fresh ? std::max(1.0, backend.report.pace) : 1.0;
+  double running = 0;
+  double waiting = 0;
+  double others_unread_tokens = 0;
+  if (fresh) {
+    running = backend.report.running;
+    waiting = backend.report.queued + static_cast<double>(backend.sent.size());
+    others_unread_tokens = backend.report.queued * engine.usual_prompt_tokens;
+  } else {
+    running = backend.in_flight * options_.gateway_count;
+  }
+  const double slots = engine.slots;
+  const double step_ms = engine.step_ms + engine.step_ms_per_slot * std::min(running, slots);
+  const double pass_ms = step_ms * engine.steps_per_pass;
+  // A running request leaves after its tokens and its share of reading others' prompts.
+  const double read_ms_per_token = kMillisecondsPerSecond / engine.prompt_tokens_per_s;
+  const double stay_ms = engine.usual_answer_tokens * step_ms +
+                         slots * engine.usual_prompt_tokens * read_ms_per_token;
+  const double beyond = running + waiting + 1 - slots;
+  const double slot_wait_ms = beyond <= 0 ? 0 : beyond * stay_ms / slots;
+  const double unread = std::max(backend.unread_prompt_tokens, others_unread_tokens);
+  const double reading_ms = (unread + need.prompt_tokens) * read_ms_per_token;
+  const double pass_wait_ms = running > 0 ? pass_ms : 0;
+  return pace * (slot_wait_ms + reading_ms + pass_wait_ms);
+}
+
+double BackendPool::expected_ms(Backend& backend, const BackendNeed& need, TimePoint now) const {
+  if (need.service->engine) return engine_wait_ms(backend, *need.service->engine, need, now);
+  return backend.in_flight * kPlainRequestMs;
+}
+
+std::optional<BackendChoice> BackendPool::choose(const BackendNeed& need,
+                                                 const std::set<std::string>& excluded,
+                                                 TimePoint now) {
+  std::optional<BackendChoice> best;
+  double best_cost = 0;
+  std::uniform_real_distribution<double> tie_break(0, kTieBreakMs);
+  for (auto& [id, backend] : backends_) {
+    if (!may_take(backend, need, now) || excluded.contains(id)) continue;
+    const double wait_ms = expected_ms(backend, need, now);
+    double cost = wait_ms + tie_break(random_);
+    if (backend.record.zone != options_.zone) cost += options_.other_zone_ms;
+    if (need.preferred_version != 0 && backend.record.weight_version != need.preferred_version) {
+      cost += kMillisecondsPerSecond;
+    }
+    if (best && cost >= best_cost) continue;
+    best_cost = cost;
+    best = BackendChoice{id, backend.record.address, backend.record.weight_version, wait_ms};
+  }
+  return best;
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/backend_pool.h
@@ -0,0 +1,113 @@
+/// The back ends a gateway knows, how loaded they are, and which one a request goes to.
+///
+/// A decision core: no I/O. What it knows comes from three sources of different age: the
+/// list of service discovery, the load reports of the agents beside the engines, and what
+/// this gateway sees of its own requests.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "fleet/backend_record.h"
+#include "fleet/fleet_configuration.h"
+
+namespace pumicemast {
+
+struct BackendPoolOptions {
+  std::string zone;  ///< Where this gateway stands; its own back ends are preferred.
+  std::uint64_t seed = 1;
+  /// Added to the predicted wait of a back end in another zone: what crossing costs.
+  double other_zone_ms = 35;
+  /// Without a report for so long, the load is estimated from this gateway's requests alone.
+  Duration report_lifetime = milliseconds(900);
+  /// A back end that fails is left alone for so long; doubled with each failure in a row.
+  Duration first_pause = milliseconds(250);
+  Duration longest_pause = seconds(4);
+  /// Gateways among which the load of a back end without reports is thought to be shared.
+  double gateway_count = 7;
+};
+
+/// What a request needs of its back end.
+struct BackendNeed {
+  const ServiceProfile* service = nullptr;
+  double prompt_tokens = 0;
+  std::uint64_t lowest_version = 0;
+  std::uint64_t preferred_version = 0;  ///< Of an answer that is to be continued; 0 for any.
+};
+
+struct BackendChoice {
+  std::string id;
+  Address address;
+  std::uint64_t weight_version = 0;
+  double expected_ms = 0;  ///< Predicted time to the first token, or a plain service's wait.
+};
+
+class BackendPool {
+ public:
+  explicit BackendPool(BackendPoolOptions options);
+
+  /// Adds or updates one incarnation. One that left never comes back.
+  void on_record(const BackendRecord& record, TimePoint now);
+  void on_gone(const std::string& id, TimePoint now);
+  /// Another gateway has seen it leaving or gone: no new work, whatever the list says here.
+  void on_leaving(const std::string& id, TimePoint now);
+  /// The whole list was read: what it does not name is gone.
+  void on_list(const std::vector<BackendRecord>& records, TimePoint now);
+  void on_report(const Address& address, const LoadReport& report, TimePoint now);
+  void on_agent_lost(const Address& address);
+
+  void on_sent(const std::string& id, double prompt_tokens, TimePoint now);
+  void on_first_token(const std::string& id, double prompt_tokens);
+  void on_finished(const std::string& id);
+  /// It failed a request in a way that speaks against it.
+  void on_failure(const std::string& id, TimePoint now);
+  void on_success(const std::string& id);
+  /// It declined a request as full, or the like: its load is not what was thought.
+  void on_refusal(const std::string& id, TimePoint now);
+
+  /// The back end with the lowest predicted wait among those that may take the request.
+  /// @param excluded  back ends that this request must not go to.
+  std::optional<BackendChoice> choose(const BackendNeed& need, const std::set<std::string>& excluded,
+                                      TimePoint now);
+  bool leaving(const std::string& id) const;
+  /// Back ends that are leaving or gone, for other gateways; the newest last.
+  const std::deque<std::string>& recently_left() const { return left_order_; }
+  std::vector<BackendRecord> records() const;
+  std::size_t size() const { return backends_.size(); }
+
+ private:
+  struct Backend {
+    BackendRecord record;
+    LoadReport report;
+    TimePoint reported_at{};
+    bool has_report = false;
+    std::deque<TimePoint> sent;    ///< Sends that the report can't know of.
+    double unread_prompt_tokens = 0;  ///< Of own requests without a first token.
+    std::uint32_t in_flight = 0;
+    std::uint32_t failures = 0;  ///< In a row.
+    TimePoint avoid_until{};
+  };
+
+  Backend* find(const std::string& id);
+  void note_left(const std::string& id);
+  bool may_take(const Backend& backend, const BackendNeed& need, TimePoint now) const;
+  double expected_ms(Backend& backend, const BackendNeed& need, TimePoint now) const;
+  double engine_wait_ms(Backend& backend, const EngineProfile& engine, const BackendNeed& need,
+                        TimePoint now) const;
+
+  BackendPoolOptions options_;
+  std::map<std::string, Backend> backends_;
+  std::map<Address, std::string> ids_by_address_;
+  std::set<std::string> left_;
+  std::deque<std::string> left_order_;
+  std::minstd_rand random_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/fleet_links.cpp
@@ -0,0 +1,203 @@
+#include "gateway/fleet_links.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(500);
+constexpr Duration kUnansweredLimit = seconds(2);
+/// Gateways that each one tells regularly: news reaches all in a few steps.
+constexpr std::size_t kFanOut = 3;
+/// Subscriptions are repeated every so many ticks.
+constexpr std::uint64_t kSubscriptionTicks = 4;
+constexpr std::size_t kLeavingTold = 32;
+
+PeerId peer_id(const Address& address) { return stable_hash(address.to_string()); }
+
+}  // namespace
+
+FleetLinks::FleetLinks(Address own_address, std::vector<Address> seeds, Metrics& metrics,
+                       FleetLinksListener& listener)
+    : own_address_(std::move(own_address)),
+      listener_(listener),
+      links_(own_address_.to_string(), metrics,
+             {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
+              [this](PeerId peer) {
+                const auto engine = engine_of_agent_.find(peer);
+                if (engine != engine_of_agent_.end()) listener_.on_engine_agent_lost(engine->second);
+              },
+              [](PeerId) {}}) {
+  links_.set_unanswered_limit(kUnansweredLimit);
+  for (const Address& seed : seeds) note_gateway(seed.to_string());
+}
+
+bool FleetLinks::start() {
+  const bool bound = handle_error(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(links_.listen(own_address_));
+        return true;
+      },
+      [](const Error&) { return false; });
+  timer_.start_repeating(kTickInterval, [this] { tick(); });
+  return bound;
+}
+
+void FleetLinks::note_gateway(const std::string& text) {
+  const auto address = parse_address(text);
+  if (!address || *address == own_address_) return;
+  const PeerId peer = peer_id(*address);
+  if (agents_.contains(peer)) return;
+  if (gateways_.emplace(peer, *address).second) links_.set_address(peer, *address);
+}
+
+void FleetLinks::set_engines(const std::vector<Address>& engines) {
+  std::map<PeerId, Address> agents;
+  std::map<PeerId, Address> engine_of_agent;
+  for (const Address& engine : engines) {
+    const Address agent{engine.host, own_address_.port};
+    agents.emplace(peer_id(agent), agent);
+    engine_of_agent[peer_id(agent)] = engine;
+  }
+  engine_of_agent_ = std::move(engine_of_agent);
+  for (const auto& [peer, agent] : agents) {
+    if (agents_.contains(peer)) continue;
+    links_.set_address(peer, agent);
+    subscribe(agent);
+  }
+  agents_ = std::move(agents);
+}
+
+void FleetLinks::subscribe(const Address& agent) {
+  wire::ReportSubscriptionT message;
+  message.gateway = own_address_.to_string();
+  message.address = own_address_.to_string();
+  links_.send(peer_id(agent), message);
+}
+
+std::vector<PeerId> FleetLinks::chosen_gateways() const {
+  // The next few in the order of their ids: a ring that every gateway is part of.
+  std::vector<PeerId> chosen;
+  auto position = gateways_.upper_bound(peer_id(own_address_));
+  while (chosen.size() < std::min(kFanOut, gateways_.size())) {
+    if (position == gateways_.end()) position = gateways_.begin();
+    chosen.push_back(position->first);
+    ++position;
+  }
+  return chosen;
+}
+
+void FleetLinks::tick() {
+  ++tick_count_;
+  if (tick_count_ % kSubscriptionTicks == 0) {
+    for (const auto& [peer, agent] : agents_) subscribe(agent);
+  } else {
+    for (const auto& [peer, agent] : agents_) {
+      if (!links_.connected(peer)) subscribe(agent);
+    }
+  }
+  for (const PeerId peer : chosen_gateways()) send_digest(peer);
+}
+
+void FleetLinks::tell_others() {
+  for (const auto& [peer, address] : gateways_) {
+    if (links_.connected(peer)) send_digest(peer);
+  }
+}
+
+void FleetLinks::tell_weights_named(const std::string& model, std::uint64_t version) {
+  wire::WeightsNamedT message;
+  message.model = model;
+  message.version = version;
+  for (const auto& [peer, agent] : agents_) links_.send(peer, message);
+}
+
+void FleetLinks::send_digest(PeerId peer) {
+  const GatewayKnowledge knowledge = listener_.own_knowledge();
+  wire::GatewayDigestT message;
+  message.gateway = own_address_.to_string();
+  message.address = own_address_.to_string();
+  message.configuration_version = knowledge.configuration_version;
+  const std::size_t count = std::min(kLeavingTold, knowledge.leaving.size());
+  message.leaving.assign(knowledge.leaving.end() - static_cast<std::ptrdiff_t>(count),
+                         knowledge.leaving.end());
+  for (const auto& [model, version] : knowledge.weights) {
+    auto named = std::make_unique<wire::WeightsNamedT>();
+    named->model = model;
+    named->version = version;
+    message.weights.push_back(std::move(named));
+  }
+  links_.send(peer, message);
+}
+
+void FleetLinks::on_frame(PeerId peer, const wire::Frame& frame) {
+  switch (frame.body_type()) {
+    case wire::Body::EngineReport: {
+      const auto* message = frame.body_as_EngineReport();
+      const auto engine = parse_address(message->engine()->str());
+      if (!engine) return;
+      LoadReport report;
+      report.alive = message->alive();
+      report.busy = message->busy();
+      report.running = message->running();
+      report.queued = message->queued();
+      report.weight_version = message->weight_version();
+      report.pace = message->pace();
+      listener_.on_engine_report(*engine, report);
+      return;
+    }
+    case wire::Body::GatewayList: {
+      const auto* addresses = frame.body_as_GatewayList()->addresses();
+      if (addresses == nullptr) return;
+      for (const auto* address : *addresses) note_gateway(address->str());
+      return;
+    }
+    case wire::Body::GatewayDigest:
+      on_digest(peer, *frame.body_as_GatewayDigest());
+      return;
+    case wire::Body::ConfigurationRequest: {
+      if (listener_.own_knowledge().configuration_version <=
+          frame.body_as_ConfigurationRequest()->known_version()) {
+        return;
+      }
+      wire::ConfigurationDocumentT message;
+      message.version = listener_.own_knowledge().configuration_version;
+      message.document = listener_.own_configuration_document();
+      links_.send(peer, message);
+      return;
+    }
+    case wire::Body::ConfigurationDocument: {
+      const auto* message = frame.body_as_ConfigurationDocument();
+      requested_configuration_ = 0;
+      listener_.on_other_configuration(message->version(), message->document()->str());
+      return;
+    }
+    default:
+      return;
+  }
+}
+
+void FleetLinks::on_digest(PeerId peer, const wire::GatewayDigest& digest) {
+  note_gateway(digest.address()->str());
+  GatewayKnowledge knowledge;
+  knowledge.configuration_version = digest.configuration_version();
+  if (digest.leaving() != nullptr) {
+    for (const auto* id : *digest.leaving()) knowledge.leaving.push_back(id->str());
+  }
+  if (digest.weights() != nullptr) {
+    for (const auto* named : *digest.weights()) {
+      knowledge.weights[named->model()->str()] = named->version();
+    }
+  }
+  const std::uint64_t own_version = listener_.own_knowledge().configuration_version;
+  if (knowledge.configuration_version > own_version) {
+    wire::ConfigurationRequestT request;
+    request.known_version = own_version;
+    links_.send(peer, request);
+  }
+  listener_.on_other_knowledge(knowledge);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/fleet_links.h
@@ -0,0 +1,72 @@
+/// A gateway's connections to the agents beside the engines and to other gateways.
+///
+/// Agents tell the load of their engines and which other gateways there are. Gateways tell
+/// each other which configuration is in force and which back ends leave, so that one that is
+/// cut off from the platform's store still learns it.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/event_loop.h"
+#include "common/metrics.h"
+#include "fleet/backend_record.h"
+#include "transport/peer_links.h"
+
+namespace pumicemast {
+
+/// What a gateway tells others.
+struct GatewayKnowledge {
+  std::uint64_t configuration_version = 0;
+  std::vector<std::string> leaving;
+  std::map<std::string, std::uint64_t> weights;  ///< Newest named version of each model.
+};
+
+class FleetLinksListener {
+ public:
+  virtual ~FleetLinksListener() = default;
+  virtual void on_engine_report(const Address& engine, const LoadReport& report) = 0;
+  virtual void on_engine_agent_lost(const Address& engine) = 0;
+  virtual void on_other_knowledge(const GatewayKnowledge& knowledge) = 0;
+  virtual void on_other_configuration(std::uint64_t version, const std::string& document) = 0;
+  virtual GatewayKnowledge own_knowledge() = 0;
+  /// The document in force, for a gateway that lacks it.
+  virtual const std::string& own_configuration_document() = 0;
+};
+
+class FleetLinks {
+ public:
+  FleetLinks(Address own_address, std::vector<Address> seeds, Metrics& metrics,
+             FleetLinksListener& listener);
+
+  /// @return false when the own address cannot be bound.
+  bool start();
+  /// The engines there are; an agent is thought beside each, on the port of the own address.
+  void set_engines(const std::vector<Address>& engines);
+  /// Tells everyone at once, after something changed.
+  void tell_others();
+  void tell_weights_named(const std::string& model, std::uint64_t version);
+
+ private:
+  void tick();
+  void subscribe(const Address& agent);
+  void send_digest(PeerId peer);
+  std::vector<PeerId> chosen_gateways() const;
+  void on_frame(PeerId peer, const wire::Frame& frame);
+  void on_digest(PeerId peer, const wire::GatewayDigest& digest);
+  void note_gateway(const std::string& text);
+
+  Address own_address_;
+  FleetLinksListener& listener_;
+  PeerLinks links_;
+  std::map<PeerId, Address> agents_;
+  std::map<PeerId, Address> engine_of_agent_;
+  std::map<PeerId, Address> gateways_;
+  std::uint64_t requested_configuration_ = 0;
+  std::uint64_t tick_count_ = 0;
+  Timer timer_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,52 @@
+#include "gateway/gateway_metrics.h"
+
+namespace pumicemast {
+namespace {
+
+const char* kind_name(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::repeatable:
+      return "repeatable";
+    case RequestKind::not_repeatable:
+      return "not_repeatable";
+    case RequestKind::stream:
+      return "stream";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void GatewayMetrics::observe(const RequestSummary& summary) {
+  metrics_.count("pumicemast_gateway_requests_total",
+                 {{"kind", kind_name(summary.kind)},
+                  {"outcome", summary.outcome},
+                  {"reason", summary.reason}});
+  if (summary.first_event > Duration::zero()) {
+    metrics_.observe("pumicemast_gateway_first_answer_seconds", {{"tenant", summary.tenant}},
+                     summary.first_event);
+  }
+  if (summary.outcome == "finished") {
+    metrics_.observe("pumicemast_gateway_answer_seconds", {{"kind", kind_name(summary.kind)}},
+                     summary.total);
+  }
+}
+
+void GatewayMetrics::update(const ForwarderCounters& counters, std::size_t active,
+                            std::size_t waiting, std::uint64_t connections_opened,
+                            std::size_t backends, std::uint64_t configuration_version) {
+  const auto set = [this](const char* name, double value) { metrics_.gauge(name, {}, value); };
+  set("pumicemast_gateway_sends", static_cast<double>(counters.sends));
+  set("pumicemast_gateway_repeats", static_cast<double>(counters.repeats));
+  set("pumicemast_gateway_resumes", static_cast<double>(counters.resumes));
+  set("pumicemast_gateway_backend_refusals", static_cast<double>(counters.refused_by_backend));
+  set("pumicemast_gateway_retry_budget_exhausted", static_cast<double>(counters.budget_exhausted));
+  set("pumicemast_gateway_callers_gone", static_cast<double>(counters.callers_gone));
+  set("pumicemast_gateway_active_requests", static_cast<double>(active));
+  set("pumicemast_gateway_waiting_requests", static_cast<double>(waiting));
+  set("pumicemast_gateway_connections_opened", static_cast<double>(connections_opened));
+  set("pumicemast_gateway_backends", static_cast<double>(backends));
+  set("pumicemast_gateway_configuration_version", static_cast<double>(configuration_version));
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,26 @@
+#include "gateway/gateway_settings.h"
+
+namespace pumicemast {
+
+GatewaySettings GatewaySettings::read(Settings& settings) {
+  constexpr Range kDurationMs{10, 86400000};
+  GatewaySettings result;
+  result.name = settings.required_string("process", "name");
+  result.zone = settings.required_string("process", "zone");
+  result.charts = settings.required_string("process", "charts");
+  result.stop_grace = settings.milliseconds_or("process", "stop_grace_ms", 8000, kDurationMs);
+  result.callers_listen = settings.required_address("listen", "callers");
+  result.ready_listen = settings.required_address("listen", "ready");
+  result.metrics_listen = settings.required_address("listen", "metrics");
+  result.internal_address = settings.required_address("listen", "internal");
+  result.seeds = settings.addresses_or_none("membership", "seeds");
+  result.changeover = settings.milliseconds_or("weights", "changeover_ms", 7000, kDurationMs);
+  result.retry_ratio = settings.number_or("retry", "ratio", 0.2, 0, 1);
+  result.retry_extra = settings.number_or("retry", "extra", 100, 0, 1e9);
+  result.gateway_count =
+      static_cast<std::uint32_t>(settings.integer_or("retry", "gateway_count", 12, {1, 100000}));
+  result.decision_log = settings.choice("log", "decisions", {"failures", "all", "none"});
+  return result;
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,35 @@
+/// Checked settings of a gateway.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "common/settings.h"
+#include "common/time.h"
+
+namespace pumicemast {
+
+struct GatewaySettings {
+  static constexpr bool kLogsDecisions = true;
+
+  std::string name;
+  std::string zone;
+  std::string charts;
+  Address callers_listen;
+  Address ready_listen;
+  Address metrics_listen;
+  Address internal_address;            ///< Where other processes of the system reach this one.
+  std::vector<Address> seeds;          ///< Internal addresses of some other gateways.
+  Duration stop_grace = seconds(8);    ///< From SIGTERM to the end at the latest.
+  Duration changeover = seconds(7);    ///< Older weights may start requests after a naming.
+  double retry_ratio = 0.2;
+  double retry_extra = 100;            ///< Of all gateways together.
+  std::uint32_t gateway_count = 12;    ///< Gateways that share `retry_extra`, at most.
+  std::string decision_log;            ///< "none", "failures" or "all".
+
+  /// Reads and checks everything; faults go to the settings' findings.
+  static GatewaySettings read(Settings& settings);
+  std::string process_name() const { return name; }
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/host/engine_control.h
@@ -0,0 +1,83 @@
+/// What an agent asks of the engine beside it, and of the origin of weights.
+///
+/// Implemented by translators of the surrounding platform. All calls answer from the loop,
+/// once each; a call may take effect although its answer says that it failed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/backend_record.h"
+#include "fleet/fleet_configuration.h"
+#include "weights/manifest.h"
+#include "weights/sha256.h"
+
+namespace pumicemast {
+
+/// What one version of a model's weights consists of.
+struct WeightManifest {
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint32_t chunk_bytes = 0;
+  std::uint32_t layers = 1;
+  std::vector<Sha256> hashes;  ///< One a chunk.
+};
+
+/// How an order to start serving was taken.
+enum class StartOutcome {
+  begun,
+  already_serving,
+  refused,  ///< It does not fit the engine's state.
+  unknown,  ///< No answer: it may have been taken.
+};
+
+class EngineControl {
+ public:
+  virtual ~EngineControl() = default;
+  /// `alive` is false when the engine did not answer.
+  virtual void read_load(std::function<void(const LoadReport&)> callback) = 0;
+  /// The chunks that lie in the engine's staging memory, unverified; empty on failure.
+  virtual void list_staged(const std::string& model,
+                           std::function<void(std::optional<std::vector<ChunkIndex>>)> callback) = 0;
+  virtual void read_staged(const std::string& model, ChunkIndex chunk,
+                           std::function<void(std::optional<std::string>)> callback) = 0;
+  virtual void write_staged(const std::string& model, ChunkIndex chunk, const std::string& bytes,
+                            std::function<void(bool done)> callback) = 0;
+  /// Takes all layers of what is staged, after the requests in progress.
+  virtual void start_serving(const std::string& model, std::uint64_t version,
+                             std::function<void(StartOutcome)> callback) = 0;
+};
+
+class WeightOrigin {
+ public:
+  virtual ~WeightOrigin() = default;
+  /// @param version  0 for the newest.
+  virtual void fetch_manifest(const std::string& model, std::uint64_t version,
+                              std::function<void(std::optional<WeightManifest>)> callback) = 0;
+  /// Empty when the origin did not give the chunk; the bytes are unverified.
+  virtual void fetch_chunk(const std::string& model, std::uint64_t version, ChunkIndex chunk,
+                           std::function<void(std::optional<std::string>)> callback) = 0;
+  virtual void cancel_chunks() = 0;
+};
+
+/// Told what the platform says about the agent's surroundings.
+class HostListener {
+ public:
+  virtual ~HostListener() = default;
+  /// The engine's profile, and where its weights come from.
+  virtual void on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) = 0;
+  /// All engines of the service, this one among them.
+  virtual void on_engines(const std::vector<BackendRecord>& engines) = 0;
+  virtual void on_weights_named(const std::string& model, std::uint64_t version) = 0;
+};
+
+class HostFeed {
+ public:
+  virtual ~HostFeed() = default;
+  virtual void start(HostListener& listener) = 0;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/host/host_daemon.cpp
@@ -0,0 +1,207 @@
+#include "host/host_daemon.h"
+
+#include <algorithm>
+
+#include "common/log.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kTickInterval = milliseconds(20);
+constexpr Duration kIdleTickInterval = milliseconds(100);
+constexpr Duration kSweepInterval = milliseconds(500);
+/// Reports go out when something changed, and this often all the same.
+constexpr Duration kReportLifetime = milliseconds(360);
+constexpr Duration kSubscriptionLifetime = seconds(6);
+constexpr Duration kUnansweredLimit = seconds(2);
+constexpr std::uint32_t kLinesPerSecond = 20;
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+
+bool same(const LoadReport& left, const LoadReport& right) {
+  return left.alive == right.alive && left.busy == right.busy && left.running == right.running &&
+         left.queued == right.queued && left.weight_version == right.weight_version;
+}
+
+}  // namespace
+
+HostDaemon::HostDaemon(HostSettings settings, const StateChart& chart, EventLoop& loop,
+                       std::unique_ptr<EngineControl> engine,
+                       std::unique_ptr<WeightOriginFactory> origin_factory,
+                       std::unique_ptr<HostFeed> feed)
+    : settings_(std::move(settings)),
+      chart_(chart),
+      loop_(loop),
+      engine_(std::move(engine)),
+      origin_factory_(std::move(origin_factory)),
+      feed_(std::move(feed)),
+      log_budget_(kLinesPerSecond),
+      links_(settings_.internal_address.to_string(), metrics_,
+             {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
+              [this](PeerId peer) {
+                subscribers_.erase(peer);
+                for (const auto& [model, stager] : stagers_) stager->on_peer_lost(peer);
+              },
+              [this](PeerId peer) {
+                for (const auto& [model, stager] : stagers_) stager->on_peer_drained(peer);
+              }}),
+      metrics_server_([this](const std::string& path) {
+        if (path != "/metrics") return StatusAnswer{kStatusNotFound, "text/plain", "not found"};
+        return StatusAnswer{kStatusOk, kMetricsContentType, metrics_.serialize()};
+      }) {
+  links_.set_unanswered_limit(kUnansweredLimit);
+}
+
+HostDaemon::~HostDaemon() = default;
+
+leaf::result<void> HostDaemon::start() {
+  BOOST_LEAF_CHECK(links_.listen(settings_.internal_address));
+  if (!metrics_server_.listen(settings_.metrics_listen)) {
+    return leaf::new_error(Error{ErrorCode::unavailable, settings_.metrics_listen.to_string(),
+                                 "the address cannot be bound"});
+  }
+  feed_->start(*this);
+  poll_timer_.start_repeating(settings_.report_interval, [this] { poll_engine(); });
+  tick_timer_.start_once(kTickInterval, [this] { tick(); });
+  sweep_timer_.start_repeating(kSweepInterval, [this] {
+    for (const auto& [kind, count] : log_budget_.take_suppressed()) {
+      LOG(INFO) << "log kind=" << kind << " lines_left_out=" << count << " reason=budget";
+    }
+    flush_decision_log();
+    metrics_server_.expire(loop_now());
+  });
+  LOG(INFO) << "host event=start name=" << settings_.name << " zone=" << settings_.zone
+            << " engine=" << settings_.engine.to_string();
+  return {};
+}
+
+void HostDaemon::terminate() {
+  // Nothing is kept here that others wait for: the engine serves on without its agent.
+  LOG(INFO) << "host event=stop";
+  flush_decision_log();
+  loop_.quit();
+}
+
+void HostDaemon::log_line(const std::string& kind, const std::string& line) {
+  if (log_budget_.admit(kind, loop_now())) LOG(INFO) << line;
+}
+
+void HostDaemon::on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) {
+  if (!origin_) origin_ = origin_factory_->make(origin);
+  for (const ModelProfile& model : profile.models) {
+    if (stagers_.contains(model.name)) continue;
+    auto stager = std::make_unique<ModelStager>(
+        model.name, settings_, chart_, *engine_, *origin_, links_, metrics_,
+        ModelStager::Callbacks{
+            [this] { send_report(true); },
+            [this](const std::string& kind, const std::string& line) { log_line(kind, line); }});
+    stager->set_peers(peers_);
+    stager->on_load(load_);
+    const auto named = named_.find(model.name);
+    if (named != named_.end()) stager->on_named(named->second);
+    stagers_[model.name] = std::move(stager);
+  }
+}
+
+void HostDaemon::on_engines(const std::vector<BackendRecord>& engines) {
+  std::set<StagingPeer> peers;
+  for (const BackendRecord& engine : engines) {
+    if (engine.service != settings_.service || engine.draining) continue;
+    const auto region = settings_.regions_of_zones.find(engine.zone);
+    peers.insert({Address{engine.address.host, settings_.internal_address.port}, engine.zone,
+                  region == settings_.regions_of_zones.end() ? engine.zone : region->second});
+  }
+  if (peers.empty()) return;  // A list that isn't filled yet.
+  peers_ = std::move(peers);
+  for (const auto& [model, stager] : stagers_) stager->set_peers(peers_);
+}
+
+void HostDaemon::on_weights_named(const std::string& model, std::uint64_t version) {
+  std::uint64_t& known = named_[model];
+  if (version <= known) return;
+  known = version;
+  log_line("named", "weights model=" + model + " version=" + std::to_string(version) +
+                        " state=NAMED");
+  const auto stager = stagers_.find(model);
+  if (stager != stagers_.end()) stager->second->on_named(version);
+}
+
+void HostDaemon::on_frame(PeerId peer, const wire::Frame& frame) {
+  switch (frame.body_type()) {
+    case wire::Body::ReportSubscription:
+      on_subscription(peer, *frame.body_as_ReportSubscription());
+      return;
+    case wire::Body::WeightsNamed: {
+      const auto* message = frame.body_as_WeightsNamed();
+      on_weights_named(message->model()->str(), message->version());
+      return;
+    }
+    default:
+      for (const auto& [model, stager] : stagers_) stager->on_frame(peer, frame);
+  }
+}
+
+void HostDaemon::on_subscription(PeerId peer, const wire::ReportSubscription& subscription) {
+  const bool is_new = !subscribers_.contains(peer);
+  subscribers_[peer] = {loop_now(), subscription.address()->str()};
+  if (!is_new) return;
+  for (const auto& [subscriber, details] : subscribers_) send_gateway_list(subscriber);
+  send_report(true);
+}
+
+void HostDaemon::send_gateway_list(PeerId peer) {
+  wire::GatewayListT message;
+  for (const auto& [subscriber, details] : subscribers_) {
+    if (subscriber != peer) message.addresses.push_back(details.address);
+  }
+  links_.send(peer, message);
+}
+
+void HostDaemon::poll_engine() {
+  engine_->read_load([this](const LoadReport& report) { on_load(report); });
+}
+
+void HostDaemon::on_load(const LoadReport& report) {
+  if (report.alive != load_.alive) {
+    log_line("engine", std::string("engine state=") + (report.alive ? "LOST->ANSWERING"
+                                                                   : "ANSWERING->LOST"));
+  }
+  load_ = report;
+  send_report(false);
+  for (const auto& [model, stager] : stagers_) stager->on_load(report);
+}
+
+void HostDaemon::send_report(bool forced) {
+  const TimePoint now = loop_now();
+  LoadReport report = load_;
+  for (const auto& [model, stager] : stagers_) {
+    // From the decision on, and not only from the engine's next report.
+    if (stager->starting() && report.weight_version != stager->target()) report.busy = true;
+  }
+  if (!forced && same(report, told_) && now - told_at_ < kReportLifetime) return;
+  told_ = report;
+  told_at_ = now;
+  wire::EngineReportT message;
+  message.engine = settings_.engine.to_string();
+  message.alive = report.alive;
+  message.busy = report.busy;
+  message.running = report.running;
+  message.queued = report.queued;
+  message.weight_version = report.weight_version;
+  message.pace = static_cast<float>(report.pace);
+  std::erase_if(subscribers_, [&](const auto& entry) {
+    return now - entry.second.renewed > kSubscriptionLifetime;
+  });
+  for (const auto& [peer, subscriber] : subscribers_) links_.send(peer, message);
+}
+
+void HostDaemon::tick() {
+  bool moving = false;
+  for (const auto& [model, stager] : stagers_) {
+    stager->on_tick();
+    moving = moving || (stager->state() != "LIVE" && stager->state() != "UNKNOWN");
+  }
+  tick_timer_.start_once(moving ? kTickInterval : kIdleTickInterval, [this] { tick(); });
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/host/host_daemon.h
@@ -0,0 +1,82 @@
+/// The agent beside an engine: brings weights to it and tells gateways how loaded it is.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "common/event_loop.h"
+#include "common/log_budget.h"
+#include "common/metrics.h"
+#include "common/state_chart.h"
+#include "host/engine_control.h"
+#include "host/host_settings.h"
+#include "host/model_stager.h"
+#include "http1/status_server.h"
+#include "transport/peer_links.h"
+
+namespace pumicemast {
+
+/// Makes the origin's client once its address is known.
+class WeightOriginFactory {
+ public:
+  virtual ~WeightOriginFactory() = default;
+  virtual std::unique_ptr<WeightOrigin> make(const OriginProfile& origin) = 0;
+};
+
+class HostDaemon : private HostListener {
+ public:
+  HostDaemon(HostSettings settings, const StateChart& chart, EventLoop& loop,
+             std::unique_ptr<EngineControl> engine,
+             std::unique_ptr<WeightOriginFactory> origin_factory, std::unique_ptr<HostFeed> feed);
+  ~HostDaemon() override;
+
+  /// Fails with ErrorCode::unavailable when an address cannot be bound.
+  leaf::result<void> start();
+  void terminate();
+
+ private:
+  struct Subscriber {
+    TimePoint renewed{};
+    std::string address;
+  };
+
+  void on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) override;
+  void on_engines(const std::vector<BackendRecord>& engines) override;
+  void on_weights_named(const std::string& model, std::uint64_t version) override;
+
+  void on_frame(PeerId peer, const wire::Frame& frame);
+  void on_subscription(PeerId peer, const wire::ReportSubscription& subscription);
+  void poll_engine();
+  void on_load(const LoadReport& report);
+  void send_report(bool forced);
+  void send_gateway_list(PeerId peer);
+  void tick();
+  void log_line(const std::string& kind, const std::string& line);
+
+  HostSettings settings_;
+  const StateChart& chart_;
+  EventLoop& loop_;
+  std::unique_ptr<EngineControl> engine_;
+  std::unique_ptr<WeightOriginFactory> origin_factory_;
+  std::unique_ptr<HostFeed> feed_;
+  Metrics metrics_;
+  LogBudget log_budget_;
+  PeerLinks links_;
+  StatusServer metrics_server_;
+  std::unique_ptr<WeightOrigin> origin_;
+  std::map<std::string, std::unique_ptr<ModelStager>> stagers_;
+  std::map<std::string, std::uint64_t> named_;
+  std::set<StagingPeer> peers_;
+  std::map<PeerId, Subscriber> subscribers_;
+  LoadReport load_;
+  LoadReport told_;
+  TimePoint told_at_{};
+  TimePoint last_answer_{};
+  Timer poll_timer_;
+  Timer tick_timer_;
+  Timer sweep_timer_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/host/host_settings.cpp
@@ -0,0 +1,31 @@
+#include "host/host_settings.h"
+
+#include <sstream>
+
+namespace pumicemast {
+
+HostSettings HostSettings::read(Settings& settings) {
+  constexpr Range kDurationMs{10, 86400000};
+  HostSettings result;
+  result.name = settings.required_string("process", "name");
+  result.zone = settings.required_string("process", "zone");
+  result.region = settings.required_string("process", "region");
+  result.charts = settings.required_string("process", "charts");
+  std::istringstream pairs(settings.string_or("process", "regions", ""));
+  for (std::string pair; std::getline(pairs, pair, ';');) {
+    const std::size_t colon = pair.find(':');
+    settings.require(colon != std::string::npos, "process", "regions",
+                     "\"" + pair + "\" is not ZONE:REGION");
+    if (colon == std::string::npos) continue;
+    result.regions_of_zones[pair.substr(0, colon)] = pair.substr(colon + 1);
+  }
+  result.internal_address = settings.required_address("listen", "internal");
+  result.metrics_listen = settings.required_address("listen", "metrics");
+  result.engine = settings.required_address("engine", "address");
+  result.service = settings.required_string("engine", "service");
+  result.report_interval = settings.milliseconds_or("engine", "report_interval_ms", 120, kDurationMs);
+  result.changeover = settings.milliseconds_or("weights", "changeover_ms", 8000, kDurationMs);
+  return result;
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/caller_connection.cpp
@@ -0,0 +1,196 @@
+#include "http1/caller_connection.h"
+
+#include <charconv>
+
+#include "common/event_loop.h"
+
+namespace pumicemast {
+namespace {
+
+/// A caller that sends ahead while its request is in progress is held back beyond this.
+constexpr std::size_t kMaximumAheadBytes = 64U * 1024U;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusTimeout = 408;
+constexpr int kStatusBodyTooLarge = 413;
+constexpr int kStatusHeadTooLarge = 431;
+constexpr unsigned kHttp11 = 11;
+
+std::string status_line(int status, std::string_view reason) {
+  std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
+  line.append(reason);
+  line.append("\r\n");
+  return line;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(int descriptor, RequestLimits limits,
+                                   CallerConnectionObserver& observer)
+    : observer_(observer),
+      reader_(limits),
+      stream_(descriptor, *this),
+      waiting_since_(loop_now()) {}
+
+void CallerConnection::on_stream_data(std::string_view bytes) {
+  if (state_ == State::closed) return;
+  if (state_ == State::handling) {
+    // Sent ahead: kept until the present answer is out.
+    reader_.append_pending(bytes);
+    if (reader_.pending_bytes() > kMaximumAheadBytes) stream_.set_reading(false);
+    return;
+  }
+  if (!reader_.has_partial()) waiting_since_ = loop_now();
+  handle(reader_.consume(bytes));
+}
+
+void CallerConnection::handle(RequestStatus status) {
+  switch (status) {
+    case RequestStatus::need_more:
+      if (reader_.expects_continue() && !continue_sent_) {
+        continue_sent_ = true;
+        stream_.send("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    case RequestStatus::malformed:
+      refuse(kStatusBadRequest);
+      return;
+    case RequestStatus::head_too_large:
+      refuse(kStatusHeadTooLarge);
+      return;
+    case RequestStatus::body_too_large:
+      refuse(kStatusBodyTooLarge);
+      return;
+    case RequestStatus::complete:
+      break;
+  }
+  HttpRequest request = reader_.take_request();
+  state_ = State::handling;
+  continue_sent_ = false;
+  keep_alive_ = request.keep_alive;
+  http_1_0_ = request.head.version() < kHttp11;
+  head_request_ = request.head.method() == boost::beast::http::verb::head;
+  observer_.on_caller_request(*this, std::move(request));
+}
+
+void CallerConnection::refuse(int status) {
+  keep_alive_ = false;
+  state_ = State::handling;
+  answer(status, {}, {});
+}
+
+void CallerConnection::begin_answer(int status, std::string_view reason, std::string_view fields,
+                                    AnswerFraming framing, std::size_t length) {
+  framing_ = framing;
+  if (closing_ || (http_1_0_ && framing == AnswerFraming::chunked)) keep_alive_ = false;
+  gathered_.append(status_line(status, reason));
+  gathered_.append(fields);
+  if (framing == AnswerFraming::length) {
+    append_field(gathered_, "Content-Length", std::to_string(length));
+  } else if (!http_1_0_) {
+    append_field(gathered_, "Transfer-Encoding", "chunked");
+  }
+  if (!keep_alive_) append_field(gathered_, "Connection", "close");
+  gathered_.append("\r\n");
+}
+
+void CallerConnection::write_answer(std::string_view bytes) {
+  if (bytes.empty() || head_request_) return;
+  if (framing_ == AnswerFraming::length || http_1_0_) {
+    gathered_.append(bytes);
+    return;
+  }
+  char size[2 * sizeof(std::size_t)];
+  const auto end = std::to_chars(size, size + sizeof(size), bytes.size(), 16);
+  gathered_.append(size, end.ptr);
+  gathered_.append("\r\n");
+  gathered_.append(bytes);
+  gathered_.append("\r\n");
+}
+
+void CallerConnection::flush() {
+  if (gathered_.empty()) return;
+  const std::string bytes = std::move(gathered_);
+  gathered_.clear();
+  stream_.send(bytes);
+}
+
+void CallerConnection::end_answer() {
+  if (state_ != State::handling) return;
+  if (framing_ == AnswerFraming::chunked && !http_1_0_ && !head_request_) {
+    gathered_.append("0\r\n\r\n");
+  }
+  flush();
+  if (state_ != State::handling) return;  // The write failed.
+  if (!keep_alive_ || closing_) {
+    shut();
+    return;
+  }
+  state_ = State::waiting;
+  waiting_since_ = loop_now();
+  stream_.set_reading(true);
+  // Without recursion: a caller may have sent many requests ahead.
+  if (in_handle_) return;
+  in_handle_ = true;
+  while (state_ == State::waiting && reader_.pending_bytes() > 0) {
+    const std::size_t before = reader_.pending_bytes();
+    handle(reader_.resume());
+    if (reader_.pending_bytes() == before) break;
+  }
+  in_handle_ = false;
+}
+
+void CallerConnection::answer(int status, std::string_view fields, std::string_view body) {
+  begin_answer(status, reason_phrase(status), fields, AnswerFraming::length, body.size());
+  write_answer(body);
+  end_answer();
+}
+
+void CallerConnection::abort_answer() {
+  if (state_ == State::closed) return;
+  flush();
+  state_ = State::closed;
+  stream_.reset();
+  observer_.on_caller_connection_closed(*this);
+}
+
+void CallerConnection::shut() {
+  if (state_ == State::closed) return;
+  if (stream_.queued_bytes() > 0) {
+    state_ = State::waiting;
+    close_when_drained_ = true;
+    stream_.set_reading(false);
+    return;
+  }
+  close();
+}
+
+void CallerConnection::close() {
+  if (state_ == State::closed) return;
+  state_ = State::closed;
+  stream_.close();
+  observer_.on_caller_connection_closed(*this);
+}
+
+void CallerConnection::on_stream_drained() {
+  if (close_when_drained_) close();
+}
+
+void CallerConnection::on_stream_end(StreamEnd) {
+  if (state_ == State::closed) return;
+  const bool in_progress = state_ == State::handling;
+  state_ = State::closed;
+  if (in_progress) observer_.on_caller_gone(*this);
+  observer_.on_caller_connection_closed(*this);
+}
+
+void CallerConnection::expire(TimePoint now, Duration idle_limit, Duration head_limit) {
+  if (state_ != State::waiting) return;
+  const Duration waited = now - waiting_since_;
+  if (reader_.has_partial()) {
+    if (waited >= head_limit) refuse(kStatusTimeout);
+  } else if (waited >= idle_limit || (closing_ && stream_.queued_bytes() == 0)) {
+    close();
+  }
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/caller_connection.h
@@ -0,0 +1,85 @@
+/// One connection from a caller: requests in, answers out, one after the other.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http1/request_reader.h"
+#include "http1/tcp_stream.h"
+
+namespace pumicemast {
+
+class CallerConnection;
+
+class CallerConnectionObserver {
+ public:
+  virtual ~CallerConnectionObserver() = default;
+  /// A whole request; exactly one answer is owed.
+  virtual void on_caller_request(CallerConnection& connection, HttpRequest request) = 0;
+  /// The caller left while its request was in progress; no answer can be given any more.
+  virtual void on_caller_gone(CallerConnection& connection) = 0;
+  /// The connection is over; the owner drops it after this turn.
+  virtual void on_caller_connection_closed(CallerConnection& connection) = 0;
+};
+
+/// How the body of an answer is delimited.
+enum class AnswerFraming { length, chunked };
+
+class CallerConnection : private StreamObserver {
+ public:
+  CallerConnection(int descriptor, RequestLimits limits, CallerConnectionObserver& observer);
+
+  /// Begins an answer. `fields` are whole "Name: value\r\n" lines without framing fields.
+  void begin_answer(int status, std::string_view reason, std::string_view fields,
+                    AnswerFraming framing, std::size_t length = 0);
+  void write_answer(std::string_view bytes);
+  /// The answer is whole.
+  void end_answer();
+  /// A short answer in one piece.
+  void answer(int status, std::string_view fields, std::string_view body);
+  /// The answer can't be completed: the caller sees the connection fail.
+  void abort_answer();
+  /// Sends what is gathered; called once after a group of writes.
+  void flush();
+  void close();
+
+  /// Answers end with Connection: close from now on; an idle connection is closed.
+  void set_closing() { closing_ = true; }
+  void set_limits(RequestLimits limits) { reader_.set_limits(limits); }
+  /// Ends a connection that has rested, or has been sending a head, for too long.
+  void expire(TimePoint now, Duration idle_limit, Duration head_limit);
+
+  bool idle() const { return state_ == State::waiting && !reader_.has_partial(); }
+  bool handling() const { return state_ == State::handling; }
+  bool is_open() const { return stream_.is_open(); }
+  std::size_t queued_bytes() const { return stream_.queued_bytes(); }
+  std::uint64_t request_number = 0;  ///< The owner's number of the request in progress.
+
+ private:
+  enum class State { waiting, handling, closed };
+
+  void on_stream_data(std::string_view bytes) override;
+  void on_stream_end(StreamEnd end) override;
+  void on_stream_drained() override;
+  void handle(RequestStatus status);
+  void refuse(int status);
+  void shut();
+
+  CallerConnectionObserver& observer_;
+  RequestReader reader_;
+  TcpStream stream_;
+  std::string gathered_;
+  State state_ = State::waiting;
+  AnswerFraming framing_ = AnswerFraming::length;
+  TimePoint waiting_since_{};
+  bool keep_alive_ = true;
+  bool http_1_0_ = false;
+  bool head_request_ = false;
+  bool closing_ = false;
+  bool continue_sent_ = false;
+  bool in_handle_ = false;
+  bool close_when_drained_ = false;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/client_connection.cpp
@@ -0,0 +1,103 @@
+#include "http1/client_connection.h"
+
+namespace pumicemast {
+
+ClientConnection::ClientConnection(const Address& address, Duration unanswered_limit, Owner& owner)
+    : owner_(owner), stream_(address, unanswered_limit, *this) {}
+
+void ClientConnection::send_request(std::string_view bytes, bool head_request,
+                                    ExchangeObserver& observer) {
+  observer_ = &observer;
+  head_request_ = head_request;
+  head_told_ = false;
+  foreign_answer_ = false;
+  reusable_ = false;
+  ++requests_sent_;
+  sent_before_ = stream_.bytes_sent();
+  reader_.begin(head_request);
+  stream_.send(bytes);
+}
+
+void ClientConnection::abandon() {
+  observer_ = nullptr;
+  reusable_ = false;
+  stream_.close();
+}
+
+void ClientConnection::on_stream_data(std::string_view bytes) {
+  if (observer_ == nullptr) {
+    // Nobody asked: the connection can't be trusted to line answers up with requests.
+    abandon();
+    owner_.on_idle_connection_ended(*this);
+    return;
+  }
+  read(reader_.consume(bytes));
+}
+
+void ClientConnection::read(ReadStatus status) {
+  if (reader_.head_complete() && !head_told_) {
+    head_told_ = true;
+    foreign_answer_ = !observer_->on_response_head(reader_.head());
+    if (observer_ == nullptr) return;
+  }
+  if (head_told_) relay_body();
+  if (observer_ == nullptr) return;
+  if (status == ReadStatus::malformed) {
+    fail(ExchangeFailure::malformed);
+  } else if (status == ReadStatus::complete) {
+    finish();
+  }
+}
+
+void ClientConnection::relay_body() {
+  const std::string body = reader_.take_body();
+  if (!body.empty() && !foreign_answer_) observer_->on_response_body(body);
+}
+
+void ClientConnection::finish() {
+  if (foreign_answer_) {
+    saw_foreign_answer_ = true;
+    head_told_ = false;
+    foreign_answer_ = false;
+    reader_.begin(head_request_);
+    if (reader_.has_surplus()) read(reader_.consume({}));
+    return;
+  }
+  reusable_ = reader_.keep_alive() && !reader_.has_surplus() && !saw_foreign_answer_ &&
+              stream_.queued_bytes() == 0;
+  keep_alive_timeout_s_ = pumicemast::keep_alive_timeout_s(reader_.head());
+  ExchangeObserver* observer = observer_;
+  observer_ = nullptr;
+  observer->on_response_complete();
+}
+
+void ClientConnection::fail(ExchangeFailure failure) {
+  ExchangeObserver* observer = observer_;
+  abandon();
+  observer->on_exchange_failed(failure);
+}
+
+void ClientConnection::on_stream_connected() {
+  if (observer_ != nullptr) observer_->on_response_connected();
+}
+
+void ClientConnection::on_stream_end(StreamEnd end) {
+  if (observer_ == nullptr) {
+    reusable_ = false;
+    owner_.on_idle_connection_ended(*this);
+    return;
+  }
+  if (stream_.bytes_sent() == sent_before_) {
+    fail(ExchangeFailure::not_sent);
+    return;
+  }
+  if (end == StreamEnd::closed_by_peer && !foreign_answer_ &&
+      reader_.consume_end() == ReadStatus::complete) {
+    relay_body();
+    if (observer_ != nullptr) finish();
+    return;
+  }
+  fail(ExchangeFailure::cut_off);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/http_fetcher.cpp
@@ -0,0 +1,89 @@
+#include "http1/http_fetcher.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kUnansweredLimit = seconds(2);
+constexpr std::size_t kMaximumBodyBytes = 16U << 20U;
+
+std::string encode(const FetchRequest& request, const Address& address) {
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  append_field(text, "Host", address.to_string());
+  if (!request.body.empty()) append_field(text, "Content-Type", request.content_type);
+  if (!request.body.empty() || request.method != "GET") {
+    append_field(text, "Content-Length", std::to_string(request.body.size()));
+  }
+  text += "\r\n";
+  text += request.body;
+  return text;
+}
+
+}  // namespace
+
+HttpFetcher::~HttpFetcher() { cancel(); }
+
+void HttpFetcher::set_address(const Address& address) {
+  if (address == address_) return;
+  cancel();
+  drop_connection();
+  address_ = address;
+}
+
+void HttpFetcher::drop_connection() {
+  if (!connection_) return;
+  connection_->abandon();
+  deleter_.defer(std::move(connection_));
+}
+
+void HttpFetcher::cancel() {
+  if (!callback_) return;
+  callback_ = nullptr;
+  timeout_.cancel();
+  drop_connection();
+}
+
+void HttpFetcher::fetch(const FetchRequest& request, Callback callback) {
+  cancel();
+  callback_ = std::move(callback);
+  result_ = {};
+  if (connection_ && !connection_->reusable()) drop_connection();
+  if (!connection_) {
+    connection_ = std::make_unique<ClientConnection>(address_, kUnansweredLimit, *this);
+  }
+  timeout_.start_once(request.timeout, [this] {
+    drop_connection();
+    finish({});
+  });
+  connection_->send_request(encode(request, address_), request.method == "HEAD", *this);
+}
+
+void HttpFetcher::on_idle_connection_ended(ClientConnection&) { drop_connection(); }
+
+bool HttpFetcher::on_response_head(const ResponseHead& head) {
+  result_.status = static_cast<int>(head.result_int());
+  return true;
+}
+
+void HttpFetcher::on_response_body(std::string_view bytes) {
+  result_.body.append(bytes);
+  if (result_.body.size() <= kMaximumBodyBytes) return;
+  drop_connection();
+  finish({});
+}
+
+void HttpFetcher::on_response_complete() { finish(std::move(result_)); }
+
+void HttpFetcher::on_exchange_failed(ExchangeFailure) {
+  drop_connection();
+  finish({});
+}
+
+void HttpFetcher::finish(FetchResult result) {
+  timeout_.cancel();
+  if (!callback_) return;
+  const Callback callback = std::move(callback_);
+  callback_ = nullptr;
+  callback(result);  // May begin the next request.
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/http_fetcher.h
@@ -0,0 +1,59 @@
+/// Fetches whole answers from one address, one at a time, over a kept connection.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/event_loop.h"
+#include "http1/client_connection.h"
+#include "http1/deferred_deleter.h"
+
+namespace pumicemast {
+
+struct FetchRequest {
+  std::string method = "GET";
+  std::string target;
+  std::string body;
+  std::string content_type = "application/json";
+  Duration timeout = seconds(1);
+};
+
+struct FetchResult {
+  int status = 0;  ///< 0: no whole answer; the request may have been carried out.
+  std::string body;
+  bool answered() const { return status != 0; }
+};
+
+class HttpFetcher : public ClientConnection::Owner, public ExchangeObserver {
+ public:
+  using Callback = std::function<void(const FetchResult&)>;
+
+  explicit HttpFetcher(Address address) : address_(std::move(address)) {}
+  ~HttpFetcher() override;
+
+  /// Begins a request; one still in progress is given up without a call back.
+  void fetch(const FetchRequest& request, Callback callback);
+  void cancel();
+  bool busy() const { return callback_ != nullptr; }
+  const Address& address() const { return address_; }
+  void set_address(const Address& address);
+
+ private:
+  void on_idle_connection_ended(ClientConnection& connection) override;
+  bool on_response_head(const ResponseHead& head) override;
+  void on_response_body(std::string_view bytes) override;
+  void on_response_complete() override;
+  void on_exchange_failed(ExchangeFailure failure) override;
+  void drop_connection();
+  void finish(FetchResult result);
+
+  Address address_;
+  std::unique_ptr<ClientConnection> connection_;
+  Callback callback_;
+  FetchResult result_;
+  Timer timeout_;
+  DeferredDeleter deleter_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/http_message.cpp
@@ -0,0 +1,71 @@
+#include "http1/http_message.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+#include <array>
+#include <charconv>
+
+namespace pumicemast {
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr std::array<std::string_view, 9> kConnectionFields = {
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+    "te",         "trailer",    "transfer-encoding",  "upgrade"};
+
+bool equals(std::string_view left, std::string_view right) {
+  return beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+}  // namespace
+
+std::string_view to_view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+std::string_view field_value(const HttpFields& fields, std::string_view name) {
+  const auto found = fields.find(beast::string_view(name.data(), name.size()));
+  return found == fields.end() ? std::string_view{} : to_view(found->value());
+}
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection) {
+  for (const std::string_view field : kConnectionFields) {
+    if (equals(name, field)) return true;
+  }
+  if (equals(name, "content-length")) return true;
+  if (connection.empty()) return false;
+  beast::http::token_list named(beast::string_view(connection.data(), connection.size()));
+  return named.exists(beast::string_view(name.data(), name.size()));
+}
+
+void append_field(std::string& text, std::string_view name, std::string_view value) {
+  text.append(name);
+  text.append(": ");
+  text.append(value);
+  text.append("\r\n");
+}
+
+void append_end_to_end_fields(std::string& text, const HttpFields& fields) {
+  const std::string_view connection = field_value(fields, "Connection");
+  for (const auto& field : fields) {
+    const std::string_view name = to_view(field.name_string());
+    if (!is_hop_by_hop(name, connection)) append_field(text, name, to_view(field.value()));
+  }
+}
+
+int keep_alive_timeout_s(const HttpFields& fields) {
+  constexpr std::string_view kKey = "timeout=";
+  const std::string_view value = field_value(fields, "Keep-Alive");
+  const std::size_t start = value.find(kKey);
+  if (start == std::string_view::npos) return -1;
+  int result = -1;
+  std::from_chars(value.data() + start + kKey.size(), value.data() + value.size(), result);
+  return result;
+}
+
+std::string reason_phrase(int status) {
+  return std::string(
+      to_view(beast::http::obsolete_reason(beast::http::int_to_status(static_cast<unsigned>(status)))));
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/request_reader.cpp
@@ -0,0 +1,71 @@
+#include "http1/request_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+
+namespace pumicemast {
+namespace {
+
+namespace http = boost::beast::http;
+
+}  // namespace
+
+void RequestReader::begin() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(static_cast<std::uint32_t>(limits_.maximum_head_bytes));
+  parser_->body_limit(limits_.maximum_body_bytes);
+  started_ = false;
+}
+
+RequestStatus RequestReader::consume(std::string_view bytes) {
+  pending_.append(bytes);
+  return parse();
+}
+
+RequestStatus RequestReader::parse() {
+  std::size_t offset = 0;
+  RequestStatus status = RequestStatus::need_more;
+  while (offset < pending_.size()) {
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(
+        boost::asio::const_buffer(pending_.data() + offset, pending_.size() - offset), error);
+    offset += used;
+    started_ = started_ || used > 0;
+    if (error == http::error::header_limit) {
+      status = RequestStatus::head_too_large;
+      break;
+    }
+    if (error == http::error::body_limit) {
+      status = RequestStatus::body_too_large;
+      break;
+    }
+    if (error && error != http::error::need_more) {
+      status = RequestStatus::malformed;
+      break;
+    }
+    if (parser_->is_done()) {
+      status = RequestStatus::complete;
+      break;
+    }
+    if (error || used == 0) break;
+  }
+  pending_.erase(0, offset);
+  return status;
+}
+
+bool RequestReader::expects_continue() const {
+  return parser_->is_header_done() && !parser_->is_done() &&
+         boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
+}
+
+HttpRequest RequestReader::take_request() {
+  HttpRequest request;
+  request.keep_alive = parser_->get().keep_alive();
+  request.body = std::move(parser_->get().body());
+  request.head = std::move(parser_->get().base());
+  begin();
+  return request;
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/status_server.cpp
@@ -0,0 +1,48 @@
+#include "http1/status_server.h"
+
+#include <vector>
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kIdleLimit = seconds(60);
+constexpr Duration kHeadLimit = seconds(3);
+constexpr int kStatusMethodNotAllowed = 405;
+
+}  // namespace
+
+bool StatusServer::listen(const Address& address) {
+  listener_ = TcpListener::listen(address, *this);
+  return listener_ != nullptr;
+}
+
+void StatusServer::on_accepted(int descriptor) {
+  auto connection = std::make_unique<CallerConnection>(descriptor, RequestLimits{}, *this);
+  const CallerConnection* key = connection.get();
+  connections_[key] = std::move(connection);
+}
+
+void StatusServer::on_caller_request(CallerConnection& connection, HttpRequest request) {
+  if (request.head.method() != boost::beast::http::verb::get) {
+    connection.answer(kStatusMethodNotAllowed, {}, {});
+    return;
+  }
+  const std::string_view target = to_view(request.head.target());
+  const StatusAnswer answer = responder_(std::string(target.substr(0, target.find('?'))));
+  std::string fields;
+  append_field(fields, "Content-Type", answer.content_type);
+  connection.answer(answer.status, fields, answer.body);
+}
+
+void StatusServer::on_caller_connection_closed(CallerConnection& connection) {
+  auto node = connections_.extract(&connection);
+  if (!node.empty()) deleter_.defer(std::move(node.mapped()));
+}
+
+void StatusServer::expire(TimePoint now) {
+  std::vector<CallerConnection*> open;
+  for (const auto& [key, connection] : connections_) open.push_back(connection.get());
+  for (CallerConnection* connection : open) connection->expire(now, kIdleLimit, kHeadLimit);
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/status_server.h
@@ -0,0 +1,43 @@
+/// Answers simple GET requests of operators and the surrounding platform: readiness, metrics.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http1/caller_connection.h"
+#include "http1/deferred_deleter.h"
+
+namespace pumicemast {
+
+struct StatusAnswer {
+  int status = 200;
+  std::string content_type = "text/plain";
+  std::string body;
+};
+
+class StatusServer : public TcpListener::Acceptor, public CallerConnectionObserver {
+ public:
+  /// Answers a GET of the path that the request names (without its query).
+  using Responder = std::function<StatusAnswer(const std::string& path)>;
+
+  explicit StatusServer(Responder responder) : responder_(std::move(responder)) {}
+  /// @return false when the address cannot be bound.
+  bool listen(const Address& address);
+  /// Ends connections that have rested too long. Call every few seconds.
+  void expire(TimePoint now);
+
+ private:
+  void on_accepted(int descriptor) override;
+  void on_caller_request(CallerConnection& connection, HttpRequest request) override;
+  void on_caller_gone(CallerConnection&) override {}
+  void on_caller_connection_closed(CallerConnection& connection) override;
+
+  Responder responder_;
+  std::unique_ptr<TcpListener> listener_;
+  std::map<const CallerConnection*, std::unique_ptr<CallerConnection>> connections_;
+  DeferredDeleter deleter_;
+};
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/http1/tcp_stream.cpp
@@ -0,0 +1,210 @@
+#include "http1/tcp_stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace pumicemast {
+namespace {
+
+constexpr std::size_t kReadBytes = 64U * 1024U;
+constexpr int kAcceptsPerTurn = 32;
+constexpr int kListenBacklog = 512;
+/// Queued bytes that were sent are dropped from the queue's front in steps of this size.
+constexpr std::size_t kCompactBytes = 64U * 1024U;
+
+sockaddr_in to_socket_address(const Address& address) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
+  return result;
+}
+
+void set_no_delay(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+
+}  // namespace
+
+TcpStream::TcpStream(int descriptor, StreamObserver& observer)
+    : descriptor_(descriptor), observer_(observer), connected_(true) {
+  set_no_delay(descriptor_);
+  registration_ = SocketPoller::instance().add(descriptor_, *this, true, false);
+}
+
+TcpStream::TcpStream(const Address& address, Duration unanswered_limit, StreamObserver& observer)
+    : observer_(observer) {
+  descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor_ < 0) return;  // Out of descriptors: never connected, told by the owner's limit.
+  set_no_delay(descriptor_);
+  const auto limit_ms = static_cast<unsigned int>(to_milliseconds(unanswered_limit));
+  setsockopt(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+  const sockaddr_in target = to_socket_address(address);
+  ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+  // The outcome, also an immediate one, shows as writability.
+  writing_ = true;
+  registration_ = SocketPoller::instance().add(descriptor_, *this, true, true);
+}
+
+TcpStream::~TcpStream() { close(); }
+
+void TcpStream::drop_descriptor() {
+  if (descriptor_ < 0) return;
+  SocketPoller::instance().remove(registration_);
+  ::close(descriptor_);
+  descriptor_ = -1;
+}
+
+void TcpStream::close() { drop_descriptor(); }
+
+void TcpStream::reset() {
+  if (descriptor_ < 0) return;
+  const linger abort_at_close{1, 0};
+  setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &abort_at_close, sizeof(abort_at_close));
+  drop_descriptor();
+}
+
+void TcpStream::fail(StreamEnd end) {
+  if (descriptor_ < 0) return;
+  drop_descriptor();
+  observer_.on_stream_end(connected_ ? end : StreamEnd::connect_refused);
+}
+
+void TcpStream::update_interest() {
+  if (descriptor_ >= 0) SocketPoller::instance().set_interest(registration_, reading_, writing_);
+}
+
+void TcpStream::set_reading(bool reading) {
+  if (reading == reading_) return;
+  reading_ = reading;
+  update_interest();
+}
+
+bool TcpStream::write_available(std::string_view& bytes) {
+  while (!bytes.empty()) {
+    const ssize_t count = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (count < 0) {
+      if (would_block(errno)) return true;
+      fail(StreamEnd::reset);
+      return false;
+    }
+    bytes_sent_ += static_cast<std::uint64_t>(count);
+    bytes.remove_prefix(static_cast<std::size_t>(count));
+  }
+  return true;
+}
+
+void TcpStream::send(std::string_view bytes) {
+  if (descriptor_ < 0) return;
+  if (connected_ && queued_bytes() == 0) {
+    if (!write_available(bytes)) return;
+  }
+  if (bytes.empty()) return;
+  outgoing_.append(bytes);
+  if (writing_) return;
+  writing_ = true;
+  update_interest();
+}
+
+void TcpStream::on_readable() {
+  if (!connected_) finish_connecting();
+  if (descriptor_ < 0 || !reading_) return;
+  static std::array<char, kReadBytes> buffer;  // One loop on one thread.
+  const ssize_t count = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    observer_.on_stream_data({buffer.data(), static_cast<std::size_t>(count)});
+  } else if (count == 0) {
+    fail(StreamEnd::closed_by_peer);
+  } else if (!would_block(errno)) {
+    fail(StreamEnd::reset);
+  }
+}
+
+void TcpStream::finish_connecting() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    fail(StreamEnd::connect_refused);
+    return;
+  }
+  sockaddr_in peer{};
+  socklen_t peer_size = sizeof(peer);
+  if (getpeername(descriptor_, reinterpret_cast<sockaddr*>(&peer), &peer_size) != 0) return;
+  connected_ = true;
+  observer_.on_stream_connected();
+}
+
+void TcpStream::on_writable() {
+  if (!connected_) finish_connecting();
+  if (descriptor_ < 0 || !connected_) return;
+  std::string_view rest(outgoing_);
+  rest.remove_prefix(outgoing_offset_);
+  if (!write_available(rest)) return;
+  outgoing_offset_ = outgoing_.size() - rest.size();
+  if (rest.empty()) {
+    outgoing_.clear();
+    outgoing_offset_ = 0;
+    writing_ = false;
+    update_interest();
+    observer_.on_stream_drained();
+  } else if (outgoing_offset_ > kCompactBytes) {
+    outgoing_.erase(0, outgoing_offset_);
+    outgoing_offset_ = 0;
+  }
+}
+
+void TcpStream::on_broken() {
+  // What arrived before the failure was read first, in on_readable().
+  if (descriptor_ < 0) return;
+  if (!connected_) finish_connecting();
+  if (descriptor_ < 0) return;
+  if (reading_) {
+    on_readable();
+    return;
+  }
+  fail(StreamEnd::reset);
+}
+
+std::unique_ptr<TcpListener> TcpListener::listen(const Address& address, Acceptor& acceptor) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) return nullptr;
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in local = to_socket_address(address);
+  if (bind(descriptor, reinterpret_cast<const sockaddr*>(&local), sizeof(local)) != 0 ||
+      ::listen(descriptor, kListenBacklog) != 0) {
+    ::close(descriptor);
+    return nullptr;
+  }
+  return std::unique_ptr<TcpListener>(new TcpListener(descriptor, acceptor));
+}
+
+TcpListener::TcpListener(int descriptor, Acceptor& acceptor)
+    : descriptor_(descriptor),
+      acceptor_(acceptor),
+      registration_(SocketPoller::instance().add(descriptor, *this, true, false)) {}
+
+TcpListener::~TcpListener() {
+  SocketPoller::instance().remove(registration_);
+  ::close(descriptor_);
+}
+
+void TcpListener::on_readable() {
+  for (int turn = 0; turn < kAcceptsPerTurn; ++turn) {
+    const int accepted = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) return;
+    acceptor_.on_accepted(accepted);
+  }
+}
+
+}  // namespace pumicemast
--- a/src/agent/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -1,4 +1,4 @@
-#include "agent/peer_links.h"
+#include "transport/peer_links.h"
 
 #include "common/hash.h"
 
@@ -26,6 +26,11 @@
   return found->second.connection->queued_bytes();
 }
 
+bool PeerLinks::connected(PeerId peer) const {
+  const auto found = links_.find(peer);
+  return found != links_.end() && found->second.connection != nullptr;
+}
+
 void PeerLinks::set_reading(bool reading) {
   reading_ = reading;
   for (auto& [peer, link] : links_) {
@@ -65,6 +70,7 @@
 
 void PeerLinks::attach(PeerId peer, WireConnection& connection) {
   const WireConnection* pointer = &connection;
+  connection.set_unanswered_limit(unanswered_limit_);
   connection.start(
       {[this, peer](const wire::Frame& frame) { callbacks_.on_frame(peer, frame); },
        [this, peer, pointer](const std::string& reason) { on_closed(peer, pointer, reason); },
@@ -92,6 +98,7 @@
 void PeerLinks::on_incoming(std::unique_ptr<WireConnection> connection) {
   WireConnection* pointer = connection.get();
   extra_[pointer] = std::move(connection);
+  pointer->set_unanswered_limit(unanswered_limit_);
   pointer->start({[this, pointer](const wire::Frame& frame) {
                     const auto known = extra_peers_.find(pointer);
                     if (known != extra_peers_.end()) {
--- a/src/agent/peer_links.h
+++ b/src/transport/peer_links.h
@@ -1,4 +1,4 @@
-/// Connections to other agents, opened when first needed.
+/// Connections between processes that know each other by name, opened when first needed.
 #pragma once
 
 #include <functional>
@@ -26,7 +26,9 @@
 
   PeerLinks(std::string machine, Metrics& metrics, Callbacks callbacks);
 
-  /// Listens for other agents.
+  /// Bytes that a peer does not acknowledge for so long end the connection. Set before use.
+  void set_unanswered_limit(Duration limit) { unanswered_limit_ = limit; }
+  /// Listens for others.
   leaf::result<void> listen(const Address& address);
   /// Where to reach a peer. The latest address wins.
   void set_address(PeerId peer, const Address& address) { addresses_[peer] = address; }
@@ -43,6 +45,7 @@
     }
   }
   std::size_t queued_bytes(PeerId peer) const;
+  bool connected(PeerId peer) const;
   /// Holds all senders back while the downlink's share is used up.
   void set_reading(bool reading);
   std::size_t size() const { return links_.size(); }
@@ -69,6 +72,7 @@
   std::map<const WireConnection*, std::unique_ptr<WireConnection>> extra_;
   std::map<const WireConnection*, PeerId> extra_peers_;
   bool reading_ = true;
+  Duration unanswered_limit_ = Duration::zero();
 };
 
 }  // namespace pumicemast
--- a/src/transport/socket_poller.cpp
+++ b/src/transport/socket_poller.cpp
@@ -27,10 +27,16 @@
   close(epoll_);
 }
 
-SocketPoller::Registration SocketPoller::add(int descriptor, SocketHandler& handler) {
+std::uint32_t SocketPoller::event_mask(bool readable, bool writable) {
+  return (readable ? EPOLLIN | EPOLLRDHUP : 0U) | (writable ? EPOLLOUT : 0U);
+}
+
+SocketPoller::Registration SocketPoller::add(int descriptor, SocketHandler& handler, bool readable,
+                                             bool writable) {
   const Registration registration = next_++;
   entries_[registration] = {descriptor, &handler};
   epoll_event event{};
+  event.events = event_mask(readable, writable);
   event.data.u64 = registration;
   epoll_ctl(epoll_, EPOLL_CTL_ADD, descriptor, &event);
   return registration;
@@ -40,7 +46,7 @@
   const auto found = entries_.find(registration);
   if (found == entries_.end()) return;
   epoll_event event{};
-  event.events = (readable ? EPOLLIN | EPOLLRDHUP : 0U) | (writable ? EPOLLOUT : 0U);
+  event.events = event_mask(readable, writable);
   event.data.u64 = registration;
   epoll_ctl(epoll_, EPOLL_CTL_MOD, found->second.descriptor, &event);
 }
--- a/src/transport/socket_poller.h
+++ b/src/transport/socket_poller.h
@@ -34,8 +34,9 @@
   SocketPoller& operator=(const SocketPoller&) = delete;
 
   /// Watches `descriptor` until removed; the handler must live as long.
-  Registration add(int descriptor, SocketHandler& handler);
-  /// Which readiness is of interest; none at first.
+  Registration add(int descriptor, SocketHandler& handler, bool readable = false,
+                   bool writable = false);
+  /// Which readiness is of interest.
   void set_interest(Registration registration, bool readable, bool writable);
   void remove(Registration registration);
 
@@ -47,6 +48,7 @@
   SocketPoller();
   ~SocketPoller();
   static gboolean dispatch(gint descriptor, GIOCondition condition, gpointer self);
+  static std::uint32_t event_mask(bool readable, bool writable);
 
   int epoll_;
   guint source_;
--- a/src/transport/wire_connection.cpp
+++ b/src/transport/wire_connection.cpp
@@ -45,6 +45,12 @@
   update_interest();
 }
 
+void WireConnection::set_unanswered_limit(Duration limit) {
+  if (limit <= Duration::zero() || !open_) return;
+  g_socket_set_option(socket_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      static_cast<gint>(to_milliseconds(limit)), nullptr);
+}
+
 void WireConnection::on_readable() {
   // The event may be older than the decision to hold reading back.
   if (reading_) read_available();
@@ -186,6 +192,7 @@
 void connect_wire(const Address& address, Duration timeout,
                   std::function<void(std::unique_ptr<WireConnection>)> on_result) {
   GSocketClient* client = g_socket_client_new();
+  g_socket_client_set_enable_proxy(client, FALSE);  // Internal links are direct.
   const auto timeout_s = std::max<std::int64_t>(1, to_milliseconds(timeout) / 1000);
   g_socket_client_set_timeout(client, static_cast<guint>(timeout_s));
   auto* callback = new std::function<void(std::unique_ptr<WireConnection>)>(std::move(on_result));
--- a/src/transport/wire_connection.h
+++ b/src/transport/wire_connection.h
@@ -12,6 +12,7 @@
 #include "common/error.h"
 #include "common/gobject_pointer.h"
 #include "common/settings.h"
+#include "common/time.h"
 #include "transport/frame_codec.h"
 #include "transport/socket_poller.h"
 
@@ -44,6 +45,9 @@
   void close(const std::string& reason);
   /// Stops or resumes reading, so that the sender is held back by TCP itself.
   void set_reading(bool reading);
+  /// Bytes that the peer does not acknowledge for so long end the connection; zero leaves it
+  /// to the system.
+  void set_unanswered_limit(Duration limit);
   bool is_open() const { return open_; }
   std::size_t queued_bytes() const { return queued_bytes_; }
 
