--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -24,6 +24,10 @@
   result.engine = settings.required_address("engine", "address");
   result.service = settings.required_string("engine", "service");
   result.report_interval = settings.milliseconds_or("engine", "report_interval_ms", 120, kDurationMs);
+  constexpr double kBitsPerByte = 8;
+  const double megabits = settings.number_or("links", "megabits_per_second", 0, 0, 1e6);
+  const double share = settings.number_or("links", "weights_share", 0.85, 0.01, 1);
+  result.uplink_bytes_per_second = megabits * share * 1e6 / kBitsPerByte;
   result.changeover = settings.milliseconds_or("weights", "changeover_ms", 8000, kDurationMs);
   return result;
 }
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -20,10 +20,13 @@
 /// An order to start that shows no effect for so long is given again.
 constexpr Duration kStartPatience = milliseconds(1500);
 constexpr Duration kAnnounceInterval = milliseconds(15);
-constexpr std::uint32_t kChunkWindow = 6;
-constexpr std::uint32_t kUploadSlots = 3;
-/// Bytes that may wait in one connection before an upload slot is freed.
-constexpr std::size_t kUndrainedLimit = 48U * 1024U;
+/// What is asked for at once would otherwise stand before the engine's requests on the link.
+constexpr std::uint32_t kChunkWindow = 4;
+constexpr std::uint32_t kOriginWindow = 1;
+/// The pacer sends one after the other.
+constexpr std::uint32_t kUploadSlots = 1;
+constexpr Duration kOriginProbeInterval = milliseconds(500);
+constexpr Duration kSourcePause = milliseconds(200);
 constexpr std::size_t kHashBytes = sizeof(Sha256);
 
 PeerId peer_id(const Address& address) { return stable_hash(address.to_string()); }
@@ -43,7 +46,9 @@
       callbacks_(std::move(callbacks)),
       self_(peer_id(settings.internal_address)),
       state_(chart.initial()),
-      named_at_(loop_now()) {}
+      named_at_(loop_now()),
+      uplink_(settings.uplink_bytes_per_second, links, metrics,
+              [this](const std::string& upload_key) { on_upload_done(upload_key); }) {}
 
 void ModelStager::step(const char* event) {
   const std::string next = chart_.next(state_, event);
@@ -222,6 +227,9 @@
   options.seed = stable_hash(self_, target_);
   options.window = kChunkWindow;
   options.upload_slots = kUploadSlots;
+  options.origin_window = kOriginWindow;
+  options.origin_probe_interval = kOriginProbeInterval;
+  options.source_pause = kSourcePause;
   options.announce_interval = kAnnounceInterval;
   options.initial_request_timeout = seconds(2);
   options.minimum_request_timeout = milliseconds(600);
@@ -239,6 +247,11 @@
         loop_now(), actions);
   }
   carry_out(actions);
+  callbacks_.on_line("transfer", "transfer model=" + model_ + " version=" +
+                                     std::to_string(target_) + " held=" +
+                                     std::to_string(swarm_->have().count()) + " of=" +
+                                     std::to_string(chunks_.size()) +
+                                     " peers=" + std::to_string(peers_.size()));
   apply_membership();
   write_missing();
   if (complete) {
@@ -348,19 +361,17 @@
 
 void ModelStager::act(const SendChunk& action) {
   if (action.chunk >= chunks_.size() || !chunks_[action.chunk]) {
-    on_peer_drained(action.peer);
+    on_upload_done(key());
     return;
   }
-  const Bytes& bytes = chunks_[action.chunk];
-  wire::ChunkDataT message;
-  message.digest = key();
-  message.chunk = action.chunk;
-  const auto* first = reinterpret_cast<const std::uint8_t*>(bytes->data());
-  message.bytes.assign(first, first + bytes->size());
-  links_.send(action.peer, message);
-  metrics_.count("pumicemast_host_sent_bytes_total", {}, static_cast<double>(bytes->size()));
-  ++unsent_uploads_;
-  if (links_.queued_bytes(action.peer) <= kUndrainedLimit) on_peer_drained(action.peer);
+  uplink_.push({key(), action.peer, action.chunk, chunks_[action.chunk], 0});
+}
+
+void ModelStager::on_upload_done(const std::string& upload_key) {
+  if (!swarm_ || upload_key != key()) return;
+  SwarmActions actions;
+  swarm_->on_sent(loop_now(), actions);
+  carry_out(actions);
 }
 
 void ModelStager::act(const RefuseChunk& action) {
@@ -415,19 +426,11 @@
 }
 
 void ModelStager::on_peer_lost(PeerId peer) {
+  uplink_.on_peer_lost(peer);
   if (!swarm_) return;
   SwarmActions actions;
   swarm_->on_peer_lost(peer, loop_now(), actions);
   carry_out(actions);
-  on_peer_drained(peer);
-}
-
-void ModelStager::on_peer_drained(PeerId) {
-  if (unsent_uploads_ == 0 || !swarm_) return;
-  --unsent_uploads_;
-  SwarmActions actions;
-  swarm_->on_sent(loop_now(), actions);
-  carry_out(actions);
 }
 
 void ModelStager::on_join(PeerId peer, const wire::SwarmJoin& join) {
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -19,6 +19,7 @@
 #include "host/engine_control.h"
 #include "host/host_settings.h"
 #include "swarm/swarm.h"
+#include "transfer/uplink_pacer.h"
 #include "transport/peer_links.h"
 
 namespace pumicemast {
@@ -50,7 +51,7 @@
   void on_load(const LoadReport& report);
   void on_frame(PeerId peer, const wire::Frame& frame);
   void on_peer_lost(PeerId peer);
-  void on_peer_drained(PeerId peer);
+  void on_peer_drained(PeerId peer) { uplink_.on_drained(peer); }
   /// Call every few hundredths of a second.
   void on_tick();
 
@@ -61,7 +62,7 @@
   bool starting() const { return state_ == "STARTING"; }
 
  private:
-  using Bytes = std::shared_ptr<const std::string>;
+  using Bytes = ChunkCache::Bytes;
 
   void step(const char* event);
   std::string key() const;
@@ -88,6 +89,7 @@
   void act(const JoinPeer& action);
   void act(const SwarmComplete& action);
   void act(const PeerAvoided& action);
+  void on_upload_done(const std::string& upload_key);
   void take_in(std::optional<PeerId> source, ChunkIndex chunk, std::string bytes);
   void on_join(PeerId peer, const wire::SwarmJoin& join);
   void send_join(PeerId peer, bool reply);
@@ -124,7 +126,7 @@
   bool writing_ = false;
   std::unique_ptr<Swarm> swarm_;
   std::map<PeerId, std::vector<std::uint8_t>> early_joins_;
-  std::uint32_t unsent_uploads_ = 0;
+  UplinkPacer uplink_;
   TimePoint next_manifest_ask_{};
   TimePoint manifest_asked_since_{};
   bool origin_asked_ = false;
--- a/src/swarm/chunk_procurement.cpp
+++ b/src/swarm/chunk_procurement.cpp
@@ -12,9 +12,6 @@
 /// Ranks that step in one after the other before the first is asked again. All of them
 /// failing means a fault that more agents would not mend.
 constexpr std::uint32_t kTakeoverRanks = 12;
-constexpr Duration kOriginProbeInterval = seconds(10);
-/// Pause before the sequence of sources begins again.
-constexpr Duration kRoundPause = seconds(1);
 
 }  // namespace
 
@@ -83,7 +80,7 @@
     if (!origin_is_due(duty, others.size(), now)) {
       ++duty.step;
       duty.refusals = 0;
-      duty.not_before = now + kRoundPause;
+      duty.not_before = now + options_.source_pause;
       return std::nullopt;
     }
     if (window_full) return std::nullopt;
@@ -148,7 +145,7 @@
 
 void ChunkProcurement::on_origin_failed(ChunkIndex chunk, Duration pause, TimePoint now) {
   origin_fails_ = true;
-  next_origin_probe_ = now + kOriginProbeInterval;
+  next_origin_probe_ = now + options_.origin_probe_interval;
   on_draw_failed(chunk, pause, now);
 }
 
--- a/src/swarm/chunk_procurement.h
+++ b/src/swarm/chunk_procurement.h
@@ -24,6 +24,10 @@
   /// How many of a chunk's overall owners draw it from the origin.
   std::uint32_t origin_copies = 1;
   bool origin_for_all = false;  ///< Baseline: everyone draws every chunk.
+  /// While the origin fails it is probed this often.
+  Duration origin_probe_interval = seconds(10);
+  /// Pause before the sequence of sources begins again.
+  Duration source_pause = seconds(1);
 };
 
 /// One request to make.
--- a/src/swarm/swarm.h
+++ b/src/swarm/swarm.h
@@ -49,6 +49,10 @@
   /// When no chunk that is missing here appeared nearby for so long, and for many times the
   /// usual gap between two that do, the next owners in rank bring in those that did not.
   Duration takeover_interval = seconds(3);
+  /// While the origin fails it is probed this often.
+  Duration origin_probe_interval = seconds(10);
+  /// Pause before a failed chunk's sequence of sources begins again.
+  Duration source_pause = seconds(1);
   /// A peer that sent corrupt chunks is avoided from this share and number of them on.
   /// Links corrupt chunks too, so one is no proof.
   double corrupt_share = 0.05;
--- a/src/agent/uplink_pacer.cpp
+++ b/src/transfer/uplink_pacer.cpp
@@ -1,4 +1,4 @@
-#include "agent/uplink_pacer.h"
+#include "transfer/uplink_pacer.h"
 
 #include <algorithm>
 
@@ -39,7 +39,7 @@
   const auto* bytes = reinterpret_cast<const std::uint8_t*>(upload.bytes->data());
   message.bytes.assign(bytes, bytes + upload.bytes->size());
   links_.send(upload.peer, message);
-  metrics_.count("pumicemast_agent_bytes_sent_total", {},
+  metrics_.count("pumicemast_transfer_sent_bytes_total", {},
                  static_cast<double>(upload.bytes->size()));
 }
 
--- a/src/agent/uplink_pacer.h
+++ b/src/transfer/uplink_pacer.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "agent/chunk_cache.h"
+#include "transfer/chunk_cache.h"
 #include "transport/peer_links.h"
 #include "common/event_loop.h"
 #include "limits/token_bucket.h"
