Deal out engines' room as credits; tell lapsed entries from leaving ones; give slow engines time

Cause: seven gateways saw the same free slot and all sent; entries that lapsed while the store was down counted as left for good; streams that paused for 320 ms were begun again elsewhere, which cost a tenth of the fleet's work under load. Change: the agent beside an engine deals its free slots to the gateways that subscribe; revisions order what is known of a back end; a silent engine whose agent says it lives is given 1.6 s, one without an agent 0.35 s; Retry-After is drawn from half to all of a third of what is left. Ruled out: a deeper queue at the engine (two ahead cost 200 ms of first token under load).

--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -16,6 +16,8 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// Of the list's entry: a higher one is newer.
+  std::uint64_t revision = 0;
   /// Version of which all layers are held and serve; 0 for none, or for a plain service.
   std::uint64_t weight_version = 0;
 };
@@ -28,6 +30,7 @@
   std::uint32_t queued = 0;
   std::uint64_t weight_version = 0;  ///< Held whole and serving; 0 for none.
   double pace = 1;                   ///< Over 1: slower than its profile.
+  std::uint32_t credit = 0;          ///< New requests that may be sent until the next report.
 };
 
 }  // namespace pumicemast
--- a/src/fleet/feeds.h
+++ b/src/fleet/feeds.h
@@ -19,9 +19,11 @@
   /// @param document  the configuration in the platform's own form, to pass on to others.
   virtual void on_configuration(FleetConfiguration configuration, const std::string& document) = 0;
   /// The whole list of back ends.
-  virtual void on_backend_list(const std::vector<BackendRecord>& records) = 0;
+  /// @param revision  of the list.
+  virtual void on_backend_list(const std::vector<BackendRecord>& records,
+                               std::uint64_t revision) = 0;
   virtual void on_backend(const BackendRecord& record) = 0;
-  virtual void on_backend_gone(const std::string& id) = 0;
+  virtual void on_backend_gone(const std::string& id, std::uint64_t revision) = 0;
   virtual void on_weights_named(const std::string& model, std::uint64_t version) = 0;
   /// The platform's store answers, or has ceased to.
   virtual void on_store_reachable(bool reachable) = 0;
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -23,51 +23,79 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
-void BackendPool::note_left(const std::string& id) {
-  if (!left_.insert(id).second) return;
-  left_order_.push_back(id);
+void BackendPool::note_left(const std::string& id, std::uint64_t revision) {
+  const auto [known, is_new] = left_.emplace(id, revision);
+  if (!is_new) {
+    known->second = std::max(known->second, revision);
+    return;
+  }
+  left_order_.push_back({id, revision});
   if (left_order_.size() <= kRememberedLeavers) return;
-  left_.erase(left_order_.front());
+  left_.erase(left_order_.front().id);
   left_order_.pop_front();
 }
 
+bool BackendPool::has_left(const BackendRecord& record) const {
+  const auto left = left_.find(record.id);
+  return left != left_.end() && left->second >= record.revision;
+}
+
 void BackendPool::on_record(const BackendRecord& record, TimePoint) {
   Backend& backend = backends_[record.id];
-  const bool was_draining = backend.record.draining || left_.contains(record.id);
   // The engine's own report is newer than the list.
   const std::uint64_t version =
       backend.has_report ? backend.record.weight_version : record.weight_version;
+  if (record.revision < backend.record.revision) return;
   backend.record = record;
   backend.record.weight_version = version;
-  backend.record.draining = record.draining || was_draining;
-  if (record.draining) note_left(record.id);
+  backend.record.draining = record.draining || has_left(record);
+  backend.gone = false;
+  if (record.draining) note_left(record.id, record.revision);
   ids_by_address_[record.address] = record.id;
 }
 
-void BackendPool::on_gone(const std::string& id, TimePoint) {
-  note_left(id);
-  const auto found = backends_.find(id);
-  if (found == backends_.end()) return;
-  const auto by_address = ids_by_address_.find(found->second.record.address);
-  if (by_address != ids_by_address_.end() && by_address->second == id) {
-    ids_by_address_.erase(by_address);
-  }
-  backends_.erase(found);
+void BackendPool::on_gone(const std::string& id, std::uint64_t revision, TimePoint now) {
+  Backend* backend = find(id);
+  if (backend == nullptr || backend->gone) return;
+  const bool may_be_lapse = !list_reachable_ || now < lapses_until_;
+  backend->gone = true;
+  backend->used_until = may_be_lapse ? now + options_.lapse_grace : now;
+  if (!may_be_lapse) note_left(id, std::max(revision, backend->record.revision));
+}
+
+void BackendPool::sweep(TimePoint now) {
+  std::erase_if(backends_, [&](const auto& entry) {
+    const Backend& backend = entry.second;
+    if (!backend.gone || now < backend.used_until || backend.in_flight > 0) return false;
+    const auto by_address = ids_by_address_.find(backend.record.address);
+    if (by_address != ids_by_address_.end() && by_address->second == entry.first) {
+      ids_by_address_.erase(by_address);
+    }
+    return true;
+  });
+}
+
+void BackendPool::on_leaving(const std::string& id, std::uint64_t revision, TimePoint) {
+  Backend* backend = find(id);
+  if (backend != nullptr && backend->record.revision > revision) return;
+  note_left(id, revision);
+  if (backend != nullptr) backend->record.draining = true;
 }
 
-void BackendPool::on_leaving(const std::string& id, TimePoint) {
-  note_left(id);
-  if (Backend* backend = find(id)) backend->record.draining = true;
+void BackendPool::on_list_reachable(bool reachable, TimePoint now) {
+  if (reachable && !list_reachable_) lapses_until_ = now + options_.lapse_window;
+  list_reachable_ = reachable;
 }
 
-void BackendPool::on_list(const std::vector<BackendRecord>& records, TimePoint now) {
+void BackendPool::on_list(const std::vector<BackendRecord>& records, std::uint64_t revision,
+                          TimePoint now) {
   std::set<std::string> named;
   for (const BackendRecord& record : records) named.insert(record.id);
   std::vector<std::string> missing;
   for (const auto& [id, backend] : backends_) {
     if (!named.contains(id)) missing.push_back(id);
   }
-  for (const std::string& id : missing) on_gone(id, now);
+  for (const std::string& id : missing) on_gone(id, revision, now);
   for (const BackendRecord& record : records) on_record(record, now);
 }
 
@@ -104,7 +132,10 @@
 
 void BackendPool::on_finished(const std::string& id) {
   Backend* backend = find(id);
-  if (backend != nullptr && backend->in_flight > 0) --backend->in_flight;
+  if (backend == nullptr) return;
+  if (backend->in_flight > 0) --backend->in_flight;
+  // The slot that falls free may be taken at once, by the gateway that knows of it.
+  ++backend->report.credit;
 }
 
 void BackendPool::on_failure(const std::string& id, TimePoint now) {
@@ -130,7 +161,12 @@
 
 bool BackendPool::leaving(const std::string& id) const {
   const auto found = backends_.find(id);
-  return found == backends_.end() || found->second.record.draining;
+  return found == backends_.end() || found->second.record.draining || found->second.gone;
+}
+
+bool BackendPool::known_alive(const std::string& id, TimePoint now) const {
+  const auto found = backends_.find(id);
+  return found != backends_.end() && fresh(found->second, now) && found->second.report.alive;
 }
 
 std::vector<BackendRecord> BackendPool::records() const {
@@ -142,26 +178,34 @@
 bool BackendPool::may_take(const Backend& backend, const BackendNeed& need, TimePoint now) const {
   const BackendRecord& record = backend.record;
   if (record.service != need.service->name || record.draining) return false;
-  if (now < backend.avoid_until) return false;
+  if (now < backend.avoid_until || !usable(backend, now)) return false;
   if (!need.service->engine) return true;
   if (record.weight_version == 0 || record.weight_version < need.lowest_version) return false;
-  const bool fresh = backend.has_report && now - backend.reported_at < options_.report_lifetime;
-  return !fresh || (backend.report.alive && !backend.report.busy);
+  return !fresh(backend, now) || (backend.report.alive && !backend.report.busy);
+}
+
+bool BackendPool::fresh(const Backend& backend, TimePoint now) const {
+  return backend.has_report && now - backend.reported_at < options_.report_lifetime;
+}
+
+bool BackendPool::usable(const Backend& backend, TimePoint now) const {
+  if (!backend.gone) return true;
+  return now < backend.used_until && fresh(backend, now) && backend.report.alive;
 }
 
 double BackendPool::engine_wait_ms(Backend& backend, const EngineProfile& engine,
                                    const BackendNeed& need, TimePoint now) const {
-  const bool fresh = backend.has_report && now - backend.reported_at < options_.report_lifetime;
+  const bool is_fresh = fresh(backend, now);
   const TimePoint known_until = backend.reported_at - kReportTransit;
   while (!backend.sent.empty() && (backend.sent.front() <= known_until ||
                                    now - backend.sent.front() > options_.report_lifetime)) {
     backend.sent.pop_front();
   }
-  const double pace = fresh ? std::max(1.0, backend.report.pace) : 1.0;
+  const double pace = is_fresh ? std::max(1.0, backend.report.pace) : 1.0;
   double running = 0;
   double waiting = 0;
   double others_unread_tokens = 0;
-  if (fresh) {
+  if (is_fresh) {
     running = backend.report.running;
     waiting = backend.report.queued + static_cast<double>(backend.sent.size());
     others_unread_tokens = backend.report.queued * engine.usual_prompt_tokens;
@@ -188,6 +232,13 @@
   return backend.in_flight * kPlainRequestMs;
 }
 
+bool BackendPool::has_credit(const Backend& backend, const BackendNeed& need,
+                             TimePoint now) const {
+  if (!need.service->engine || need.urgent) return true;
+  if (!fresh(backend, now)) return backend.in_flight * options_.gateway_count < backend.record.slots;
+  return backend.sent.size() < backend.report.credit;
+}
+
 std::optional<BackendChoice> BackendPool::choose(const BackendNeed& need,
                                                  const std::set<std::string>& excluded,
                                                  TimePoint now) {
@@ -197,6 +248,7 @@
   for (auto& [id, backend] : backends_) {
     if (!may_take(backend, need, now) || excluded.contains(id)) continue;
     const double wait_ms = expected_ms(backend, need, now);
+    if (!has_credit(backend, need, now)) continue;
     double cost = wait_ms + tie_break(random_);
     if (backend.record.zone != options_.zone) cost += options_.other_zone_ms;
     if (need.preferred_version != 0 && backend.record.weight_version != need.preferred_version) {
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -27,6 +27,9 @@
   double other_zone_ms = 35;
   /// Without a report for so long, the load is estimated from this gateway's requests alone.
   Duration report_lifetime = milliseconds(900);
+  /// After the list was unreachable, entries that lapsed come back within so long.
+  Duration lapse_window = seconds(4);
+  Duration lapse_grace = seconds(3);
   /// A back end that fails is left alone for so long; doubled with each failure in a row.
   Duration first_pause = milliseconds(250);
   Duration longest_pause = seconds(4);
@@ -34,12 +37,19 @@
   double gateway_count = 7;
 };
 
+/// A back end that is draining or gone, and the revision of the list that said so.
+struct LeftBackend {
+  std::string id;
+  std::uint64_t revision = 0;
+};
+
 /// What a request needs of its back end.
 struct BackendNeed {
   const ServiceProfile* service = nullptr;
   double prompt_tokens = 0;
   std::uint64_t lowest_version = 0;
   std::uint64_t preferred_version = 0;  ///< Of an answer that is to be continued; 0 for any.
+  bool urgent = false;  ///< Sent again after a failure: goes before what has not begun.
 };
 
 struct BackendChoice {
@@ -55,11 +65,17 @@
 
   /// Adds or updates one incarnation. One that left never comes back.
   void on_record(const BackendRecord& record, TimePoint now);
-  void on_gone(const std::string& id, TimePoint now);
-  /// Another gateway has seen it leaving or gone: no new work, whatever the list says here.
-  void on_leaving(const std::string& id, TimePoint now);
+  /// Its entry vanished. That means that it leaves, unless entries may have lapsed because
+  /// nobody could renew them; then one whose agent says that it lives is used a while longer.
+  void on_gone(const std::string& id, std::uint64_t revision, TimePoint now);
+  /// Another gateway has seen it leaving or gone: no new work, unless a newer entry is known.
+  void on_leaving(const std::string& id, std::uint64_t revision, TimePoint now);
   /// The whole list was read: what it does not name is gone.
-  void on_list(const std::vector<BackendRecord>& records, TimePoint now);
+  void on_list(const std::vector<BackendRecord>& records, std::uint64_t revision, TimePoint now);
+  /// The list can be read, or can't.
+  void on_list_reachable(bool reachable, TimePoint now);
+  /// Forgets back ends that are gone and idle. Call now and then.
+  void sweep(TimePoint now);
   void on_report(const Address& address, const LoadReport& report, TimePoint now);
   void on_agent_lost(const Address& address);
 
@@ -77,8 +93,10 @@
   std::optional<BackendChoice> choose(const BackendNeed& need, const std::set<std::string>& excluded,
                                       TimePoint now);
   bool leaving(const std::string& id) const;
+  /// Its agent has said so lately.
+  bool known_alive(const std::string& id, TimePoint now) const;
   /// Back ends that are leaving or gone, for other gateways; the newest last.
-  const std::deque<std::string>& recently_left() const { return left_order_; }
+  const std::deque<LeftBackend>& recently_left() const { return left_order_; }
   std::vector<BackendRecord> records() const;
   std::size_t size() const { return backends_.size(); }
 
@@ -93,11 +111,18 @@
     std::uint32_t in_flight = 0;
     std::uint32_t failures = 0;  ///< In a row.
     TimePoint avoid_until{};
+    bool gone = false;
+    TimePoint used_until{};  ///< Of one that is gone.
   };
 
   Backend* find(const std::string& id);
-  void note_left(const std::string& id);
+  void note_left(const std::string& id, std::uint64_t revision);
+  bool has_left(const BackendRecord& record) const;
+  bool usable(const Backend& backend, TimePoint now) const;
+  bool fresh(const Backend& backend, TimePoint now) const;
   bool may_take(const Backend& backend, const BackendNeed& need, TimePoint now) const;
+  /// Whether this gateway may send there now: agents share out what room their engines have.
+  bool has_credit(const Backend& backend, const BackendNeed& need, TimePoint now) const;
   double expected_ms(Backend& backend, const BackendNeed& need, TimePoint now) const;
   double engine_wait_ms(Backend& backend, const EngineProfile& engine, const BackendNeed& need,
                         TimePoint now) const;
@@ -105,8 +130,10 @@
   BackendPoolOptions options_;
   std::map<std::string, Backend> backends_;
   std::map<Address, std::string> ids_by_address_;
-  std::set<std::string> left_;
-  std::deque<std::string> left_order_;
+  std::map<std::string, std::uint64_t> left_;  ///< Revisions by id.
+  std::deque<LeftBackend> left_order_;
+  TimePoint lapses_until_{};  ///< Entries may vanish because they could not be renewed.
+  bool list_reachable_ = true;
   std::minstd_rand random_;
 };
 
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -121,8 +121,13 @@
   message.address = own_address_.to_string();
   message.configuration_version = knowledge.configuration_version;
   const std::size_t count = std::min(kLeavingTold, knowledge.leaving.size());
-  message.leaving.assign(knowledge.leaving.end() - static_cast<std::ptrdiff_t>(count),
-                         knowledge.leaving.end());
+  for (std::size_t index = knowledge.leaving.size() - count; index < knowledge.leaving.size();
+       ++index) {
+    auto left = std::make_unique<wire::LeavingBackendT>();
+    left->id = knowledge.leaving[index].id;
+    left->revision = knowledge.leaving[index].revision;
+    message.leaving.push_back(std::move(left));
+  }
   for (const auto& [model, version] : knowledge.weights) {
     auto named = std::make_unique<wire::WeightsNamedT>();
     named->model = model;
@@ -145,6 +150,7 @@
       report.queued = message->queued();
       report.weight_version = message->weight_version();
       report.pace = message->pace();
+      report.credit = message->credit();
       listener_.on_engine_report(*engine, report);
       return;
     }
@@ -184,7 +190,9 @@
   GatewayKnowledge knowledge;
   knowledge.configuration_version = digest.configuration_version();
   if (digest.leaving() != nullptr) {
-    for (const auto* id : *digest.leaving()) knowledge.leaving.push_back(id->str());
+    for (const auto* left : *digest.leaving()) {
+      knowledge.leaving.push_back({left->id()->str(), left->revision()});
+    }
   }
   if (digest.weights() != nullptr) {
     for (const auto* named : *digest.weights()) {
--- a/src/gateway/fleet_links.h
+++ b/src/gateway/fleet_links.h
@@ -13,6 +13,7 @@
 #include "common/event_loop.h"
 #include "common/metrics.h"
 #include "fleet/backend_record.h"
+#include "gateway/backend_pool.h"
 #include "transport/peer_links.h"
 
 namespace pumicemast {
@@ -20,7 +21,7 @@
 /// What a gateway tells others.
 struct GatewayKnowledge {
   std::uint64_t configuration_version = 0;
-  std::vector<std::string> leaving;
+  std::vector<LeftBackend> leaving;
   std::map<std::string, std::uint64_t> weights;  ///< Newest named version of each model.
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -317,8 +317,9 @@
   links_.set_engines(engines);
 }
 
-void GatewayDaemon::on_backend_list(const std::vector<BackendRecord>& records) {
-  pool_.on_list(records, loop_now());
+void GatewayDaemon::on_backend_list(const std::vector<BackendRecord>& records,
+                                    std::uint64_t revision) {
+  pool_.on_list(records, revision, loop_now());
   log_line("backend_list", "backends event=list count=" + std::to_string(records.size()));
   update_engines();
 }
@@ -335,9 +336,8 @@
   }
 }
 
-void GatewayDaemon::on_backend_gone(const std::string& id) {
-  pool_.on_gone(id, loop_now());
-  backends_.drop_backend(id);
+void GatewayDaemon::on_backend_gone(const std::string& id, std::uint64_t revision) {
+  pool_.on_gone(id, revision, loop_now());
   log_line("backend", "backend id=" + id + " state=GONE");
   links_.tell_others();
   update_engines();
@@ -357,6 +357,7 @@
 void GatewayDaemon::on_store_reachable(bool reachable) {
   if (reachable == store_reachable_) return;
   store_reachable_ = reachable;
+  pool_.on_list_reachable(reachable, loop_now());
   log_line("store", std::string("store state=") + (reachable ? "LOST->REACHABLE"
                                                              : "REACHABLE->LOST"));
 }
@@ -373,7 +374,9 @@
 void GatewayDaemon::on_engine_agent_lost(const Address& engine) { pool_.on_agent_lost(engine); }
 
 void GatewayDaemon::on_other_knowledge(const GatewayKnowledge& knowledge) {
-  for (const std::string& id : knowledge.leaving) pool_.on_leaving(id, loop_now());
+  for (const LeftBackend& left : knowledge.leaving) {
+    pool_.on_leaving(left.id, left.revision, loop_now());
+  }
   for (const auto& [model, version] : knowledge.weights) on_weights_named(model, version);
 }
 
@@ -413,6 +416,7 @@
     }
   }
   backends_.expire_idle(now);
+  pool_.sweep(now);
   for (const auto& [kind, count] : log_budget_.take_suppressed()) {
     LOG(INFO) << "log kind=" << kind << " lines_left_out=" << count << " reason=budget";
   }
@@ -438,6 +442,7 @@
          << " sends=" << summary.sends << " expected_ms=" << summary.expected_ms
          << " waited_ms=" << to_milliseconds(summary.waited)
          << " first_ms=" << to_milliseconds(summary.first_event)
+         << " gap_ms=" << to_milliseconds(summary.longest_gap)
          << " total_ms=" << to_milliseconds(summary.total)
          << " configuration=" << summary.configuration << " weights=" << summary.weight_version;
     log_line("request_" + summary.outcome, line.str());
--- a/src/gateway/request_forwarder.cpp
+++ b/src/gateway/request_forwarder.cpp
@@ -90,7 +90,7 @@
   const TimePoint now = session.arrived;
   if (!routes_) {
     refuse(number, session, kStatusUnavailable, RefusalReason::no_configuration,
-           options_.retry_after, now, actions);
+           draw_retry_after(session, now), now, actions);
     return nullptr;
   }
   session.routes = routes_;
@@ -127,13 +127,13 @@
   const std::string& service = pick_service(*route);
   session.service = session.routes->service(service);
   if (session.service == nullptr) {
-    refuse(number, session, kStatusUnavailable, RefusalReason::no_backend, options_.retry_after,
-           now, actions);
+    refuse(number, session, kStatusUnavailable, RefusalReason::no_backend,
+           draw_retry_after(session, now), now, actions);
     return;
   }
   if (stopping_) {
-    refuse(number, session, kStatusUnavailable, RefusalReason::stopping, options_.retry_after, now,
-           actions);
+    refuse(number, session, kStatusUnavailable, RefusalReason::stopping,
+           draw_retry_after(session, now), now, actions);
     return;
   }
   budget(service).on_first_attempt();
@@ -148,6 +148,7 @@
   need.prompt_tokens = session.request.prompt_tokens;
   need.lowest_version = targets_.lowest_allowed(session.request.model, now);
   need.preferred_version = session.answer_version;
+  need.urgent = session.sends > 0;
   return need;
 }
 
@@ -242,6 +243,10 @@
 }
 
 void RequestForwarder::note_progress(Session& session, TimePoint now) {
+  if (session.last_event != TimePoint{}) {
+    session.longest_gap = std::max(session.longest_gap, now - session.last_event);
+  }
+  session.last_event = now;
   session.last_progress = now;
   if (session.first_token_seen) return;
   session.first_token_seen = true;
@@ -433,10 +438,18 @@
     refuse(number, session, status, reason, {}, now, actions);
     return;
   }
-  const Duration left = session.deadline - now;
-  const bool worth_coming_back = left > options_.retry_after * 3;
-  refuse(number, session, kStatusUnavailable, reason,
-         worth_coming_back ? options_.retry_after : Duration::zero(), now, actions);
+  refuse(number, session, kStatusUnavailable, reason, draw_retry_after(session, now), now, actions);
+}
+
+Duration RequestForwarder::draw_retry_after(const Session& session, TimePoint now) {
+  constexpr Duration kLeastUsefulTime = milliseconds(300);
+  const Duration left =
+      session.route == nullptr ? kUnstatedTimeLeft : session.deadline - now;
+  if (left < kLeastUsefulTime) return Duration::zero();
+  std::uniform_real_distribution<double> upper_half(0.5, 1.0);
+  const Duration longest =
+      std::min(options_.longest_retry_after, scaled(left, options_.retry_after_share));
+  return scaled(longest, upper_half(random_));
 }
 
 void RequestForwarder::refuse(RequestNumber number, Session& session, int status,
@@ -492,9 +505,10 @@
   if (!repeatable(session) || session.sends >= session.route->attempts) return;
   const Duration silent = now - session.last_progress;
   const bool stream = session.route->kind == RequestKind::stream;
-  const Duration limit = session.answer_begun
-                             ? scaled(session.route->gap_goal, options_.stall_share)
-                             : scaled(session.route->goal, options_.first_event_share);
+  const bool healthy = pool_.known_alive(session.backend, now);
+  const Duration limit = !stream ? session.route->goal * 2
+                         : healthy ? options_.healthy_silence
+                                   : options_.doubtful_silence;
   if (!stream && session.head_seen) return;
   if (silent <= limit) return;
   // Only if another one can do it; the retry budget bounds how often.
@@ -565,8 +579,10 @@
       (session.first_sent == TimePoint{} ? now : session.first_sent) - session.arrived;
   if (session.first_event != TimePoint{}) {
     summary.first_event = session.first_event - session.arrived;
-    summary.in_time = session.route != nullptr && summary.first_event <= session.route->goal;
+    summary.in_time = session.route != nullptr && summary.first_event <= session.route->goal &&
+                      session.longest_gap <= session.route->gap_goal;
   }
+  summary.longest_gap = session.longest_gap;
   summary.total = now - session.arrived;
   summaries_.push_back(std::move(summary));
 }
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -121,15 +121,19 @@
   double retry_ratio = 0.18;
   double retry_reserve = 8;
   /// A request waits here for room at most this share of its goal.
-  double wait_share = 0.2;
+  double wait_share = 0.15;
   /// Admitted when the predicted wait is within this share of what is left of the goal.
   double admit_share = 0.85;
-  Duration retry_after = milliseconds(120);
+  /// A caller that is refused is told to come back within this share of its time left, at a
+  /// time drawn from the upper half, so that those who were refused together come apart.
+  double retry_after_share = 0.32;
+  Duration longest_retry_after = seconds(2);
   Duration connect_limit = milliseconds(350);
-  /// A stream without an event for this share of its gap goal is resumed elsewhere.
-  double stall_share = 0.8;
-  /// A first event this many goals late is asked for elsewhere.
-  double first_event_share = 1.6;
+  /// A back end that is silent for so long is given up, if another one may run the request:
+  /// soon when nothing says that it lives, late when its agent does (it may just be slow, and
+  /// what it has done so far would be done again elsewhere).
+  Duration doubtful_silence = milliseconds(350);
+  Duration healthy_silence = milliseconds(1600);
   std::size_t whole_answer_bytes = 1U << 20U;  ///< Answers up to it are sent only when whole.
 };
 
@@ -163,6 +167,7 @@
   double expected_ms = 0;
   Duration waited = Duration::zero();       ///< Before it was first sent.
   Duration first_event = Duration::zero();  ///< From arrival; zero when there was none.
+  Duration longest_gap = Duration::zero();  ///< Between two arrivals of a stream's events.
   Duration total = Duration::zero();
   bool in_time = false;
 };
@@ -235,6 +240,8 @@
     double expected_ms = 0;
     TimePoint first_sent{};
     TimePoint first_event{};
+    TimePoint last_event{};
+    Duration longest_gap = Duration::zero();
     RefusalReason last_reason = RefusalReason::no_capacity;
   };
   using Sessions = std::map<RequestNumber, Session>;
@@ -254,6 +261,7 @@
   void resume_or_abort(RequestNumber number, Session& session, TimePoint now,
                        ForwarderActions& actions);
   bool spend_retry(const Session& session);
+  Duration draw_retry_after(const Session& session, TimePoint now);
   void give_up(RequestNumber number, Session& session, RefusalReason reason, TimePoint now,
                ForwarderActions& actions);
   void refuse(RequestNumber number, Session& session, int status, RefusalReason reason,
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kSweepInterval = milliseconds(500);
 /// Reports go out when something changed, and this often all the same.
 constexpr Duration kReportLifetime = milliseconds(360);
+/// While there is work, credits that were not used are dealt anew this often.
+constexpr Duration kCreditLifetime = milliseconds(100);
+/// Requests that may wait at the engine, so that a slot that falls free is taken at once.
+constexpr std::uint32_t kQueuedAhead = 0;
 constexpr Duration kSubscriptionLifetime = seconds(6);
 constexpr Duration kUnansweredLimit = seconds(2);
 constexpr std::uint32_t kLinesPerSecond = 20;
@@ -88,6 +92,7 @@
 
 void HostDaemon::on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) {
   if (!origin_) origin_ = origin_factory_->make(origin);
+  slots_ = profile.slots;
   for (const ModelProfile& model : profile.models) {
     if (stagers_.contains(model.name)) continue;
     auto stager = std::make_unique<ModelStager>(
@@ -178,7 +183,9 @@
     // From the decision on, and not only from the engine's next report.
     if (stager->starting() && report.weight_version != stager->target()) report.busy = true;
   }
-  if (!forced && same(report, told_) && now - told_at_ < kReportLifetime) return;
+  const bool room_left = report.running + report.queued < slots_ + kQueuedAhead;
+  const Duration lifetime = report.running > 0 && room_left ? kCreditLifetime : kReportLifetime;
+  if (!forced && same(report, told_) && now - told_at_ < lifetime) return;
   told_ = report;
   told_at_ = now;
   wire::EngineReportT message;
@@ -192,7 +199,28 @@
   std::erase_if(subscribers_, [&](const auto& entry) {
     return now - entry.second.renewed > kSubscriptionLifetime;
   });
-  for (const auto& [peer, subscriber] : subscribers_) links_.send(peer, message);
+  const std::map<PeerId, std::uint32_t> credits = deal_credits(report);
+  for (const auto& [peer, subscriber] : subscribers_) {
+    message.credit = credits.at(peer);
+    links_.send(peer, message);
+  }
+}
+
+std::map<PeerId, std::uint32_t> HostDaemon::deal_credits(const LoadReport& report) {
+  std::map<PeerId, std::uint32_t> credits;
+  std::vector<PeerId> gateways;
+  for (const auto& [peer, subscriber] : subscribers_) {
+    credits[peer] = 0;
+    gateways.push_back(peer);
+  }
+  const std::uint32_t taken = report.running + report.queued;
+  const std::uint32_t room = slots_ + kQueuedAhead;
+  if (gateways.empty() || taken >= room) return credits;
+  // In turn, so that none is left out when there is less room than gateways.
+  for (std::uint32_t dealt = 0; dealt < room - taken; ++dealt) {
+    ++credits[gateways[next_to_deal_++ % gateways.size()]];
+  }
+  return credits;
 }
 
 void HostDaemon::tick() {
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -41,6 +41,8 @@
     TimePoint renewed{};
     std::string address;
   };
+  /// New requests that each gateway may send until the next report.
+  std::map<PeerId, std::uint32_t> deal_credits(const LoadReport& report);
 
   void on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) override;
   void on_engines(const std::vector<BackendRecord>& engines) override;
@@ -72,6 +74,8 @@
   std::map<PeerId, Subscriber> subscribers_;
   LoadReport load_;
   LoadReport told_;
+  std::uint32_t slots_ = 0;       ///< Of the engine; 0 while its profile is not known.
+  std::size_t next_to_deal_ = 0;  ///< Position of the gateway that is dealt the first credit.
   TimePoint told_at_{};
   TimePoint last_answer_{};
   Timer poll_timer_;
