--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -239,9 +239,22 @@
   return backend.sent.size() < backend.report.credit;
 }
 
+bool BackendPool::most_engines_report(const BackendNeed& need, TimePoint now) const {
+  if (!need.service->engine) return false;
+  std::size_t engines = 0;
+  std::size_t reporting = 0;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.record.service != need.service->name || backend.gone) continue;
+    ++engines;
+    if (fresh(backend, now)) ++reporting;
+  }
+  return reporting * 2 >= engines;
+}
+
 std::optional<BackendChoice> BackendPool::choose(const BackendNeed& need,
                                                  const std::set<std::string>& excluded,
                                                  TimePoint now) {
+  const bool reports_flow = most_engines_report(need, now);
   std::optional<BackendChoice> best;
   double best_cost = 0;
   std::uniform_real_distribution<double> tie_break(0, kTieBreakMs);
@@ -249,6 +262,9 @@
     if (!may_take(backend, need, now) || excluded.contains(id)) continue;
     const double wait_ms = expected_ms(backend, need, now);
     if (!has_credit(backend, need, now)) continue;
+    // Its agent has fallen silent while others' have not: the machine may stand still, and would
+    // run what it is sent now whenever it wakes.
+    if (reports_flow && !fresh(backend, now)) continue;
     double cost = wait_ms + tie_break(random_);
     if (backend.record.zone != options_.zone) cost += options_.other_zone_ms;
     if (need.preferred_version != 0 && backend.record.weight_version != need.preferred_version) {
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -123,6 +123,8 @@
   bool may_take(const Backend& backend, const BackendNeed& need, TimePoint now) const;
   /// Whether this gateway may send there now: agents share out what room their engines have.
   bool has_credit(const Backend& backend, const BackendNeed& need, TimePoint now) const;
+  /// Whether a silent agent is an exception among the engines of the service.
+  bool most_engines_report(const BackendNeed& need, TimePoint now) const;
   double expected_ms(Backend& backend, const BackendNeed& need, TimePoint now) const;
   double engine_wait_ms(Backend& backend, const EngineProfile& engine, const BackendNeed& need,
                         TimePoint now) const;
