--- a/src/fleet/feeds.h
+++ b/src/fleet/feeds.h
@@ -25,6 +25,8 @@
   virtual void on_backend(const BackendRecord& record) = 0;
   virtual void on_backend_gone(const std::string& id, std::uint64_t revision) = 0;
   virtual void on_weights_named(const std::string& model, std::uint64_t version) = 0;
+  /// The list of back ends can be read again, or can't; told before what was read.
+  virtual void on_list_reachable(bool reachable) = 0;
   /// The platform's store answers, or has ceased to.
   virtual void on_store_reachable(bool reachable) = 0;
 };
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -110,6 +110,12 @@
   backend->record.weight_version = report.weight_version;
 }
 
+void BackendPool::on_path_delay(const Address& address, Duration delay) {
+  const auto id = ids_by_address_.find(address);
+  if (id == ids_by_address_.end()) return;
+  if (Backend* backend = find(id->second)) backend->path_delay = delay;
+}
+
 void BackendPool::on_agent_lost(const Address& address) {
   const auto id = ids_by_address_.find(address);
   if (id == ids_by_address_.end()) return;
@@ -264,7 +270,8 @@
     if (!has_credit(backend, need, now)) continue;
     // Its agent has fallen silent while others' have not: the machine may stand still, and would
     // run what it is sent now whenever it wakes.
-    if (reports_flow && !fresh(backend, now)) continue;
+    const bool held_up = backend.path_delay > options_.longest_path_delay;
+    if (reports_flow && (held_up || !fresh(backend, now))) continue;
     double cost = wait_ms + tie_break(random_);
     if (backend.record.zone != options_.zone) cost += options_.other_zone_ms;
     if (need.preferred_version != 0 && backend.record.weight_version != need.preferred_version) {
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -27,9 +27,12 @@
   double other_zone_ms = 35;
   /// Without a report for so long, the load is estimated from this gateway's requests alone.
   Duration report_lifetime = milliseconds(900);
-  /// After the list was unreachable, entries that lapsed come back within so long.
-  Duration lapse_window = seconds(4);
-  Duration lapse_grace = seconds(3);
+  /// What vanishes so soon after the list could be read again may have lapsed meanwhile.
+  Duration lapse_window = milliseconds(1000);
+  /// An entry that lapsed comes back within so long.
+  Duration lapse_grace = milliseconds(2500);
+  /// A back end whose link holds messages up for so long gets nothing new.
+  Duration longest_path_delay = milliseconds(200);
   /// A back end that fails is left alone for so long; doubled with each failure in a row.
   Duration first_pause = milliseconds(250);
   Duration longest_pause = seconds(4);
@@ -77,6 +80,8 @@
   /// Forgets back ends that are gone and idle. Call now and then.
   void sweep(TimePoint now);
   void on_report(const Address& address, const LoadReport& report, TimePoint now);
+  /// A message to the machine of this engine and back takes so long.
+  void on_path_delay(const Address& address, Duration delay);
   void on_agent_lost(const Address& address);
 
   void on_sent(const std::string& id, double prompt_tokens, TimePoint now);
@@ -111,6 +116,7 @@
     std::uint32_t in_flight = 0;
     std::uint32_t failures = 0;  ///< In a row.
     TimePoint avoid_until{};
+    Duration path_delay = Duration::zero();
     bool gone = false;
     TimePoint used_until{};  ///< Of one that is gone.
   };
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -11,8 +11,6 @@
 constexpr Duration kUnansweredLimit = seconds(2);
 /// Gateways that each one tells regularly: news reaches all in a few steps.
 constexpr std::size_t kFanOut = 3;
-/// Subscriptions are repeated every so many ticks.
-constexpr std::uint64_t kSubscriptionTicks = 4;
 constexpr std::size_t kLeavingTold = 32;
 
 PeerId peer_id(const Address& address) { return stable_hash(address.to_string()); }
@@ -74,6 +72,7 @@
   wire::ReportSubscriptionT message;
   message.gateway = own_address_.to_string();
   message.address = own_address_.to_string();
+  message.ping = static_cast<std::uint64_t>(loop_now().time_since_epoch().count());
   links_.send(peer_id(agent), message);
 }
 
@@ -90,14 +89,7 @@
 }
 
 void FleetLinks::tick() {
-  ++tick_count_;
-  if (tick_count_ % kSubscriptionTicks == 0) {
-    for (const auto& [peer, agent] : agents_) subscribe(agent);
-  } else {
-    for (const auto& [peer, agent] : agents_) {
-      if (!links_.connected(peer)) subscribe(agent);
-    }
-  }
+  for (const auto& [peer, agent] : agents_) subscribe(agent);
   for (const PeerId peer : chosen_gateways()) send_digest(peer);
 }
 
@@ -152,6 +144,11 @@
       report.pace = message->pace();
       report.credit = message->credit();
       listener_.on_engine_report(*engine, report);
+      if (message->echo() != 0) {
+        const Duration since_ping =
+            loop_now() - TimePoint(Duration(static_cast<Duration::rep>(message->echo())));
+        listener_.on_path_delay(*engine, since_ping - Duration(message->echo_held_us()));
+      }
       return;
     }
     case wire::Body::GatewayList: {
@@ -176,7 +173,6 @@
     }
     case wire::Body::ConfigurationDocument: {
       const auto* message = frame.body_as_ConfigurationDocument();
-      requested_configuration_ = 0;
       listener_.on_other_configuration(message->version(), message->document()->str());
       return;
     }
--- a/src/gateway/fleet_links.h
+++ b/src/gateway/fleet_links.h
@@ -29,6 +29,8 @@
  public:
   virtual ~FleetLinksListener() = default;
   virtual void on_engine_report(const Address& engine, const LoadReport& report) = 0;
+  /// A message to the agent beside the engine and back took so long.
+  virtual void on_path_delay(const Address& engine, Duration delay) = 0;
   virtual void on_engine_agent_lost(const Address& engine) = 0;
   virtual void on_other_knowledge(const GatewayKnowledge& knowledge) = 0;
   virtual void on_other_configuration(std::uint64_t version, const std::string& document) = 0;
@@ -65,8 +67,6 @@
   std::map<PeerId, Address> agents_;
   std::map<PeerId, Address> engine_of_agent_;
   std::map<PeerId, Address> gateways_;
-  std::uint64_t requested_configuration_ = 0;
-  std::uint64_t tick_count_ = 0;
   Timer timer_;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t kLinesPerSecond = 20;
 /// After a stop was asked for, new connections still come for so long.
 constexpr Duration kStopReadyLag = milliseconds(2500);
+/// Requests that come later are refused as not run: they might not end within the grace.
+constexpr Duration kStopAcceptLimit = milliseconds(3000);
 /// Before the grace ends, what is left is ended here, so that the process ends by itself.
 constexpr Duration kStopMargin = milliseconds(300);
 /// A caller that does not read is ended beyond this.
@@ -95,9 +97,10 @@
 void GatewayDaemon::check_stopped(TimePoint now) {
   if (state_ != "STOPPING") return;
   const Duration since = now - stop_requested_;
-  const bool nothing_left = forwarder_.active() == 0 && callers_.empty();
+  const bool nothing_left = forwarder_.active() == 0;
+  if (since >= kStopAcceptLimit) forwarder_.set_stopping();
   const bool grace_over = since >= settings_.stop_grace - kStopMargin;
-  if (!grace_over && (since < kStopReadyLag || !nothing_left)) return;
+  if (!grace_over && (since < kStopAcceptLimit || !nothing_left)) return;
   step("finished");
   LOG(INFO) << "gateway event=end active=" << forwarder_.active()
             << " connections=" << callers_.size();
@@ -354,10 +357,17 @@
   links_.tell_others();
 }
 
+void GatewayDaemon::on_list_reachable(bool reachable) {
+  pool_.on_list_reachable(reachable, loop_now());
+}
+
+void GatewayDaemon::on_path_delay(const Address& engine, Duration delay) {
+  pool_.on_path_delay(engine, delay);
+}
+
 void GatewayDaemon::on_store_reachable(bool reachable) {
   if (reachable == store_reachable_) return;
   store_reachable_ = reachable;
-  pool_.on_list_reachable(reachable, loop_now());
   log_line("store", std::string("store state=") + (reachable ? "LOST->REACHABLE"
                                                              : "REACHABLE->LOST"));
 }
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -69,9 +69,11 @@
   void on_backend(const BackendRecord& record) override;
   void on_backend_gone(const std::string& id, std::uint64_t revision) override;
   void on_weights_named(const std::string& model, std::uint64_t version) override;
+  void on_list_reachable(bool reachable) override;
   void on_store_reachable(bool reachable) override;
   // FleetLinksListener
   void on_engine_report(const Address& engine, const LoadReport& report) override;
+  void on_path_delay(const Address& engine, Duration delay) override;
   void on_engine_agent_lost(const Address& engine) override;
   void on_other_knowledge(const GatewayKnowledge& knowledge) override;
   void on_other_configuration(std::uint64_t version, const std::string& document) override;
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -148,7 +148,7 @@
 
 void HostDaemon::on_subscription(PeerId peer, const wire::ReportSubscription& subscription) {
   const bool is_new = !subscribers_.contains(peer);
-  subscribers_[peer] = {loop_now(), subscription.address()->str()};
+  subscribers_[peer] = {loop_now(), subscription.address()->str(), subscription.ping()};
   if (!is_new) return;
   for (const auto& [subscriber, details] : subscribers_) send_gateway_list(subscriber);
   send_report(true);
@@ -200,8 +200,11 @@
     return now - entry.second.renewed > kSubscriptionLifetime;
   });
   const std::map<PeerId, std::uint32_t> credits = deal_credits(report);
-  for (const auto& [peer, subscriber] : subscribers_) {
+  for (auto& [peer, subscriber] : subscribers_) {
     message.credit = credits.at(peer);
+    message.echo = subscriber.ping;
+    message.echo_held_us = static_cast<std::uint32_t>((now - subscriber.renewed).count());
+    subscriber.ping = 0;
     links_.send(peer, message);
   }
 }
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -40,6 +40,7 @@
   struct Subscriber {
     TimePoint renewed{};
     std::string address;
+    std::uint64_t ping = 0;  ///< Its last one that was not sent back yet; or 0.
   };
   /// New requests that each gateway may send until the next report.
   std::map<PeerId, std::uint32_t> deal_credits(const LoadReport& report);
--- /dev/null
+++ b/src/host/link_gauge.h
@@ -0,0 +1,42 @@
+/// How much may be under way on a link at once, from how long exchanges on it take.
+///
+/// A decision core: no I/O. Weights share their link with the engine's requests and streams.
+/// A link that has become narrow shows by slow exchanges; then less is put on it, so that what
+/// shares it is not held up behind weights.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "common/time.h"
+
+namespace pumicemast {
+
+class LinkGauge {
+ public:
+  /// @param widest  exchanges at once on a link that is well.
+  explicit LinkGauge(std::uint32_t widest) : widest_(widest) {}
+
+  /// One exchange took so long.
+  void on_exchange(Duration took) {
+    smoothed_ = measured_ ? smoothed_ + (took - smoothed_) / kSmoothing : took;
+    measured_ = true;
+  }
+  /// How many exchanges may be open.
+  std::uint32_t window() const {
+    if (!measured_ || smoothed_ < kUnhurried) return widest_;
+    if (smoothed_ < kSlow) return std::max(1U, widest_ / 2);
+    return 1;
+  }
+
+ private:
+  static constexpr int kSmoothing = 4;
+  static constexpr Duration kUnhurried = milliseconds(350);
+  static constexpr Duration kSlow = milliseconds(600);
+
+  std::uint32_t widest_;
+  Duration smoothed_ = Duration::zero();
+  bool measured_ = false;
+};
+
+}  // namespace pumicemast
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -23,8 +23,10 @@
 /// What is asked for at once would otherwise stand before the engine's requests on the link.
 constexpr std::uint32_t kChunkWindow = 4;
 constexpr std::uint32_t kOriginWindow = 1;
-/// The pacer sends one after the other.
-constexpr std::uint32_t kUploadSlots = 1;
+/// Chunks that may be on their way to others at once.
+constexpr std::uint32_t kUploadSlots = 4;
+/// A chunk that was not acknowledged for so long no longer holds its slot.
+constexpr Duration kUploadPatience = milliseconds(1500);
 constexpr Duration kOriginProbeInterval = milliseconds(500);
 constexpr Duration kSourcePause = milliseconds(200);
 constexpr std::size_t kHashBytes = sizeof(Sha256);
@@ -47,8 +49,9 @@
       self_(peer_id(settings.internal_address)),
       state_(chart.initial()),
       named_at_(loop_now()),
-      uplink_(settings.uplink_bytes_per_second, links, metrics,
-              [this](const std::string& upload_key) { on_upload_done(upload_key); }) {}
+      uplink_(settings.uplink_bytes_per_second, links, metrics, [](const std::string&) {}),
+      upload_gauge_(kUploadSlots),
+      download_gauge_(kChunkWindow) {}
 
 void ModelStager::step(const char* event) {
   const std::string next = chart_.next(state_, event);
@@ -74,6 +77,8 @@
   manifest_.reset();
   swarm_.reset();
   early_joins_.clear();
+  uploads_.clear();
+  requested_.clear();
   turn_.reset();
   writing_ = false;
   reading_from_engine_ = false;
@@ -293,8 +298,10 @@
   if (!manifest_) seek_manifest();
   if (swarm_) {
     SwarmActions actions;
+    swarm_->set_limits(download_gauge_.window(), upload_gauge_.window());
     swarm_->on_tick(loop_now(), actions);
     carry_out(actions);
+    expire_uploads(loop_now());
   }
   const TimePoint now = loop_now();
   // The engine may hold chunks; but others may need what this agent would fetch.
@@ -329,6 +336,7 @@
   message.digest = key();
   message.chunk = action.chunk;
   message.progress = action.progress;
+  requested_[action.chunk] = loop_now();
   links_.send(action.peer, message);
 }
 
@@ -361,19 +369,36 @@
 
 void ModelStager::act(const SendChunk& action) {
   if (action.chunk >= chunks_.size() || !chunks_[action.chunk]) {
-    on_upload_done(key());
+    free_upload_slot();
     return;
   }
+  uploads_[{action.peer, action.chunk}] = loop_now();
   uplink_.push({key(), action.peer, action.chunk, chunks_[action.chunk], 0});
 }
 
-void ModelStager::on_upload_done(const std::string& upload_key) {
-  if (!swarm_ || upload_key != key()) return;
+void ModelStager::free_upload_slot() {
+  if (!swarm_) return;
   SwarmActions actions;
   swarm_->on_sent(loop_now(), actions);
   carry_out(actions);
 }
 
+void ModelStager::on_upload_ended(PeerId peer, ChunkIndex chunk) {
+  const auto upload = uploads_.find({peer, chunk});
+  if (upload == uploads_.end()) return;
+  upload_gauge_.on_exchange(loop_now() - upload->second);
+  uploads_.erase(upload);
+  free_upload_slot();
+}
+
+void ModelStager::expire_uploads(TimePoint now) {
+  std::vector<std::pair<PeerId, ChunkIndex>> expired;
+  for (const auto& [upload, since] : uploads_) {
+    if (now - since > kUploadPatience) expired.push_back(upload);
+  }
+  for (const auto& [peer, chunk] : expired) on_upload_ended(peer, chunk);
+}
+
 void ModelStager::act(const RefuseChunk& action) {
   wire::ChunkRefusedT message;
   message.digest = key();
@@ -428,6 +453,11 @@
 void ModelStager::on_peer_lost(PeerId peer) {
   uplink_.on_peer_lost(peer);
   if (!swarm_) return;
+  std::vector<ChunkIndex> lost;
+  for (const auto& [upload, since] : uploads_) {
+    if (upload.first == peer) lost.push_back(upload.second);
+  }
+  for (const ChunkIndex chunk : lost) on_upload_ended(peer, chunk);
   SwarmActions actions;
   swarm_->on_peer_lost(peer, loop_now(), actions);
   carry_out(actions);
@@ -482,11 +512,25 @@
     case wire::Body::ChunkData: {
       const auto* message = frame.body_as_ChunkData();
       if (!is_own_key(message->digest()) || message->bytes() == nullptr) return;
+      wire::ChunkReceivedT received;
+      received.digest = key();
+      received.chunk = message->chunk();
+      links_.send(peer, received);
+      const auto requested = requested_.find(message->chunk());
+      if (requested != requested_.end()) {
+        download_gauge_.on_exchange(now - requested->second);
+        requested_.erase(requested);
+      }
       take_in(peer, message->chunk(),
               std::string(reinterpret_cast<const char*>(message->bytes()->data()),
                           message->bytes()->size()));
       return;
     }
+    case wire::Body::ChunkReceived: {
+      const auto* message = frame.body_as_ChunkReceived();
+      if (is_own_key(message->digest())) on_upload_ended(peer, message->chunk());
+      return;
+    }
     case wire::Body::ChunksHave: {
       const auto* message = frame.body_as_ChunksHave();
       if (!swarm_ || !is_own_key(message->digest()) || message->chunks() == nullptr) return;
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -18,6 +18,7 @@
 #include "common/state_chart.h"
 #include "host/engine_control.h"
 #include "host/host_settings.h"
+#include "host/link_gauge.h"
 #include "swarm/swarm.h"
 #include "transfer/uplink_pacer.h"
 #include "transport/peer_links.h"
@@ -89,7 +90,9 @@
   void act(const JoinPeer& action);
   void act(const SwarmComplete& action);
   void act(const PeerAvoided& action);
-  void on_upload_done(const std::string& upload_key);
+  void on_upload_ended(PeerId peer, ChunkIndex chunk);
+  void expire_uploads(TimePoint now);
+  void free_upload_slot();
   void take_in(std::optional<PeerId> source, ChunkIndex chunk, std::string bytes);
   void on_join(PeerId peer, const wire::SwarmJoin& join);
   void send_join(PeerId peer, bool reply);
@@ -127,6 +130,12 @@
   std::unique_ptr<Swarm> swarm_;
   std::map<PeerId, std::vector<std::uint8_t>> early_joins_;
   UplinkPacer uplink_;
+  LinkGauge upload_gauge_;
+  LinkGauge download_gauge_;
+  /// Chunks on their way to others, and since when.
+  std::map<std::pair<PeerId, ChunkIndex>, TimePoint> uploads_;
+  /// Chunks asked for, and since when.
+  std::map<ChunkIndex, TimePoint> requested_;
   TimePoint next_manifest_ask_{};
   TimePoint manifest_asked_since_{};
   bool origin_asked_ = false;
