--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -110,10 +110,20 @@
   backend->record.weight_version = report.weight_version;
 }
 
-void BackendPool::on_path_delay(const Address& address, Duration delay) {
+void BackendPool::on_path_delay(const Address& address, Duration delay, TimePoint now) {
   const auto id = ids_by_address_.find(address);
   if (id == ids_by_address_.end()) return;
-  if (Backend* backend = find(id->second)) backend->path_delay = delay;
+  Backend* backend = find(id->second);
+  if (backend == nullptr) return;
+  backend->path_delay = delay;
+  backend->path_measured_at = now;
+}
+
+bool BackendPool::held_up(const Backend& backend, TimePoint now) const {
+  if (backend.path_measured_at == TimePoint{}) return false;
+  return backend.path_delay > options_.longest_path_delay ||
+         now - backend.path_measured_at >
+             options_.path_measurement_interval + options_.longest_path_delay;
 }
 
 void BackendPool::on_agent_lost(const Address& address) {
@@ -270,8 +280,7 @@
     if (!has_credit(backend, need, now)) continue;
     // Its agent has fallen silent while others' have not: the machine may stand still, and would
     // run what it is sent now whenever it wakes.
-    const bool held_up = backend.path_delay > options_.longest_path_delay;
-    if (reports_flow && (held_up || !fresh(backend, now))) continue;
+    if (reports_flow && (held_up(backend, now) || !fresh(backend, now))) continue;
     double cost = wait_ms + tie_break(random_);
     if (backend.record.zone != options_.zone) cost += options_.other_zone_ms;
     if (need.preferred_version != 0 && backend.record.weight_version != need.preferred_version) {
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -33,6 +33,8 @@
   Duration lapse_grace = milliseconds(2500);
   /// A back end whose link holds messages up for so long gets nothing new.
   Duration longest_path_delay = milliseconds(200);
+  /// The path is measured at least this often; a measurement that fails to come is a delay.
+  Duration path_measurement_interval = milliseconds(1000);
   /// A back end that fails is left alone for so long; doubled with each failure in a row.
   Duration first_pause = milliseconds(250);
   Duration longest_pause = seconds(4);
@@ -81,7 +83,7 @@
   void sweep(TimePoint now);
   void on_report(const Address& address, const LoadReport& report, TimePoint now);
   /// A message to the machine of this engine and back takes so long.
-  void on_path_delay(const Address& address, Duration delay);
+  void on_path_delay(const Address& address, Duration delay, TimePoint now);
   void on_agent_lost(const Address& address);
 
   void on_sent(const std::string& id, double prompt_tokens, TimePoint now);
@@ -117,6 +119,7 @@
     std::uint32_t failures = 0;  ///< In a row.
     TimePoint avoid_until{};
     Duration path_delay = Duration::zero();
+    TimePoint path_measured_at{};
     bool gone = false;
     TimePoint used_until{};  ///< Of one that is gone.
   };
@@ -126,6 +129,7 @@
   bool has_left(const BackendRecord& record) const;
   bool usable(const Backend& backend, TimePoint now) const;
   bool fresh(const Backend& backend, TimePoint now) const;
+  bool held_up(const Backend& backend, TimePoint now) const;
   bool may_take(const Backend& backend, const BackendNeed& need, TimePoint now) const;
   /// Whether this gateway may send there now: agents share out what room their engines have.
   bool has_credit(const Backend& backend, const BackendNeed& need, TimePoint now) const;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -362,7 +362,7 @@
 }
 
 void GatewayDaemon::on_path_delay(const Address& engine, Duration delay) {
-  pool_.on_path_delay(engine, delay);
+  pool_.on_path_delay(engine, delay, loop_now());
 }
 
 void GatewayDaemon::on_store_reachable(bool reachable) {
--- a/src/host/link_gauge.h
+++ b/src/host/link_gauge.h
@@ -23,10 +23,13 @@
     measured_ = true;
   }
   /// How many exchanges may be open.
-  std::uint32_t window() const {
-    if (!measured_ || smoothed_ < kUnhurried) return widest_;
-    if (smoothed_ < kSlow) return std::max(1U, widest_ / 2);
-    return 1;
+  /// @param oldest  how long the oldest open one has been under way; zero when there is none.
+  std::uint32_t window(Duration oldest) const {
+    const Duration seen = std::max(smoothed_, oldest);
+    if (seen >= kSlow) return 1;
+    // Before anything was measured the link may be narrow already.
+    if (!measured_ || seen >= kUnhurried) return std::max(1U, widest_ / 2);
+    return widest_;
   }
 
  private:
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -31,6 +31,14 @@
 constexpr Duration kSourcePause = milliseconds(200);
 constexpr std::size_t kHashBytes = sizeof(Sha256);
 
+/// Age of the oldest entry; zero when there is none.
+template <class Key>
+Duration oldest_age(const std::map<Key, TimePoint>& begun, TimePoint now) {
+  Duration oldest = Duration::zero();
+  for (const auto& [key, since] : begun) oldest = std::max(oldest, now - since);
+  return oldest;
+}
+
 PeerId peer_id(const Address& address) { return stable_hash(address.to_string()); }
 
 }  // namespace
@@ -237,7 +245,8 @@
   options.source_pause = kSourcePause;
   options.announce_interval = kAnnounceInterval;
   options.initial_request_timeout = seconds(2);
-  options.minimum_request_timeout = milliseconds(600);
+  // On a narrowed link what was asked for again elsewhere would come twice.
+  options.minimum_request_timeout = milliseconds(1500);
   options.maximum_request_timeout = seconds(4);
   options.origin_timeout = seconds(3);
   options.takeover_interval = milliseconds(700);
@@ -298,7 +307,9 @@
   if (!manifest_) seek_manifest();
   if (swarm_) {
     SwarmActions actions;
-    swarm_->set_limits(download_gauge_.window(), upload_gauge_.window());
+    const TimePoint tick = loop_now();
+    swarm_->set_limits(download_gauge_.window(oldest_age(requested_, tick)),
+                       upload_gauge_.window(oldest_age(uploads_, tick)));
     swarm_->on_tick(loop_now(), actions);
     carry_out(actions);
     expire_uploads(loop_now());
@@ -372,7 +383,11 @@
     free_upload_slot();
     return;
   }
-  uploads_[{action.peer, action.chunk}] = loop_now();
+  if (!uploads_.emplace(std::pair{action.peer, action.chunk}, loop_now()).second) {
+    // Asked for again while on its way: one slot is enough.
+    free_upload_slot();
+    return;
+  }
   uplink_.push({key(), action.peer, action.chunk, chunks_[action.chunk], 0});
 }
 
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -19,9 +19,14 @@
 }
 
 void ClientConnection::abandon() {
-  observer_ = nullptr;
   reusable_ = false;
-  stream_.close();
+  if (observer_ == nullptr) {
+    stream_.close();
+    return;
+  }
+  // A reset also takes back what a machine that stands still has not read yet.
+  observer_ = nullptr;
+  stream_.reset();
 }
 
 void ClientConnection::on_stream_data(std::string_view bytes) {
