Reload settings at SIGHUP or a change of the file; let waiting requests begin before an order

Cause: SIGHUP ended a process; requests that had reached an engine just before its order began on the old version if the machine then stood still.

--- a/src/common/daemon_main.h
+++ b/src/common/daemon_main.h
@@ -7,8 +7,11 @@
 #include "common/error.h"
 #include "common/event_loop.h"
 #include "common/log.h"
+#include "common/settings_reloader.h"
 #include "common/state_chart.h"
 
+#include <getopt.h>
+
 namespace pumicemast {
 
 /// Reads the command line, settings and charts, refuses them with all findings, and runs the
@@ -37,6 +40,21 @@
       [&]() -> leaf::result<int> {
         BOOST_LEAF_CHECK(daemon.start());
         loop.on_terminate([&] { daemon.terminate(); });
+        std::unique_ptr<SettingsReloader> reloader;
+        if constexpr (requires { daemon.reload(DaemonSettings()); }) {
+          reloader = std::make_unique<SettingsReloader>(start.settings->path(), loop, [&] {
+            Findings found;
+            // The same command line: overrides hold for the changed file as well.
+            optind = 1;
+            const DaemonStart again = start_daemon(argc, argv, usage, found);
+            if (again.should_exit()) return;
+            DaemonSettings changed = DaemonSettings::read(*again.settings);
+            for (const Finding& finding : found.all()) {
+              LOG(ERROR) << "reload state=REFUSED finding=\"" << finding.to_string() << "\"";
+            }
+            if (found.empty()) daemon.reload(changed);
+          });
+        }
         loop.run();
         return kExitOk;
       },
--- a/src/common/event_loop.cpp
+++ b/src/common/event_loop.cpp
@@ -29,6 +29,16 @@
   return G_SOURCE_CONTINUE;
 }
 
+void EventLoop::on_hangup(std::function<void()> on_hangup) {
+  on_hangup_ = std::move(on_hangup);
+  g_unix_signal_add(SIGHUP, &EventLoop::handle_hangup, this);
+}
+
+gboolean EventLoop::handle_hangup(gpointer self) {
+  static_cast<EventLoop*>(self)->on_hangup_();
+  return G_SOURCE_CONTINUE;
+}
+
 void EventLoop::run() { g_main_loop_run(loop_); }
 
 void EventLoop::quit() { g_main_loop_quit(loop_); }
--- a/src/common/event_loop.h
+++ b/src/common/event_loop.h
@@ -22,14 +22,18 @@
 
   /// Calls `on_terminate` once at SIGTERM or SIGINT; a second signal quits at once.
   void on_terminate(std::function<void()> on_terminate);
+  /// Calls `on_hangup` at each SIGHUP, which otherwise ends a process.
+  void on_hangup(std::function<void()> on_hangup);
   void run();
   void quit();
 
  private:
   static gboolean handle_signal(gpointer self);
+  static gboolean handle_hangup(gpointer self);
 
   GMainLoop* loop_;
   std::function<void()> on_terminate_;
+  std::function<void()> on_hangup_;
   bool terminating_ = false;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -94,6 +94,21 @@
   for (const auto& [key, connection] : callers_) connection->set_closing();
 }
 
+void GatewayDaemon::reload(const GatewaySettings& settings) {
+  const bool needs_restart = settings.callers_listen != settings_.callers_listen ||
+                             settings.ready_listen != settings_.ready_listen ||
+                             settings.internal_address != settings_.internal_address ||
+                             settings.name != settings_.name || settings.zone != settings_.zone;
+  settings_.decision_log = settings.decision_log;
+  settings_.stop_grace = settings.stop_grace;
+  settings_.changeover = settings.changeover;
+  targets_.set_changeover(settings.changeover);
+  LOG(INFO) << "gateway event=reload decision_log=" << settings_.decision_log
+            << " stop_grace_ms=" << to_milliseconds(settings_.stop_grace)
+            << " changeover_ms=" << to_milliseconds(settings_.changeover)
+            << " needs_restart=" << (needs_restart ? "yes" : "no");
+}
+
 void GatewayDaemon::check_stopped(TimePoint now) {
   if (state_ != "STOPPING") return;
   const Duration since = now - stop_requested_;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -37,6 +37,8 @@
   leaf::result<void> start();
   /// A planned stop: nothing in progress is cut off.
   void terminate();
+  /// Takes over what may change while running; addresses and names may not.
+  void reload(const GatewaySettings& settings);
 
  private:
   /// One request in progress, as the shell keeps it.
--- a/src/gateway/weight_targets.h
+++ b/src/gateway/weight_targets.h
@@ -17,6 +17,7 @@
   /// @param changeover  how long after its naming older versions may start requests.
   explicit WeightTargets(Duration changeover) : changeover_(changeover) {}
 
+  void set_changeover(Duration changeover) { changeover_ = changeover; }
   /// `version` of `model` was named. Versions never go back.
   void on_named(const std::string& model, std::uint64_t version, TimePoint now);
   /// The lowest version on which a request for `model` may start now; 0 for any.
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -86,6 +86,19 @@
   loop_.quit();
 }
 
+void HostDaemon::reload(const HostSettings& settings) {
+  const bool needs_restart = settings.internal_address != settings_.internal_address ||
+                             settings.engine != settings_.engine ||
+                             settings.service != settings_.service ||
+                             settings.name != settings_.name;
+  settings_.changeover = settings.changeover;
+  settings_.report_interval = settings.report_interval;
+  poll_timer_.start_repeating(settings_.report_interval, [this] { poll_engine(); });
+  LOG(INFO) << "host event=reload changeover_ms=" << to_milliseconds(settings_.changeover)
+            << " report_interval_ms=" << to_milliseconds(settings_.report_interval)
+            << " needs_restart=" << (needs_restart ? "yes" : "no");
+}
+
 void HostDaemon::log_line(const std::string& kind, const std::string& line) {
   if (log_budget_.admit(kind, loop_now())) LOG(INFO) << line;
 }
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -35,6 +35,8 @@
   /// Fails with ErrorCode::unavailable when an address cannot be bound.
   leaf::result<void> start();
   void terminate();
+  /// Takes over what may change while running; addresses and names may not.
+  void reload(const HostSettings& settings);
 
  private:
   struct Subscriber {
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kManifestPeersAsked = 2;
 /// What was read back longer ago is read again before a start.
 constexpr Duration kCheckLifetime = milliseconds(1500);
+/// From the word to gateways until the order: longer than a request waits to begin.
+constexpr Duration kSettleTime = milliseconds(250);
 /// An order to start that shows no effect for so long is given again.
 constexpr Duration kStartPatience = milliseconds(1500);
 constexpr Duration kAnnounceInterval = milliseconds(15);
@@ -325,9 +327,11 @@
         step("check_expired");
         check_staged(0);
       } else {
-        start();
+        begin_start();
       }
     }
+  } else if (state_ == "STARTING" && !ordered_) {
+    if (now >= order_due_) order_start();
   } else if (state_ == "STARTING" && now - started_at_ > kStartPatience && load_.alive &&
              !load_.busy && load_.weight_version != target_) {
     step("start_failed");
@@ -653,13 +657,20 @@
     options.changeover = settings_.changeover;
     turn_ = start_turn(self_, participants, target_, named_at_, now, options);
   }
-  if (*turn_ <= now) start();
+  if (*turn_ <= now) begin_start();
 }
 
-void ModelStager::start() {
+void ModelStager::begin_start() {
   step("turn_came");
-  started_at_ = loop_now();
   callbacks_.on_before_start();
+  // Gateways stop sending now; what has reached the engine begins before it changes over.
+  order_due_ = loop_now() + (load_.weight_version == 0 ? Duration::zero() : kSettleTime);
+  ordered_ = false;
+}
+
+void ModelStager::order_start() {
+  ordered_ = true;
+  started_at_ = loop_now();
   engine_.start_serving(model_, target_, [this, generation = generation_](StartOutcome outcome) {
     if (generation == generation_) on_start_outcome(outcome);
   });
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -101,7 +101,8 @@
   void check_staged(ChunkIndex chunk);
   void on_checked(ChunkIndex chunk, bool intact);
   void plan_turn();
-  void start();
+  void begin_start();
+  void order_start();
   void on_start_outcome(StartOutcome outcome);
 
   std::string model_;
@@ -142,6 +143,8 @@
   TimePoint manifest_at_{};
   TimePoint checked_at_{};
   std::optional<TimePoint> turn_;
+  TimePoint order_due_{};
+  bool ordered_ = false;  ///< Within STARTING.
   TimePoint started_at_{};
   LoadReport load_;
 };
