--- a/src/common/state_chart.cpp
+++ b/src/common/state_chart.cpp
@@ -50,9 +50,8 @@
                                        {"FOLLOWING", "ACQUIRING", "HOLDING", "RENEWING"},
                                        {"expired", "write_applied", "write_conflict",
                                         "write_unknown", "renew_due", "deadline_passed"}};
-const ChartVocabulary kGatewayVocabulary{"gateway",
-                                         {"STARTING", "SERVING", "STOPPING", "STOPPED"},
-                                         {"configured", "stop", "finished"}};
+const ChartVocabulary kGatewayVocabulary{
+    "gateway", {"STARTING", "SERVING", "STOPPING", "STOPPED"}, {"configured", "stop", "finished"}};
 const ChartVocabulary kStagingVocabulary{
     "staging",
     {"UNKNOWN", "FETCHING", "CHECKING", "READY", "STARTING", "LIVE"},
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -51,11 +51,11 @@
 /// How the engines of a service work; times in milliseconds, as their makers state them.
 struct EngineProfile {
   std::uint32_t slots = 1;
-  double step_ms = 10;           ///< One token for every running request.
-  double step_ms_per_slot = 0;   ///< Added per running request.
-  double context_ms_per_k = 0;   ///< Added per 1,000 tokens of context.
+  double step_ms = 10;          ///< One token for every running request.
+  double step_ms_per_slot = 0;  ///< Added per running request.
+  double context_ms_per_k = 0;  ///< Added per 1,000 tokens of context.
   double prompt_tokens_per_s = 10000;
-  std::uint32_t prompt_chunk = 2048;   ///< Prompt tokens read in one step at most.
+  std::uint32_t prompt_chunk = 2048;  ///< Prompt tokens read in one step at most.
   std::uint32_t steps_per_pass = 1;
   double usual_prompt_tokens = 1000;
   double usual_answer_tokens = 100;
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -16,7 +16,8 @@
 }  // namespace
 
 BackendPool::BackendPool(BackendPoolOptions options)
-    : options_(std::move(options)), random_(static_cast<std::minstd_rand::result_type>(options_.seed)) {}
+    : options_(std::move(options)),
+      random_(static_cast<std::minstd_rand::result_type>(options_.seed)) {}
 
 BackendPool::Backend* BackendPool::find(const std::string& id) {
   const auto found = backends_.find(id);
@@ -233,8 +234,8 @@
   const double pass_ms = step_ms * engine.steps_per_pass;
   // A running request leaves after its tokens and its share of reading others' prompts.
   const double read_ms_per_token = kMillisecondsPerSecond / engine.prompt_tokens_per_s;
-  const double stay_ms = engine.usual_answer_tokens * step_ms +
-                         slots * engine.usual_prompt_tokens * read_ms_per_token;
+  const double stay_ms =
+      engine.usual_answer_tokens * step_ms + slots * engine.usual_prompt_tokens * read_ms_per_token;
   const double beyond = running + waiting + 1 - slots;
   const double slot_wait_ms = beyond <= 0 ? 0 : beyond * stay_ms / slots;
   const double unread = std::max(backend.unread_prompt_tokens, others_unread_tokens);
@@ -248,10 +249,10 @@
   return backend.in_flight * kPlainRequestMs;
 }
 
-bool BackendPool::has_credit(const Backend& backend, const BackendNeed& need,
-                             TimePoint now) const {
+bool BackendPool::has_credit(const Backend& backend, const BackendNeed& need, TimePoint now) const {
   if (!need.service->engine || need.urgent) return true;
-  if (!fresh(backend, now)) return backend.in_flight * options_.gateway_count < backend.record.slots;
+  if (!fresh(backend, now))
+    return backend.in_flight * options_.gateway_count < backend.record.slots;
   return backend.sent.size() < backend.report.credit;
 }
 
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -97,8 +97,8 @@
 
   /// The back end with the lowest predicted wait among those that may take the request.
   /// @param excluded  back ends that this request must not go to.
-  std::optional<BackendChoice> choose(const BackendNeed& need, const std::set<std::string>& excluded,
-                                      TimePoint now);
+  std::optional<BackendChoice> choose(const BackendNeed& need,
+                                      const std::set<std::string>& excluded, TimePoint now);
   bool leaving(const std::string& id) const;
   /// Its agent has said so lately.
   bool known_alive(const std::string& id, TimePoint now) const;
@@ -113,7 +113,7 @@
     LoadReport report;
     TimePoint reported_at{};
     bool has_report = false;
-    std::deque<TimePoint> sent;    ///< Sends that the report can't know of.
+    std::deque<TimePoint> sent;       ///< Sends that the report can't know of.
     double unread_prompt_tokens = 0;  ///< Of own requests without a first token.
     std::uint32_t in_flight = 0;
     std::uint32_t failures = 0;  ///< In a row.
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -25,7 +25,8 @@
              {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
               [this](PeerId peer) {
                 const auto engine = engine_of_agent_.find(peer);
-                if (engine != engine_of_agent_.end()) listener_.on_engine_agent_lost(engine->second);
+                if (engine != engine_of_agent_.end())
+                  listener_.on_engine_agent_lost(engine->second);
               },
               [](PeerId) {}}) {
   links_.set_unanswered_limit(kUnansweredLimit);
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -126,8 +126,7 @@
 // ---- callers ----
 
 void GatewayDaemon::on_accepted(int descriptor) {
-  const RequestLimits limits =
-      routes_ ? routes_->configuration().limits.request : RequestLimits{};
+  const RequestLimits limits = routes_ ? routes_->configuration().limits.request : RequestLimits{};
   auto connection = std::make_unique<CallerConnection>(descriptor, limits, *this);
   if (state_ == "STOPPING") connection->set_closing();
   const CallerConnection* key = connection.get();
@@ -282,8 +281,7 @@
   Exchange* exchange = find(action.request);
   if (exchange == nullptr) return;
   CallerConnection& connection = *exchange->connection;
-  const std::string fields =
-      protocol_->refusal_fields(exchange->request_id, action.retry_after);
+  const std::string fields = protocol_->refusal_fields(exchange->request_id, action.retry_after);
   release(action.request);
   connection.answer(action.status, fields, to_string(action.reason));
 }
@@ -301,9 +299,9 @@
 void GatewayDaemon::apply_configuration(FleetConfiguration configuration,
                                         const std::string& document, const char* source) {
   if (routes_ && configuration.version <= routes_->version()) return;
-  log_line("configuration", "configuration version=" + std::to_string(configuration.version) +
-                                " source=" + source + " routes=" +
-                                std::to_string(configuration.routes.size()) + " state=IN_FORCE");
+  log_line("configuration",
+           "configuration version=" + std::to_string(configuration.version) + " source=" + source +
+               " routes=" + std::to_string(configuration.routes.size()) + " state=IN_FORCE");
   routes_ = std::make_shared<RouteTable>(std::move(configuration));
   document_ = document;
   forwarder_.set_routes(routes_);
@@ -346,8 +344,8 @@
   const bool was_leaving = pool_.leaving(record.id);
   pool_.on_record(record, loop_now());
   if (was_leaving != record.draining) {
-    log_line("backend", "backend id=" + record.id + " service=" + record.service + " address=" +
-                            record.address.to_string() +
+    log_line("backend", "backend id=" + record.id + " service=" + record.service +
+                            " address=" + record.address.to_string() +
                             (record.draining ? " state=DRAINING" : " state=READY"));
     if (record.draining) links_.tell_others();
     update_engines();
@@ -366,8 +364,8 @@
   if (version <= known) return;
   known = version;
   targets_.on_named(model, version, loop_now());
-  log_line("weights", "weights model=" + model + " version=" + std::to_string(version) +
-                          " state=NAMED");
+  log_line("weights",
+           "weights model=" + model + " version=" + std::to_string(version) + " state=NAMED");
   links_.tell_weights_named(model, version);
   links_.tell_others();
 }
@@ -383,8 +381,8 @@
 void GatewayDaemon::on_store_reachable(bool reachable) {
   if (reachable == store_reachable_) return;
   store_reachable_ = reachable;
-  log_line("store", std::string("store state=") + (reachable ? "LOST->REACHABLE"
-                                                             : "REACHABLE->LOST"));
+  log_line("store",
+           std::string("store state=") + (reachable ? "LOST->REACHABLE" : "REACHABLE->LOST"));
 }
 
 void GatewayDaemon::on_engine_report(const Address& engine, const LoadReport& report) {
@@ -481,8 +479,7 @@
   }
   if (path == "/metrics") {
     metrics_.update(forwarder_.counters(), forwarder_.active(), forwarder_.waiting(),
-                    backends_.connections_opened(), pool_.size(),
-                    routes_ ? routes_->version() : 0);
+                    backends_.connections_opened(), pool_.size(), routes_ ? routes_->version() : 0);
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
   return {kStatusNotFound, "text/plain", "not found"};
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -66,8 +66,7 @@
   void on_attempt_failed(RequestNumber number, ExchangeFailure failure) override;
   // FleetListener
   void on_configuration(FleetConfiguration configuration, const std::string& document) override;
-  void on_backend_list(const std::vector<BackendRecord>& records,
-                       std::uint64_t revision) override;
+  void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
   void on_backend(const BackendRecord& record) override;
   void on_backend_gone(const std::string& id, std::uint64_t revision) override;
   void on_weights_named(const std::string& model, std::uint64_t version) override;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -18,10 +18,9 @@
 }  // namespace
 
 void GatewayMetrics::observe(const RequestSummary& summary) {
-  metrics_.count("pumicemast_gateway_requests_total",
-                 {{"kind", kind_name(summary.kind)},
-                  {"outcome", summary.outcome},
-                  {"reason", summary.reason}});
+  metrics_.count("pumicemast_gateway_requests_total", {{"kind", kind_name(summary.kind)},
+                                                       {"outcome", summary.outcome},
+                                                       {"reason", summary.reason}});
   if (summary.first_event > Duration::zero()) {
     metrics_.observe("pumicemast_gateway_first_answer_seconds", {{"tenant", summary.tenant}},
                      summary.first_event);
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -22,8 +22,7 @@
   virtual bool belongs_to(const ResponseHead& head, const std::string& request_id) const = 0;
   virtual ResponseFacts read_response(const ResponseHead& head) const = 0;
   /// Header lines of a refusal.
-  virtual std::string refusal_fields(const std::string& request_id,
-                                     Duration retry_after) const = 0;
+  virtual std::string refusal_fields(const std::string& request_id, Duration retry_after) const = 0;
 };
 
 }  // namespace pumicemast
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -18,16 +18,16 @@
   Address callers_listen;
   Address ready_listen;
   Address metrics_listen;
-  Address internal_address;            ///< Where other processes of the system reach this one.
-  std::vector<Address> seeds;          ///< Internal addresses of some other gateways.
-  Duration stop_grace = seconds(8);    ///< From SIGTERM to the end at the latest.
+  Address internal_address;          ///< Where other processes of the system reach this one.
+  std::vector<Address> seeds;        ///< Internal addresses of some other gateways.
+  Duration stop_grace = seconds(8);  ///< From SIGTERM to the end at the latest.
   /// Requests may be sent to older weights for so long after a naming; short of what operators
   /// allow by the time that a request may wait at its back end.
   Duration changeover = seconds(7);
   double retry_ratio = 0.2;
-  double retry_extra = 100;            ///< Of all gateways together.
-  std::uint32_t gateway_count = 12;    ///< Gateways that share `retry_extra`, at most.
-  std::string decision_log;            ///< "none", "failures" or "all".
+  double retry_extra = 100;          ///< Of all gateways together.
+  std::uint32_t gateway_count = 12;  ///< Gateways that share `retry_extra`, at most.
+  std::string decision_log;          ///< "none", "failures" or "all".
 
   /// Reads and checks everything; faults go to the settings' findings.
   static GatewaySettings read(Settings& settings);
--- a/src/gateway/request_forwarder.cpp
+++ b/src/gateway/request_forwarder.cpp
@@ -205,9 +205,8 @@
   action.address = choice.address;
   action.maximum_connections = session.service->maximum_connections;
   action.time_left = session.deadline - now;
-  action.expected_version = targets_.lowest_allowed(session.request.model, now) > 0
-                                ? choice.weight_version
-                                : 0;
+  action.expected_version =
+      targets_.lowest_allowed(session.request.model, now) > 0 ? choice.weight_version : 0;
   if (session.answer_begun) action.resume_after = session.splitter.last_id().value_or("");
   action.tenant = session.tenant;
   action.attempt_repeatable = repeatable(session);
@@ -264,6 +263,8 @@
     return;
   }
   session.last_progress = now;
+  // The answer to a resumption that is no stream is no part of the one that was begun.
+  if (session.stream_begun) return;
   if (session.answer_begun) {
     actions.emplace_back(AnswerBytes{number, std::string(bytes)});
     return;
@@ -278,12 +279,13 @@
 
 void RequestForwarder::relay_events(RequestNumber number, Session& session, std::string_view bytes,
                                     TimePoint now, ForwarderActions& actions) {
-  std::string ready = session.route->resumable ? session.splitter.take_whole_events(bytes)
-                                               : std::string(bytes);
+  std::string ready =
+      session.route->resumable ? session.splitter.take_whole_events(bytes) : std::string(bytes);
   if (ready.empty()) return;
   note_progress(session, now);
   if (!session.answer_begun) {
     session.answer_begun = true;
+    session.stream_begun = true;
     session.answer_version = session.last_version;
     actions.emplace_back(BeginAnswer{number, std::nullopt});
   }
@@ -308,8 +310,8 @@
     retry_or_give_up(number, session, now, actions);
     return;
   }
-  if (!session.facts.success && repeatable(session) &&
-      session.facts.status >= kFirstServerError && !session.answer_begun) {
+  if (!session.facts.success && repeatable(session) && session.facts.status >= kFirstServerError &&
+      !session.answer_begun) {
     // Another back end may do better; if none may be tried, this answer is passed on.
     session.may_have_run = true;
     pool_.on_failure(backend, now);
@@ -319,7 +321,7 @@
       return;
     }
   }
-  if (session.answer_begun && !session.events && session.facts.status >= kFirstServerError) {
+  if (session.stream_begun && !session.events) {
     // A resumption that failed: its answer is not part of the stream.
     session.may_have_run = true;
     leave_backend(session);
@@ -415,10 +417,9 @@
 
 void RequestForwarder::resume_or_abort(RequestNumber number, Session& session, TimePoint now,
                                        ForwarderActions& actions) {
-  const bool resumable = session.events && session.route->resumable &&
-                         session.splitter.last_id().has_value() &&
-                         session.sends < session.route->attempts &&
-                         session.deadline - now > kLeastTimeLeft;
+  const bool resumable =
+      session.events && session.route->resumable && session.splitter.last_id().has_value() &&
+      session.sends < session.route->attempts && session.deadline - now > kLeastTimeLeft;
   if (resumable) {
     const auto choice = pool_.choose(need_of(session, now), session.tried, now);
     if (choice && spend_retry(session)) {
@@ -433,8 +434,8 @@
 void RequestForwarder::give_up(RequestNumber number, Session& session, RefusalReason reason,
                                TimePoint now, ForwarderActions& actions) {
   if (session.may_have_run) {
-    const int status = reason == RefusalReason::deadline_passed ? kStatusGatewayTimeout
-                                                                : kStatusBadGateway;
+    const int status =
+        reason == RefusalReason::deadline_passed ? kStatusGatewayTimeout : kStatusBadGateway;
     refuse(number, session, status, reason, {}, now, actions);
     return;
   }
@@ -443,8 +444,7 @@
 
 Duration RequestForwarder::draw_retry_after(const Session& session, TimePoint now) {
   constexpr Duration kLeastUsefulTime = milliseconds(300);
-  const Duration left =
-      session.route == nullptr ? kUnstatedTimeLeft : session.deadline - now;
+  const Duration left = session.route == nullptr ? kUnstatedTimeLeft : session.deadline - now;
   if (left < kLeastUsefulTime) return Duration::zero();
   std::uniform_real_distribution<double> upper_half(0.5, 1.0);
   const Duration longest =
@@ -506,7 +506,7 @@
   const Duration silent = now - session.last_progress;
   const bool stream = session.route->kind == RequestKind::stream;
   const bool healthy = pool_.known_alive(session.backend, now);
-  const Duration limit = !stream ? session.route->goal * 2
+  const Duration limit = !stream   ? session.route->goal * 2
                          : healthy ? options_.healthy_silence
                                    : options_.doubtful_silence;
   if (!stream && session.head_seen) return;
@@ -575,8 +575,7 @@
   summary.configuration = session.routes ? session.routes->version() : 0;
   summary.weight_version = session.last_version;
   summary.expected_ms = session.expected_ms;
-  summary.waited =
-      (session.first_sent == TimePoint{} ? now : session.first_sent) - session.arrived;
+  summary.waited = (session.first_sent == TimePoint{} ? now : session.first_sent) - session.arrived;
   if (session.first_event != TimePoint{}) {
     summary.first_event = session.first_event - session.arrived;
     summary.in_time = session.route != nullptr && summary.first_event <= session.route->goal &&
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -38,7 +38,7 @@
   std::string id;  ///< The caller's own, for logs.
   std::string host;
   std::string target;
-  std::string api_key;  ///< Empty when there is none.
+  std::string api_key;                    ///< Empty when there is none.
   Duration time_left = Duration::zero();  ///< How long the caller waits; zero: it did not say.
   std::string model;
   double prompt_tokens = 0;
@@ -223,7 +223,7 @@
     bool connected = false;
     bool head_seen = false;
     bool first_token_seen = false;
-    bool events = false;  ///< The answer in progress is an event stream.
+    bool events = false;       ///< The answer in progress is an event stream.
     bool keep_answer = false;  ///< A failure of the back end that is passed on when whole.
     ResponseFacts facts;
     std::string buffered;
@@ -234,6 +234,7 @@
     std::uint32_t unsent_failures = 0;
     bool may_have_run = false;
     bool answer_begun = false;
+    bool stream_begun = false;  ///< The answer begun is an event stream.
     std::uint64_t answer_version = 0;
     std::uint64_t last_version = 0;
     std::string tried_order;
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -40,8 +40,9 @@
   /// `alive` is false when the engine did not answer.
   virtual void read_load(std::function<void(const LoadReport&)> callback) = 0;
   /// The chunks that lie in the engine's staging memory, unverified; empty on failure.
-  virtual void list_staged(const std::string& model,
-                           std::function<void(std::optional<std::vector<ChunkIndex>>)> callback) = 0;
+  virtual void list_staged(
+      const std::string& model,
+      std::function<void(std::optional<std::vector<ChunkIndex>>)> callback) = 0;
   virtual void read_staged(const std::string& model, ChunkIndex chunk,
                            std::function<void(std::optional<std::string>)> callback) = 0;
   virtual void write_staged(const std::string& model, ChunkIndex chunk, const std::string& bytes,
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -138,8 +138,8 @@
   std::uint64_t& known = named_[model];
   if (version <= known) return;
   known = version;
-  log_line("named", "weights model=" + model + " version=" + std::to_string(version) +
-                        " state=NAMED");
+  log_line("named",
+           "weights model=" + model + " version=" + std::to_string(version) + " state=NAMED");
   const auto stager = stagers_.find(model);
   if (stager != stagers_.end()) stager->second->on_named(version);
 }
@@ -181,8 +181,8 @@
 
 void HostDaemon::on_load(const LoadReport& report) {
   if (report.alive != load_.alive) {
-    log_line("engine", std::string("engine state=") + (report.alive ? "LOST->ANSWERING"
-                                                                   : "ANSWERING->LOST"));
+    log_line("engine",
+             std::string("engine state=") + (report.alive ? "LOST->ANSWERING" : "ANSWERING->LOST"));
   }
   load_ = report;
   send_report(false);
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -23,7 +23,8 @@
   result.metrics_listen = settings.required_address("listen", "metrics");
   result.engine = settings.required_address("engine", "address");
   result.service = settings.required_string("engine", "service");
-  result.report_interval = settings.milliseconds_or("engine", "report_interval_ms", 120, kDurationMs);
+  result.report_interval =
+      settings.milliseconds_or("engine", "report_interval_ms", 120, kDurationMs);
   constexpr double kBitsPerByte = 8;
   const double megabits = settings.number_or("links", "megabits_per_second", 0, 0, 1e6);
   const double share = settings.number_or("links", "weights_share", 0.85, 0.01, 1);
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -21,7 +21,7 @@
   Address metrics_listen;
   Address engine;
   std::string service;
-  Duration changeover = seconds(8);  ///< Older weights may start requests after a naming.
+  Duration changeover = seconds(8);    ///< Older weights may start requests after a naming.
   double uplink_bytes_per_second = 0;  ///< Share of the link for weights; 0 for no limit.
   Duration report_interval = milliseconds(120);
 
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -19,6 +19,14 @@
 constexpr Duration kCheckLifetime = milliseconds(1500);
 /// From the word to gateways until the order: longer than a request waits to begin.
 constexpr Duration kSettleTime = milliseconds(250);
+/// A version of which this share is here is brought to the engine before a newer one is begun,
+/// unless that takes too long.
+constexpr double kWorthFinishingShare = 0.6;
+constexpr Duration kDeferralLimit = milliseconds(2500);
+/// Turns are then spread over so long.
+constexpr Duration kHurriedTurns = milliseconds(900);
+/// The engine has taken what lies in its staging memory so long after an order.
+constexpr Duration kOrderTaken = milliseconds(150);
 /// An order to start that shows no effect for so long is given again.
 constexpr Duration kStartPatience = milliseconds(1500);
 constexpr Duration kAnnounceInterval = milliseconds(15);
@@ -80,7 +88,48 @@
 // ---- what is wanted ----
 
 void ModelStager::on_named(std::uint64_t version) {
-  if (version <= target_) return;
+  if (version <= target_ || version <= deferred_target_) return;
+  const TimePoint now = loop_now();
+  if (deferred_target_ != 0 || worth_finishing()) {
+    if (deferred_target_ == 0) deferred_at_ = now;
+    deferred_target_ = version;
+    callbacks_.on_line("staging", "staging model=" + model_ +
+                                      " version=" + std::to_string(target_) +
+                                      " event=finish_first next=" + std::to_string(version));
+    hurry_turn(now);
+    return;
+  }
+  change_target(version);
+}
+
+bool ModelStager::worth_finishing() const {
+  if (state_ == "CHECKING" || state_ == "READY") return true;
+  if (state_ == "STARTING") return !ordered_;
+  if (state_ != "FETCHING" || !swarm_) return false;
+  return swarm_->have().count() >= kWorthFinishingShare * static_cast<double>(chunks_.size());
+}
+
+void ModelStager::hurry_turn(TimePoint now) {
+  if (!turn_) return;
+  const Duration left = std::max(Duration::zero(), *turn_ - now);
+  turn_ = now + std::min(left, kHurriedTurns);
+}
+
+void ModelStager::end_deferral(TimePoint now) {
+  if (deferred_target_ == 0) return;
+  const bool begun =
+      (state_ == "STARTING" && ordered_ && now - started_at_ > kOrderTaken) || state_ == "LIVE";
+  if (!begun && now - deferred_at_ < kDeferralLimit) return;
+  const std::uint64_t version = deferred_target_;
+  const TimePoint named_at = deferred_at_;
+  deferred_target_ = 0;
+  change_target(version);
+  named_at_ = named_at;
+}
+
+void ModelStager::change_target(std::uint64_t version) {
+  previous_key_ = key();
+  previous_chunks_ = chunks_;
   target_ = version;
   named_at_ = loop_now();
   ++generation_;
@@ -120,7 +169,8 @@
   std::size_t asked = 0;
   for (const StagingPeer& peer : peers_) {
     const PeerId id = peer_id(peer.address);
-    if (id == self_ || (stable_hash(id, static_cast<std::uint64_t>(now.time_since_epoch().count())) & 1U) != 0) {
+    if (id == self_ ||
+        (stable_hash(id, static_cast<std::uint64_t>(now.time_since_epoch().count())) & 1U) != 0) {
       continue;
     }
     links_.send(id, request);
@@ -145,9 +195,9 @@
   }
   manifest_ = std::move(manifest);
   const auto count = static_cast<ChunkIndex>(manifest_->hashes.size());
-  callbacks_.on_line("manifest", "manifest model=" + model_ + " version=" +
-                                     std::to_string(target_) + " chunks=" + std::to_string(count) +
-                                     " source=" + source);
+  callbacks_.on_line("manifest", "manifest model=" + model_ +
+                                     " version=" + std::to_string(target_) +
+                                     " chunks=" + std::to_string(count) + " source=" + source);
   // Bytes of versions before the last one are of no more use.
   bytes_by_hash_.clear();
   ChunkSet staged(count);
@@ -190,17 +240,17 @@
 void ModelStager::read_staged_chunks() {
   if (reading_from_engine_) return;
   reading_from_engine_ = true;
-  engine_.list_staged(model_, [this, generation = generation_](
-                                  std::optional<std::vector<ChunkIndex>> chunks) {
-    if (generation != generation_) return;
-    if (!chunks) {
-      // The engine does not answer (yet): nothing is known to lie there.
-      reading_from_engine_ = false;
-      begin_swarm();
-      return;
-    }
-    read_next_staged(std::move(*chunks), 0);
-  });
+  engine_.list_staged(
+      model_, [this, generation = generation_](std::optional<std::vector<ChunkIndex>> chunks) {
+        if (generation != generation_) return;
+        if (!chunks) {
+          // The engine does not answer (yet): nothing is known to lie there.
+          reading_from_engine_ = false;
+          begin_swarm();
+          return;
+        }
+        read_next_staged(std::move(*chunks), 0);
+      });
 }
 
 void ModelStager::read_next_staged(std::vector<ChunkIndex> chunks, std::size_t position) {
@@ -259,15 +309,15 @@
   early_joins_.clear();
   for (const auto& [peer, bitmap] : joins) {
     swarm_->on_peer_joined(
-        peer, ChunkSet::from_bytes(static_cast<ChunkIndex>(chunks_.size()), bitmap.data(), bitmap.size()),
+        peer,
+        ChunkSet::from_bytes(static_cast<ChunkIndex>(chunks_.size()), bitmap.data(), bitmap.size()),
         loop_now(), actions);
   }
   carry_out(actions);
-  callbacks_.on_line("transfer", "transfer model=" + model_ + " version=" +
-                                     std::to_string(target_) + " held=" +
-                                     std::to_string(swarm_->have().count()) + " of=" +
-                                     std::to_string(chunks_.size()) +
-                                     " peers=" + std::to_string(peers_.size()));
+  callbacks_.on_line(
+      "transfer", "transfer model=" + model_ + " version=" + std::to_string(target_) +
+                      " held=" + std::to_string(swarm_->have().count()) + " of=" +
+                      std::to_string(chunks_.size()) + " peers=" + std::to_string(peers_.size()));
   apply_membership();
   write_missing();
   if (complete) {
@@ -317,6 +367,7 @@
     expire_uploads(loop_now());
   }
   const TimePoint now = loop_now();
+  end_deferral(now);
   // The engine may hold chunks; but others may need what this agent would fetch.
   const bool engine_silent = !reading_from_engine_ && now - manifest_at_ > kEnginePatience;
   if (manifest_ && !swarm_ && engine_silent) begin_swarm();
@@ -364,20 +415,20 @@
 
 void ModelStager::act(const RequestFromOrigin& action) {
   const ChunkIndex chunk = action.chunk;
-  origin_.fetch_chunk(
-      model_, target_, chunk,
-      [this, generation = generation_, chunk](std::optional<std::string> bytes) {
-        if (generation != generation_ || !swarm_) return;
-        if (bytes) {
-          metrics_.count("pumicemast_host_origin_bytes_total", {}, static_cast<double>(bytes->size()));
-          take_in(std::nullopt, chunk, std::move(*bytes));
-          return;
-        }
-        metrics_.count("pumicemast_host_origin_failures_total");
-        SwarmActions actions;
-        swarm_->on_origin_failed(chunk, milliseconds(300), loop_now(), actions);
-        carry_out(actions);
-      });
+  origin_.fetch_chunk(model_, target_, chunk,
+                      [this, generation = generation_, chunk](std::optional<std::string> bytes) {
+                        if (generation != generation_ || !swarm_) return;
+                        if (bytes) {
+                          metrics_.count("pumicemast_host_origin_bytes_total", {},
+                                         static_cast<double>(bytes->size()));
+                          take_in(std::nullopt, chunk, std::move(*bytes));
+                          return;
+                        }
+                        metrics_.count("pumicemast_host_origin_failures_total");
+                        SwarmActions actions;
+                        swarm_->on_origin_failed(chunk, milliseconds(300), loop_now(), actions);
+                        carry_out(actions);
+                      });
 }
 
 void ModelStager::act(const CancelFromOrigin&) {}
@@ -449,15 +500,16 @@
 }
 
 void ModelStager::act(const PeerAvoided& action) {
-  callbacks_.on_line("peer", "peer id=" + std::to_string(action.peer) +
-                                 " state=AVOIDED reason=corrupt_chunks");
+  callbacks_.on_line(
+      "peer", "peer id=" + std::to_string(action.peer) + " state=AVOIDED reason=corrupt_chunks");
 }
 
 void ModelStager::take_in(std::optional<PeerId> source, ChunkIndex chunk, std::string bytes) {
   if (!swarm_ || chunk >= chunks_.size()) return;
   SwarmActions actions;
   if (sha256(bytes) != manifest_->hashes[chunk]) {
-    metrics_.count("pumicemast_host_corrupt_chunks_total", {{"source", source ? "peer" : "origin"}});
+    metrics_.count("pumicemast_host_corrupt_chunks_total",
+                   {{"source", source ? "peer" : "origin"}});
     swarm_->on_chunk(source, chunk, ChunkArrival::corrupt, loop_now(), actions);
     carry_out(actions);
     return;
@@ -491,7 +543,8 @@
   }
   SwarmActions actions;
   swarm_->on_peer_joined(
-      peer, ChunkSet::from_bytes(static_cast<ChunkIndex>(chunks_.size()), bitmap.data(), bitmap.size()),
+      peer,
+      ChunkSet::from_bytes(static_cast<ChunkIndex>(chunks_.size()), bitmap.data(), bitmap.size()),
       loop_now(), actions);
   if (!join.reply()) send_join(peer, true);
   carry_out(actions);
@@ -511,7 +564,10 @@
     case wire::Body::ManifestDocument: {
       const auto* message = frame.body_as_ManifestDocument();
       if (message->model()->string_view() != model_ || message->hashes() == nullptr) return;
-      if (message->version() > target_ && target_ != 0) on_named(message->version());
+      if (message->version() > target_ && target_ != 0) {
+        on_named(message->version());
+        if (message->version() > target_) return;  // Put off; it is asked for when begun.
+      }
       WeightManifest manifest;
       manifest.model = model_;
       manifest.version = message->version();
@@ -526,7 +582,8 @@
       return;
     }
     case wire::Body::SwarmJoin:
-      if (is_own_key(frame.body_as_SwarmJoin()->digest())) on_join(peer, *frame.body_as_SwarmJoin());
+      if (is_own_key(frame.body_as_SwarmJoin()->digest()))
+        on_join(peer, *frame.body_as_SwarmJoin());
       return;
     case wire::Body::ChunkData: {
       const auto* message = frame.body_as_ChunkData();
@@ -559,6 +616,10 @@
     }
     case wire::Body::ChunkRequest: {
       const auto* message = frame.body_as_ChunkRequest();
+      if (message->digest()->string_view() == previous_key_ && !is_own_key(message->digest())) {
+        serve_previous(peer, *message);
+        return;
+      }
       if (!swarm_ || !is_own_key(message->digest())) {
         wire::ChunkRefusedT refusal;
         refusal.digest = message->digest()->str();
@@ -586,6 +647,18 @@
   carry_out(actions);
 }
 
+void ModelStager::serve_previous(PeerId peer, const wire::ChunkRequest& request) {
+  const ChunkIndex chunk = request.chunk();
+  if (chunk < previous_chunks_.size() && previous_chunks_[chunk]) {
+    uplink_.push({previous_key_, peer, chunk, previous_chunks_[chunk], 0});
+    return;
+  }
+  wire::ChunkRefusedT refusal;
+  refusal.digest = previous_key_;
+  refusal.chunk = chunk;
+  links_.send(peer, refusal);
+}
+
 // ---- the engine ----
 
 void ModelStager::write_missing() {
@@ -656,6 +729,7 @@
     StartTurnOptions options;
     options.changeover = settings_.changeover;
     turn_ = start_turn(self_, participants, target_, named_at_, now, options);
+    if (deferred_target_ != 0) hurry_turn(now);
   }
   if (*turn_ <= now) begin_start();
 }
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -46,7 +46,8 @@
               EngineControl& engine, WeightOrigin& origin, PeerLinks& links, Metrics& metrics,
               Callbacks callbacks);
 
-  /// `version` was named; older ones are no longer brought here.
+  /// `version` was named. One on its way that is nearly here is brought to the engine first:
+  /// its own bound would pass before the newer one can serve.
   void on_named(std::uint64_t version);
   void set_peers(const std::set<StagingPeer>& peers);
   void on_load(const LoadReport& report);
@@ -69,6 +70,11 @@
   std::string key() const;
   bool is_own_key(const flatbuffers::String* text) const;
 
+  bool worth_finishing() const;
+  void hurry_turn(TimePoint now);
+  void change_target(std::uint64_t version);
+  void end_deferral(TimePoint now);
+  void serve_previous(PeerId peer, const wire::ChunkRequest& request);
   void seek_manifest();
   bool draws_manifest_first() const;
   void take_manifest(WeightManifest manifest, const char* source);
@@ -115,12 +121,16 @@
   Callbacks callbacks_;
   PeerId self_;
   std::string state_;
-  std::uint64_t target_ = 0;  ///< 0: whichever the origin has as its newest.
+  std::uint64_t target_ = 0;           ///< 0: whichever the origin has as its newest.
+  std::uint64_t deferred_target_ = 0;  ///< Named, but not begun yet; 0 for none.
+  TimePoint deferred_at_{};
+  std::string previous_key_;  ///< Of the target before; others may still want its chunks.
+  std::vector<Bytes> previous_chunks_;
   std::uint64_t generation_ = 0;  ///< Answers to calls of an older target are dropped.
   TimePoint named_at_{};
   std::set<StagingPeer> peers_;
   std::optional<WeightManifest> manifest_;
-  std::vector<Bytes> chunks_;  ///< Verified bytes of the target.
+  std::vector<Bytes> chunks_;         ///< Verified bytes of the target.
   std::vector<Sha256> chunk_hashes_;  ///< Of chunks_, also while the next manifest is sought.
   /// Verified bytes by hash, of the target and of the version before it.
   std::map<Sha256, Bytes> bytes_by_hash_;
--- a/src/host/start_turns.h
+++ b/src/host/start_turns.h
@@ -31,18 +31,17 @@
                             std::uint64_t version, TimePoint named_at, TimePoint now,
                             const StartTurnOptions& options) {
   const std::uint64_t own = stable_hash(self, version);
-  const auto before =
-      std::count_if(participants.begin(), participants.end(), [&](PeerId other) {
-        return other != self && stable_hash(other, version) < own;
-      });
+  const auto before = std::count_if(participants.begin(), participants.end(), [&](PeerId other) {
+    return other != self && stable_hash(other, version) < own;
+  });
   const auto total = std::max<std::size_t>(1, participants.size());
   const auto span = static_cast<Duration::rep>(static_cast<double>(options.changeover.count()) *
                                                options.last_turn_share);
   const TimePoint last = named_at + Duration(span);
   if (last <= now) return now;
   const double share = static_cast<double>(before) / static_cast<double>(total);
-  return now + Duration(static_cast<Duration::rep>(
-                   static_cast<double>((last - now).count()) * share));
+  return now +
+         Duration(static_cast<Duration::rep>(static_cast<double>((last - now).count()) * share));
 }
 
 }  // namespace pumicemast
--- a/src/http1/http_message.cpp
+++ b/src/http1/http_message.cpp
@@ -1,9 +1,9 @@
 #include "http1/http_message.h"
 
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
-#include <array>
 #include <charconv>
 
 namespace pumicemast {
@@ -11,9 +11,15 @@
 
 namespace beast = boost::beast;
 
-constexpr std::array<std::string_view, 9> kConnectionFields = {
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-    "te",         "trailer",    "transfer-encoding",  "upgrade"};
+constexpr std::array<std::string_view, 9> kConnectionFields = {"connection",
+                                                               "keep-alive",
+                                                               "proxy-authenticate",
+                                                               "proxy-authorization",
+                                                               "proxy-connection",
+                                                               "te",
+                                                               "trailer",
+                                                               "transfer-encoding",
+                                                               "upgrade"};
 
 bool equals(std::string_view left, std::string_view right) {
   return beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
@@ -64,8 +70,8 @@
 }
 
 std::string reason_phrase(int status) {
-  return std::string(
-      to_view(beast::http::obsolete_reason(beast::http::int_to_status(static_cast<unsigned>(status)))));
+  return std::string(to_view(
+      beast::http::obsolete_reason(beast::http::int_to_status(static_cast<unsigned>(status)))));
 }
 
 }  // namespace pumicemast
--- a/src/transfer/uplink_pacer.h
+++ b/src/transfer/uplink_pacer.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
-#include "transfer/chunk_cache.h"
-#include "transport/peer_links.h"
 #include "common/event_loop.h"
 #include "limits/token_bucket.h"
+#include "transfer/chunk_cache.h"
+#include "transport/peer_links.h"
 
 namespace pumicemast {
 
--- /dev/null
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -0,0 +1,106 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "common/log_budget.h"
+#include "gateway/event_splitter.h"
+#include "gateway/route_table.h"
+#include "gateway/weight_targets.h"
+#include "support/gateway_world.h"
+
+namespace pumicemast {
+
+/// The small cores of the gateway.
+class GatewayCoresTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayCoresTest);
+  CPPUNIT_TEST(the_longest_prefix_of_the_host_wins);
+  CPPUNIT_TEST(keys_belong_to_tenants);
+  CPPUNIT_TEST(events_are_cut_whole_wherever_the_bytes_break);
+  CPPUNIT_TEST(an_unfinished_event_is_kept_apart);
+  CPPUNIT_TEST(weight_targets_never_go_back);
+  CPPUNIT_TEST(each_named_version_has_its_own_changeover);
+  CPPUNIT_TEST(log_lines_are_bounded_and_what_is_left_out_is_counted);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void the_longest_prefix_of_the_host_wins() {
+    FleetConfiguration configuration;
+    for (const char* prefix : {"/a/", "/a/b/", "/"}) {
+      RouteRule rule;
+      rule.name = prefix;
+      rule.host = "One.example";
+      rule.path_prefix = prefix;
+      configuration.routes.push_back(rule);
+    }
+    const RouteTable table(configuration);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.match("one.example:80", "/a/b/c?x=/")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.match("one.example", "/a/bc")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("/"), table.match("one.example", "/a")->name);
+    CPPUNIT_ASSERT(table.match("two.example", "/a/") == nullptr);
+  }
+
+  void keys_belong_to_tenants() {
+    const RouteTable table(tests::GatewayWorld::configuration());
+    CPPUNIT_ASSERT_EQUAL(std::string("acme"), table.tenant_of("key-1")->name);
+    CPPUNIT_ASSERT(table.tenant_of("key-2") == nullptr);
+    CPPUNIT_ASSERT(table.tenant_of("") == nullptr);
+  }
+
+  void events_are_cut_whole_wherever_the_bytes_break() {
+    const std::string stream =
+        "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\ndata: c\n\nid: 4\ndata: d\n\n";
+    for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+      EventSplitter splitter;
+      std::string whole;
+      for (std::size_t at = 0; at < stream.size(); at += piece) {
+        whole += splitter.take_whole_events(std::string_view(stream).substr(at, piece));
+      }
+      CPPUNIT_ASSERT_EQUAL(stream, whole);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, splitter.events());
+      CPPUNIT_ASSERT_EQUAL(std::string("4"), *splitter.last_id());
+    }
+  }
+
+  void an_unfinished_event_is_kept_apart() {
+    EventSplitter splitter;
+    CPPUNIT_ASSERT_EQUAL(std::string(), splitter.take_whole_events("id: 7\ndata: x\n"));
+    CPPUNIT_ASSERT(!splitter.last_id().has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 7\ndata: x\n"), splitter.take_rest());
+  }
+
+  void weight_targets_never_go_back() {
+    WeightTargets targets(seconds(7));
+    const TimePoint now(seconds(10));
+    targets.on_named("m", 3, now);
+    targets.on_named("m", 2, now + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, targets.newest("m"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, targets.lowest_allowed("m", now + seconds(6)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, targets.lowest_allowed("m", now + seconds(9)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, targets.lowest_allowed("other", now + seconds(9)));
+  }
+
+  void each_named_version_has_its_own_changeover() {
+    WeightTargets targets(seconds(7));
+    const TimePoint now(seconds(10));
+    targets.on_named("m", 2, now);
+    targets.on_named("m", 3, now + seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, targets.lowest_allowed("m", now + seconds(8)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, targets.lowest_allowed("m", now + seconds(11)));
+  }
+
+  void log_lines_are_bounded_and_what_is_left_out_is_counted() {
+    LogBudget budget(3);
+    TimePoint now(seconds(10));
+    int admitted = 0;
+    for (int line = 0; line < 10; ++line) admitted += budget.admit("a", now) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(3, admitted);
+    CPPUNIT_ASSERT(budget.admit("b", now));  // Each kind has its own.
+    const auto suppressed = budget.take_suppressed();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, suppressed.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, suppressed[0].second);
+    now += seconds(1);
+    CPPUNIT_ASSERT(budget.admit("a", now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayCoresTest);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/tests/host/host_cores_test.cpp
@@ -0,0 +1,68 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "host/link_gauge.h"
+#include "host/start_turns.h"
+
+namespace pumicemast {
+
+/// The small cores of the agent beside an engine.
+class HostCoresTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HostCoresTest);
+  CPPUNIT_TEST(turns_are_spread_and_end_before_the_changeover);
+  CPPUNIT_TEST(a_late_engine_starts_at_once);
+  CPPUNIT_TEST(a_link_is_taken_for_narrow_until_it_is_known);
+  CPPUNIT_TEST(a_narrow_link_carries_one_chunk_at_a_time);
+  CPPUNIT_TEST(a_link_that_recovers_is_used_again);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void turns_are_spread_and_end_before_the_changeover() {
+    std::vector<PeerId> agents;
+    for (PeerId id = 1; id <= 20; ++id) agents.push_back(id * 7919);
+    const TimePoint named(seconds(100));
+    const TimePoint now = named + seconds(4);
+    const StartTurnOptions options;
+    std::set<TimePoint> turns;
+    for (const PeerId agent : agents) {
+      const TimePoint turn = start_turn(agent, agents, 2, named, now, options);
+      CPPUNIT_ASSERT(turn >= now);
+      CPPUNIT_ASSERT(turn < named + milliseconds(6400));
+      turns.insert(turn);
+    }
+    CPPUNIT_ASSERT_EQUAL(agents.size(), turns.size());
+  }
+
+  void a_late_engine_starts_at_once() {
+    const TimePoint named(seconds(100));
+    const TimePoint now = named + seconds(7);
+    CPPUNIT_ASSERT(start_turn(5, {1, 2, 5}, 2, named, now, {}) == now);
+  }
+
+  void a_link_is_taken_for_narrow_until_it_is_known() {
+    LinkGauge gauge(4);
+    CPPUNIT_ASSERT_EQUAL(2U, gauge.window(Duration::zero()));
+    gauge.on_exchange(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(4U, gauge.window(Duration::zero()));
+  }
+
+  void a_narrow_link_carries_one_chunk_at_a_time() {
+    LinkGauge gauge(4);
+    gauge.on_exchange(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(1U, gauge.window(milliseconds(700)));  // One has been under way for long.
+    for (int exchange = 0; exchange < 20; ++exchange) gauge.on_exchange(milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(1U, gauge.window(Duration::zero()));
+  }
+
+  void a_link_that_recovers_is_used_again() {
+    LinkGauge gauge(4);
+    gauge.on_exchange(milliseconds(900));
+    for (int exchange = 0; exchange < 20; ++exchange) gauge.on_exchange(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(4U, gauge.window(Duration::zero()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostCoresTest);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/tests/http1/connections_test.cpp
@@ -0,0 +1,188 @@
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+
+#include "common/event_loop.h"
+#include "http1/caller_connection.h"
+#include "http1/client_connection.h"
+
+namespace pumicemast {
+namespace {
+
+/// A plain blocking listener that plays the other side byte by byte.
+class ScriptedServer {
+ public:
+  ScriptedServer() {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(listener_, reinterpret_cast<sockaddr*>(&address), length));
+    CPPUNIT_ASSERT_EQUAL(0, listen(listener_, 4));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length));
+    port_ = ntohs(address.sin_port);
+  }
+  ~ScriptedServer() {
+    if (accepted_ >= 0) close(accepted_);
+    close(listener_);
+  }
+  Address address() const { return {"127.0.0.1", port_}; }
+  void accept_one() { accepted_ = accept(listener_, nullptr, nullptr); }
+  /// Unread bytes would turn an orderly end into a reset.
+  void read_request() {
+    std::string received;
+    while (received.find("\r\n\r\n") == std::string::npos) {
+      char buffer[512];
+      const ssize_t count = recv(accepted_, buffer, sizeof(buffer), 0);
+      CPPUNIT_ASSERT(count > 0);
+      received.append(buffer, static_cast<std::size_t>(count));
+    }
+  }
+  void say(const std::string& text) {
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(text.size()),
+                         send(accepted_, text.data(), text.size(), MSG_NOSIGNAL));
+  }
+  void end() {
+    close(accepted_);
+    accepted_ = -1;
+  }
+  void end_with_reset() {
+    const linger at_once{1, 0};
+    setsockopt(accepted_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    end();
+  }
+
+ private:
+  int listener_ = -1;
+  int accepted_ = -1;
+  std::uint16_t port_ = 0;
+};
+
+void run_until(const std::function<bool()>& condition) {
+  const TimePoint limit = loop_now() + seconds(5);
+  while (!condition() && loop_now() < limit) g_main_context_iteration(nullptr, FALSE);
+  CPPUNIT_ASSERT(condition());
+}
+
+class Recorder : public ExchangeObserver, public ClientConnection::Owner {
+ public:
+  bool on_response_head(const ResponseHead& head) override {
+    const bool own = field_value(head, "Id") != "other";
+    if (own) status = static_cast<int>(head.result_int());
+    return own;
+  }
+  void on_response_body(std::string_view bytes) override { body += bytes; }
+  void on_response_complete() override { complete = true; }
+  void on_exchange_failed(ExchangeFailure failed) override { failure = failed; }
+  void on_idle_connection_ended(ClientConnection&) override { idle_ended = true; }
+  bool over() const { return complete || failure.has_value(); }
+
+  int status = 0;
+  std::string body;
+  bool complete = false;
+  bool idle_ended = false;
+  std::optional<ExchangeFailure> failure;
+};
+
+}  // namespace
+
+/// Real sockets; every wait is for a condition.
+class ConnectionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConnectionsTest);
+  CPPUNIT_TEST(an_answer_without_length_that_is_reset_is_cut_off);
+  CPPUNIT_TEST(an_answer_without_length_that_ends_is_whole);
+  CPPUNIT_TEST(a_refused_connection_sent_nothing);
+  CPPUNIT_TEST(a_connection_closed_before_an_answer_may_have_run_it);
+  CPPUNIT_TEST(a_late_answer_to_an_older_request_is_dropped);
+  CPPUNIT_TEST(bytes_on_an_idle_connection_end_it);
+  CPPUNIT_TEST(an_answer_with_bytes_after_it_is_whole_but_ends_the_connection);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void an_answer_without_length_that_is_reset_is_cut_off() {
+    begin("HTTP/1.1 200 OK\r\n\r\nhalf");
+    run_until([&] { return recorder_.body == "half"; });
+    server_.end_with_reset();
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(recorder_.failure == ExchangeFailure::cut_off);
+  }
+
+  void an_answer_without_length_that_ends_is_whole() {
+    begin("HTTP/1.1 200 OK\r\n\r\nall");
+    server_.end();
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(recorder_.complete);
+    CPPUNIT_ASSERT(!connection_->reusable());
+  }
+
+  void a_refused_connection_sent_nothing() {
+    Address closed;
+    {
+      const ScriptedServer gone;
+      closed = gone.address();
+    }
+    connection_ = std::make_unique<ClientConnection>(closed, seconds(1), recorder_);
+    connection_->send_request("GET / HTTP/1.1\r\n\r\n", false, recorder_);
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(recorder_.failure == ExchangeFailure::not_sent);
+  }
+
+  void a_connection_closed_before_an_answer_may_have_run_it() {
+    begin("");
+    run_until([&] { return connection_->connected(); });
+    server_.end();
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(recorder_.failure == ExchangeFailure::cut_off);
+  }
+
+  void a_late_answer_to_an_older_request_is_dropped() {
+    begin(
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+        "HTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nright");
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(recorder_.complete);
+    CPPUNIT_ASSERT_EQUAL(201, recorder_.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("right"), recorder_.body);
+    CPPUNIT_ASSERT(!connection_->reusable());
+  }
+
+  void bytes_on_an_idle_connection_end_it() {
+    begin("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(connection_->reusable());
+    server_.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+    run_until([&] { return recorder_.idle_ended; });
+    CPPUNIT_ASSERT(!connection_->reusable());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), recorder_.body);
+  }
+
+  void an_answer_with_bytes_after_it_is_whole_but_ends_the_connection() {
+    begin("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(recorder_.complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), recorder_.body);
+    CPPUNIT_ASSERT(!connection_->reusable());
+  }
+
+ private:
+  void begin(const std::string& answer) {
+    connection_ = std::make_unique<ClientConnection>(server_.address(), seconds(1), recorder_);
+    connection_->send_request("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, recorder_);
+    server_.accept_one();
+    run_until([&] { return connection_->connected(); });  // The request is out as well.
+    server_.read_request();
+    if (!answer.empty()) server_.say(answer);
+  }
+
+  ScriptedServer server_;
+  Recorder recorder_;
+  std::unique_ptr<ClientConnection> connection_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionsTest);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/tests/platform/translation_test.cpp
@@ -0,0 +1,188 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+#include "http1/request_reader.h"
+#include "http1/response_reader.h"
+#include "platform/configuration_translation.h"
+#include "platform/gateway_translation.h"
+
+namespace pumicemast::platform {
+namespace {
+
+using nlohmann::json;
+
+HttpRequest read(const std::string& text) {
+  RequestReader reader{RequestLimits{}};
+  CPPUNIT_ASSERT(reader.consume(text) == RequestStatus::complete);
+  return reader.take_request();
+}
+
+constexpr char kRequest[] =
+    "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Pumicemast-Request-Id: 9c41\r\n"
+    "X-Pumicemast-Deadline-Ms: 6000\r\nX-Api-Key: secret\r\nX-Pumicemast-Tenant: forged\r\n"
+    "X-Pumicemast-Expect-Instance: forged\r\nX-Pumicemast-Model: m\r\n"
+    "X-Pumicemast-Token-Usage: 1460,80\r\nX-Pumicemast-Prompt-Prefix: aa:1\r\n"
+    "Connection: keep-alive\r\nLast-Event-Id: 12\r\nContent-Length: 4\r\n\r\nbody";
+
+}  // namespace
+
+class TranslationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TranslationTest);
+  CPPUNIT_TEST(reads_what_the_gateway_decides_upon);
+  CPPUNIT_TEST(hands_on_the_request_without_the_key_or_forged_fields);
+  CPPUNIT_TEST(a_resumption_names_the_last_event_once);
+  CPPUNIT_TEST(only_named_refusals_count_as_not_run);
+  CPPUNIT_TEST(an_answer_of_another_request_is_told_apart);
+  CPPUNIT_TEST(reads_a_configuration);
+  CPPUNIT_TEST(refuses_what_is_no_configuration);
+  CPPUNIT_TEST(a_runner_serves_only_what_it_holds_whole);
+  CPPUNIT_TEST(bad_documents_do_no_harm);
+  CPPUNIT_TEST_SUITE_END();
+
+  GatewayTranslation translation;
+
+ public:
+  void reads_what_the_gateway_decides_upon() {
+    const CallerRequest request = translation.read_request(read(kRequest));
+    CPPUNIT_ASSERT_EQUAL(std::string("9c41"), request.id);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), request.target);
+    CPPUNIT_ASSERT_EQUAL(std::string("secret"), request.api_key);
+    CPPUNIT_ASSERT(request.time_left == seconds(6));
+    CPPUNIT_ASSERT_EQUAL(1460.0, request.prompt_tokens);
+  }
+
+  void hands_on_the_request_without_the_key_or_forged_fields() {
+    SendToBackend send;
+    send.backend = "i-1";
+    send.time_left = milliseconds(1234);
+    send.tenant = "acme";
+    const std::string text = translation.encode_request(read(kRequest), send);
+    CPPUNIT_ASSERT(text.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(text.ends_with("\r\n\r\nbody"));
+    CPPUNIT_ASSERT(text.find("secret") == std::string::npos);
+    CPPUNIT_ASSERT(text.find("forged") == std::string::npos);
+    CPPUNIT_ASSERT(text.find("X-Pumicemast-Deadline-Ms: 1234\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("X-Pumicemast-Expect-Instance: i-1\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("X-Pumicemast-Tenant: acme\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("X-Pumicemast-Request-Id: 9c41\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("Last-Event-Id: 12\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("Expect-Version") == std::string::npos);
+  }
+
+  void a_resumption_names_the_last_event_once() {
+    SendToBackend send;
+    send.backend = "i-1";
+    send.resume_after = "17";
+    const std::string text = translation.encode_request(read(kRequest), send);
+    CPPUNIT_ASSERT(text.find("Last-Event-Id: 17\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("Last-Event-Id: 12\r\n") == std::string::npos);
+  }
+
+  void only_named_refusals_count_as_not_run() {
+    CPPUNIT_ASSERT(facts("503 Service Unavailable", "X-Pumicemast-Not-Executed: 1\r\n").not_run);
+    CPPUNIT_ASSERT(facts("421 Misdirected Request", "").not_run);
+    CPPUNIT_ASSERT(!facts("503 Service Unavailable", "").not_run);
+    CPPUNIT_ASSERT(!facts("500 Internal Server Error", "").not_run);
+    CPPUNIT_ASSERT(!facts("429 Too Many Requests", "").not_run);
+  }
+
+  void an_answer_of_another_request_is_told_apart() {
+    CPPUNIT_ASSERT(belongs("200 OK", "X-Pumicemast-Request-Id: 9c41\r\n"));
+    CPPUNIT_ASSERT(!belongs("200 OK", "X-Pumicemast-Request-Id: 9c42\r\n"));
+    CPPUNIT_ASSERT(!belongs("200 OK", ""));
+    CPPUNIT_ASSERT(belongs("503 Service Unavailable", ""));
+  }
+
+  void reads_a_configuration() {
+    const json document = json::parse(R"({"version":7,"routes":[
+      {"name":"r","host":"h","pathPrefix":"/a/","kind":"stream","timeoutMs":6000,"goalMs":400,
+       "priority":1,"backends":[{"service":"s","weight":90},{"service":"t","weight":10}],
+       "attempts":2,"public":true,"resumable":true,"gapGoalMs":300}],
+      "services":[{"name":"s","maxConns":9,"engine":{"slots":16,"stride":5,"read_per_s":20700.0,
+       "layers":16,"chunks":96,"chunkBytes":24576,"models":[{"name":"m","warmS":0.3}],
+       "usual":{"prompt":979,"answer":92}}},{"name":"o","origin":"127.0.0.1:80"}],
+      "limits":{"maxHeaderBytes":100,"idleTimeoutMs":15000},
+      "tenants":[{"name":"acme","apiKeys":["k"],"priority":2}]})");
+    const auto configuration = read_configuration(document);
+    CPPUNIT_ASSERT(configuration.has_value());
+    const RouteRule& route = configuration->routes.at(0);
+    CPPUNIT_ASSERT(route.kind == RequestKind::stream && route.resumable && route.open_to_all);
+    CPPUNIT_ASSERT(route.gap_goal == milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, route.services.size());
+    CPPUNIT_ASSERT_EQUAL(90.0, route.services[0].weight);
+    const EngineProfile& engine = *configuration->services.at(0).engine;
+    CPPUNIT_ASSERT_EQUAL(5U, engine.steps_per_pass);
+    CPPUNIT_ASSERT(engine.models.at(0).warm_time == milliseconds(300));
+    CPPUNIT_ASSERT(configuration->services.at(1).origin.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, configuration->limits.request.maximum_head_bytes);
+    CPPUNIT_ASSERT_EQUAL(2, *configuration->tenants.at(0).priority);
+  }
+
+  void refuses_what_is_no_configuration() {
+    CPPUNIT_ASSERT(!read_configuration(json()).has_value());
+    CPPUNIT_ASSERT(!read_configuration(json::array()).has_value());
+    CPPUNIT_ASSERT(!read_configuration(json{{"routes", json::array()}}).has_value());
+  }
+
+  void a_runner_serves_only_what_it_holds_whole() {
+    const auto version = [](const char* text) { return whole_version(json::parse(text), 16); };
+    const std::string models = R"({"models":[{"name":"m","version":3}])";
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{3},
+        version((models + R"(,"layers":{"from":0,"targetVersion":16,"version":3}})").c_str()));
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{0},
+        version((models + R"(,"layers":{"from":0,"targetVersion":8,"version":3}})").c_str()));
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{0},
+        version((models + R"(,"layers":{"from":8,"targetVersion":16,"version":3}})").c_str()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, version((models + R"(,"layers":null})").c_str()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, version(R"({"models":[],"layers":null})"));
+  }
+
+  void bad_documents_do_no_harm() {
+    // Every value of a good document in turn becomes one of another type.
+    const json good = json::parse(R"({"version":7,"routes":[{"name":"r","host":"h","timeoutMs":6}],
+      "services":[{"name":"s","engine":{"slots":16,"models":[{"name":"m"}]}}],
+      "limits":{"maxBodyBytes":1},"tenants":[{"name":"t","apiKeys":["k"]}]})");
+    const json flat = good.flatten();
+    for (const auto& [path, value] : flat.items()) {
+      for (const json& bad :
+           {json(), json("x"), json(-1), json::array(), json{{"a", 1}}, json(1e300)}) {
+        json changed = flat;
+        if (bad.is_structured()) {
+          json whole = good;
+          whole[json::json_pointer(path)] = bad;
+          read_configuration(whole);
+          continue;
+        }
+        changed[path] = bad;
+        read_configuration(changed.unflatten());
+      }
+    }
+    CPPUNIT_ASSERT(!read_runner("i", json("x"), 0).has_value());
+    CPPUNIT_ASSERT(!read_runner("i", json{{"address", "nowhere"}}, 0).has_value());
+  }
+
+ private:
+  static std::string response(const std::string& status, const std::string& fields) {
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 0\r\n\r\n";
+  }
+  ResponseFacts facts(const std::string& status, const std::string& fields) {
+    ResponseReader reader;
+    reader.begin(false);
+    reader.consume(response(status, fields));
+    return translation.read_response(reader.head());
+  }
+  bool belongs(const std::string& status, const std::string& fields) {
+    ResponseReader reader;
+    reader.begin(false);
+    reader.consume(response(status, fields));
+    return translation.belongs_to(reader.head(), "9c41");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TranslationTest);
+
+}  // namespace pumicemast::platform
--- /dev/null
+++ b/tests/support/gateway_world.h
@@ -0,0 +1,154 @@
+/// A gateway's cores with a small configuration, driven by hand on a hand-set time.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "gateway/request_forwarder.h"
+
+namespace pumicemast::tests {
+
+class GatewayWorld {
+ public:
+  GatewayWorld()
+      : targets(seconds(7)), pool(pool_options()), forwarder(pool, targets, ForwarderOptions{}) {}
+
+  static BackendPoolOptions pool_options() {
+    BackendPoolOptions options;
+    options.zone = "z1";
+    return options;
+  }
+
+  static FleetConfiguration configuration(std::uint64_t version = 1) {
+    FleetConfiguration result;
+    result.version = version;
+    result.routes = {route("chat", "/chat/", RequestKind::stream, "engines", 2),
+                     route("write", "/write/", RequestKind::not_repeatable, "plain", 1),
+                     route("pay", "/pay/", RequestKind::not_repeatable, "plain", 2),
+                     route("read", "/read/", RequestKind::repeatable, "plain", 2)};
+    result.routes[0].resumable = true;
+    ServiceProfile engines;
+    engines.name = "engines";
+    engines.engine = EngineProfile{};
+    engines.engine->slots = 4;
+    ServiceProfile plain;
+    plain.name = "plain";
+    result.services = {engines, plain};
+    result.tenants = {{"acme", {"key-1"}, std::nullopt}};
+    return result;
+  }
+
+  void configure() { forwarder.set_routes(std::make_shared<RouteTable>(configuration())); }
+
+  void add_backend(const std::string& id, const std::string& service, std::uint16_t port,
+                   std::uint64_t weights = 0) {
+    BackendRecord record;
+    record.id = id;
+    record.service = service;
+    record.address = {"127.0.0.1", port};
+    record.zone = "z1";
+    record.slots = 4;
+    record.revision = ++revision;
+    record.weight_version = weights;
+    pool.on_record(record, now);
+  }
+
+  /// A fresh report of an engine.
+  void report(std::uint16_t port, std::uint32_t credit, std::uint64_t weights,
+              std::uint32_t running = 0) {
+    LoadReport load;
+    load.alive = true;
+    load.credit = credit;
+    load.weight_version = weights;
+    load.running = running;
+    pool.on_report({"127.0.0.1", port}, load, now);
+  }
+
+  RequestNumber ask(const std::string& target, const std::string& key = "key-1",
+                    Duration time_left = seconds(6)) {
+    CallerRequest request;
+    request.id = "r" + std::to_string(++number);
+    request.host = "api.example";
+    request.target = target;
+    request.api_key = key;
+    request.time_left = time_left;
+    request.model = "m";
+    request.prompt_tokens = 100;
+    actions.clear();
+    forwarder.on_request(number, request, now, actions);
+    return number;
+  }
+
+  void head(RequestNumber request, int status, bool not_run = false, bool events = false) {
+    ResponseFacts facts;
+    facts.status = status;
+    facts.not_run = not_run;
+    facts.success = status >= 200 && status < 300;
+    actions.clear();
+    forwarder.on_connected(request);
+    forwarder.on_response_head(request, facts, events, now, actions);
+  }
+  void body(RequestNumber request, const std::string& bytes) {
+    actions.clear();
+    forwarder.on_response_body(request, bytes, now, actions);
+  }
+  void complete(RequestNumber request) {
+    actions.clear();
+    forwarder.on_response_complete(request, now, actions);
+  }
+  void fail(RequestNumber request, AttemptFailure failure) {
+    actions.clear();
+    forwarder.on_attempt_failed(request, failure, now, actions);
+  }
+  void tick(Duration later) {
+    now += later;
+    actions.clear();
+    forwarder.on_tick(now, actions);
+  }
+
+  /// The last actions' first one of a kind, or null.
+  template <class Action>
+  const Action* first() const {
+    for (const ForwarderAction& action : actions) {
+      if (const auto* typed = std::get_if<Action>(&action)) return typed;
+    }
+    return nullptr;
+  }
+  /// Back end of the last actions' send; empty when there is none.
+  std::string sent_to() const {
+    const auto* send = first<SendToBackend>();
+    return send == nullptr ? "" : send->backend;
+  }
+  int refused_with() const {
+    const auto* refusal = first<RefuseRequest>();
+    return refusal == nullptr ? 0 : refusal->status;
+  }
+
+  TimePoint now = TimePoint(seconds(100));
+  std::uint64_t revision = 0;
+  RequestNumber number = 0;
+  WeightTargets targets;
+  BackendPool pool;
+  RequestForwarder forwarder;
+  ForwarderActions actions;
+
+ private:
+  static RouteRule route(const std::string& name, const std::string& prefix, RequestKind kind,
+                         const std::string& service, std::uint32_t attempts) {
+    RouteRule rule;
+    rule.name = name;
+    rule.host = "api.example";
+    rule.path_prefix = prefix;
+    rule.kind = kind;
+    rule.timeout = seconds(6);
+    rule.goal = milliseconds(400);
+    rule.gap_goal = milliseconds(400);
+    rule.services = {{service, 1}};
+    rule.attempts = attempts;
+    return rule;
+  }
+};
+
+}  // namespace pumicemast::tests
