--- a/src/agent/weight_transfer.h
+++ b/src/agent/weight_transfer.h
@@ -13,13 +13,13 @@
 #include "adapters/engine_client.h"
 #include "adapters/weight_store_client.h"
 #include "agent/agent_settings.h"
-#include "transfer/chunk_cache.h"
 #include "agent/manifest_fetcher.h"
-#include "transport/peer_links.h"
-#include "transfer/uplink_pacer.h"
 #include "common/metrics.h"
 #include "limits/token_bucket.h"
 #include "swarm/swarm.h"
+#include "transfer/chunk_cache.h"
+#include "transfer/uplink_pacer.h"
+#include "transport/peer_links.h"
 
 namespace pumicemast {
 
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -49,7 +49,8 @@
   const auto limit_ms = static_cast<unsigned int>(to_milliseconds(unanswered_limit));
   setsockopt(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
   const sockaddr_in target = to_socket_address(address);
-  ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+  static_cast<void>(
+      ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&target), sizeof(target)));
   // The outcome, also an immediate one, shows as writability.
   writing_ = true;
   registration_ = SocketPoller::instance().add(descriptor_, *this, true, true);
--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -34,9 +34,8 @@
 Swarm::Swarm(SwarmOptions options, ChunkSet have)
     : options_(options),
       picker_(std::move(have), options.pick_policy, options.seed ^ options.self),
-      procurement_(
-          {options.self, options.origin_window, options.origin_copies, options.origin_for_all,
-           options.origin_probe_interval, options.source_pause}),
+      procurement_({options.self, options.origin_window, options.origin_copies,
+                    options.origin_for_all, options.origin_probe_interval, options.source_pause}),
       uploads_(options.upload_slots, options.upload_queue_limit),
       random_(static_cast<std::minstd_rand::result_type>(
           (options.seed * 31 + options.self) % std::minstd_rand::modulus + 1)) {}
--- /dev/null
+++ b/tests/processes/platform_standin.py
@@ -0,0 +1,244 @@
+"""A small stand-in of the users' platform: store, runners and origin of weights.
+
+Written from the published protocol alone. One asyncio server plays each address; tests read and
+change its fields directly. It answers just what the gateway and the agent ask.
+"""
+
+import asyncio
+import hashlib
+import json
+import random
+from urllib.parse import parse_qs, urlsplit
+
+CHUNKS = 8
+CHUNK_BYTES = 4096
+LAYERS = 4
+
+
+async def read_message(reader):
+    """Reads one request: (method, target, headers, body), or None at the end."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n"):
+        line = await reader.readline()
+        if not line:
+            return None
+        head += line
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+def answer(writer, status, body=b"", headers=None):
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+
+class Server:
+    """One listening address on loopback."""
+
+    def __init__(self, port=0, host="127.0.0.1"):
+        self.port = port
+        self.host = host
+        self.writers = set()
+        self.silent = False
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None or self.silent:
+                    break
+                await self.handle(writer, *message)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The peer left, or the test is over.
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class Store(Server):
+    """Objects by kind and name, with revisions and watches."""
+
+    def __init__(self):
+        super().__init__()
+        self.revision = 0
+        self.objects = {}
+        self.history = []
+        self.changed = asyncio.Event()
+        self.down = False
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self.objects.setdefault(kind, {})[name] = item
+        self.history.append((self.revision, kind, {"object": item, "gone": False}))
+        self.changed.set()
+
+    def delete(self, kind, name):
+        self.revision += 1
+        item = self.objects[kind].pop(name)
+        self.history.append((self.revision, kind, {"object": item, "gone": True}))
+        self.changed.set()
+
+    async def handle(self, writer, method, target, headers, body):
+        if self.down:
+            answer(writer, 503)
+            return
+        url = urlsplit(target)
+        parts = url.path.split("/")[2:]
+        query = parse_qs(url.query)
+        kind = self.objects.get(parts[0], {})
+        if len(parts) == 2:
+            item = kind.get(parts[1])
+            answer(writer, 200 if item else 404, item or {})
+        elif "watch" in query:
+            await self.watch(writer, parts[0], int(query["watch"][0]), int(query["waitMs"][0]))
+        else:
+            answer(writer, 200, {"items": list(kind.values()), "more": False, "at": self.revision})
+
+    async def watch(self, writer, kind, since, wait_ms):
+        deadline = asyncio.get_running_loop().time() + wait_ms / 1000
+        while True:
+            events = [e for r, k, e in self.history if r > since and k == kind]
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                break
+            self.changed.clear()
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+        answer(writer, 200, {"events": events, "at": self.revision})
+
+
+def piece(version, number):
+    """Odd pieces are the same in every version."""
+    seed = f"{number}" if number % 2 else f"{version}-{number}"
+    return random.Random(seed).randbytes(CHUNK_BYTES)
+
+
+class Origin(Server):
+    def __init__(self):
+        super().__init__()
+        self.newest = 1
+        self.sent = []
+        self.spoil = set()
+
+    async def handle(self, writer, method, target, headers, body):
+        url = urlsplit(target)
+        query = parse_qs(url.query)
+        version = int(query.get("version", [self.newest])[0])
+        _, action, model = url.path.split("/")
+        if action == "manifest":
+            digests = [hashlib.sha256(piece(version, n)).hexdigest() for n in range(CHUNKS)]
+            answer(writer, 200, {"model": model, "version": version, "chunkBytes": CHUNK_BYTES,
+                                 "layers": LAYERS, "digests": digests})
+            return
+        number = int(query["num"][0])
+        self.sent.append((version, number))
+        data = piece(version, number)
+        if (version, number) in self.spoil:
+            self.spoil.discard((version, number))
+            data = b"x" + data[1:]
+        answer(writer, 200, data)
+
+
+class Runner(Server):
+    """Plays an engine (with weights) or a plain service."""
+
+    def __init__(self, identity, host="127.0.0.1", model=None, version=0):
+        super().__init__(host=host)
+        self.identity = identity
+        self.model = model
+        self.version = version
+        self.staged = {n: piece(version, n) for n in range(CHUNKS)} if version else {}
+        self.orders = []
+        self.taken = []  # What lay there when an order was taken.
+        self.requests = []  # Headers of what it ran.
+        self.mode = "whole"
+        self.event_gap = 0.02
+        self.events = 10
+
+    def head(self, headers, extra=()):
+        return {"X-Pumicemast-Request-Id": headers.get("x-pumicemast-request-id", ""),
+                "X-Pumicemast-Response-Signature": f"sig-{self.identity}",
+                "X-Pumicemast-Weight-Versions": self.version, **dict(extra)}
+
+    async def handle(self, writer, method, target, headers, body):
+        url = urlsplit(target)
+        query = parse_qs(url.query)
+        if url.path == "/report":
+            layers = {"from": 0, "targetVersion": LAYERS, "version": self.version}
+            models = [{"name": self.model, "version": self.version, "adapters": []}]
+            answer(writer, 200, {"models": models if self.version else [],
+                                 "layers": layers if self.version else None, "busy": False,
+                                 "seq": len(self.orders), "queued": 0, "running": 0, "pace": 1.0})
+        elif url.path.startswith("/stage-put/"):
+            self.staged[int(query["num"][0])] = body
+            answer(writer, 200)
+        elif url.path.startswith("/stage-get/"):
+            if "num" not in query:
+                answer(writer, 200, {"held": sorted(self.staged)})
+            else:
+                held = self.staged.get(int(query["num"][0]))
+                answer(writer, 404 if held is None else 200, held or b"")
+        elif url.path == "/order":
+            order = json.loads(body)
+            self.orders.append(order)
+            self.taken.append(dict(self.staged))
+            self.version = order["version"]
+            answer(writer, 202)
+        else:
+            await self.run(writer, method, target, headers)
+
+    async def run(self, writer, method, target, headers):
+        if headers.get("x-pumicemast-expect-instance") != self.identity:
+            answer(writer, 421, b"", {"X-Pumicemast-Instance-Id": self.identity})
+            return
+        if self.mode == "shed":
+            answer(writer, 503, b"", self.head(headers, {"X-Pumicemast-Not-Executed": 1}.items()))
+            return
+        self.requests.append(headers)
+        if self.mode == "lost":
+            writer.transport.abort()
+            raise ConnectionError
+        if self.model is None:
+            answer(writer, 200, f"from {self.identity}".encode(), self.head(headers))
+            return
+        fields = self.head(headers, {"Content-Type": "text/event-stream",
+                                     "Transfer-Encoding": "chunked"}.items())
+        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in fields.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.mode == "break" and number == first + 3:
+                writer.write(b"%x\r\n%s\r\n" % (len(event) // 2, event[: len(event) // 2]))
+                await writer.drain()
+                self.mode = "whole"
+                writer.transport.abort()
+                raise ConnectionError
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.event_gap)
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/processes/platform_test.py
@@ -0,0 +1,368 @@
+"""Real gateway and agent processes on a stand-in of the users' platform.
+
+Each test is a promise or a fault; every wait is for a condition, with a generous limit.
+Usage: platform_test.py BUILD_FOLDER [TEST...]
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from platform_standin import CHUNKS, Origin, Runner, Store, piece
+
+ROOT = Path(__file__).resolve().parents[2]
+BUILD = Path(sys.argv[1]) if len(sys.argv) > 1 else ROOT / "build"
+ENGINES = ["127.0.0.11", "127.0.0.12"]  # A machine each: agents share one port number.
+
+
+def free_port():
+    with socket.socket() as listener:
+        listener.bind(("0.0.0.0", 0))
+        return listener.getsockname()[1]
+
+
+class Answer:
+    """A response, read whole unless its connection broke."""
+
+    def __init__(self, status, headers, body, whole):
+        self.status, self.headers, self.body, self.whole = status, headers, body, whole
+
+
+class Platform:
+    """The stand-ins and the processes of the system."""
+
+    def __init__(self, folder):
+        self.folder = Path(folder)
+        self.processes = []
+        self.gateway_ports = {}
+
+    async def start(self):
+        self.store, self.origin = Store(), Origin()
+        self.plain = [Runner("p1"), Runner("p2")]
+        self.engines = [Runner("e1", ENGINES[0], "m", 1), Runner("e2", ENGINES[1], "m", 1)]
+        for server in [self.store, self.origin, *self.plain, *self.engines]:
+            await server.start()
+        self.internal = free_port()
+        self.configure(1)
+        for runner in self.plain:
+            self.register(runner, "plain")
+        for runner in self.engines:
+            self.register(runner, "engines")
+        for index, runner in enumerate(self.engines):
+            self.run_host(index, runner)
+        self.gateway = self.run_gateway()
+        await self.wait(self.ready)
+        await self.wait(self.engines_known)
+
+    def configure(self, version, extra=()):
+        routes = [self.route("/chat/", "stream", "engines", 2, resumable=True),
+                  self.route("/write/", "unsafe", "plain", 1),
+                  self.route("/read/", "safe", "plain", 2), *extra]
+        engine = {"slots": 4, "step_ms": 10, "read_per_s": 20000, "stride": 5, "layers": 4,
+                  "chunks": CHUNKS, "chunkBytes": 4096, "models": [{"name": "m", "warmS": 0.1}]}
+        services = [{"name": "engines", "maxConns": 50, "engine": engine},
+                    {"name": "plain", "maxConns": 50},
+                    {"name": "origin", "origin": f"127.0.0.1:{self.origin.port}", "maxConns": 9}]
+        self.store.put("config", "main", {
+            "version": version, "routes": routes, "services": services,
+            "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000},
+            "tenants": [{"name": "acme", "apiKeys": ["key"]}]})
+
+    @staticmethod
+    def route(prefix, kind, service, attempts, resumable=False):
+        return {"name": prefix, "host": "api.example", "pathPrefix": prefix, "kind": kind,
+                "timeoutMs": 5000, "goalMs": 1000, "gapGoalMs": 1000, "priority": 1,
+                "service": service, "attempts": attempts, "public": False, "resumable": resumable}
+
+    def register(self, runner, service, state="ready"):
+        self.store.put("servers", runner.identity, {
+            "service": service, "address": f"{runner.host}:{runner.port}", "zone": "z1",
+            "slots": 4, "state": state, "models": [], "layers": None})
+
+    def launch(self, name, program, settings, stdout=None):
+        path = self.folder / f"{name}.ini"
+        path.write_text(settings)
+        output = stdout or open(self.folder / f"{name}.log", "wb")
+        process = subprocess.Popen([BUILD / "bin" / program, "--settings", path], stdout=output,
+                                   stderr=subprocess.STDOUT, cwd=ROOT)
+        self.processes.append(process)
+        return process
+
+    def run_host(self, index, runner):
+        return self.launch(f"host{index}", "pumicemast-host", f"""
+[process]
+name=host{index}
+zone=z1
+region=r1
+charts={ROOT}/charts
+regions=z1:r1;
+[listen]
+internal={runner.host}:{self.internal}
+metrics={runner.host}:{free_port()}
+[engine]
+address={runner.host}:{runner.port}
+service=engines
+report_interval_ms=50
+[weights]
+changeover_ms=3000
+[platform]
+store=127.0.0.1:{self.store.port}
+""")
+
+    def run_gateway(self, stdout=None, decisions="failures"):
+        self.callers, self.ready_port = free_port(), free_port()
+        self.metrics_port = free_port()
+        return self.launch("gateway", "pumicemast-gateway", f"""
+[process]
+name=gateway
+zone=z1
+charts={ROOT}/charts
+stop_grace_ms=6000
+[listen]
+callers=127.0.0.1:{self.callers}
+ready=127.0.0.1:{self.ready_port}
+metrics=127.0.0.1:{self.metrics_port}
+internal=127.0.0.1:{self.internal}
+[weights]
+changeover_ms=3000
+changeover_margin_ms=500
+[log]
+decisions={decisions}
+[platform]
+store=127.0.0.1:{self.store.port}
+""", stdout)
+
+    async def stop(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for server in [self.store, self.origin, *self.plain, *self.engines]:
+            await server.stop()
+
+    async def call(self, method, target, headers=None, port=None, on_event=None):
+        """One request on its own connection."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.callers)
+        fields = {"Host": "api.example", "X-Api-Key": "key", "X-Pumicemast-Request-Id": "q1",
+                  "X-Pumicemast-Deadline-Ms": "5000", "X-Pumicemast-Model": "m",
+                  "X-Pumicemast-Token-Usage": "100,50", "Content-Length": "0", **(headers or {})}
+        lines = [f"{method} {target} HTTP/1.1"] + [f"{n}: {v}" for n, v in fields.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        try:
+            return await asyncio.wait_for(self.read_answer(reader, on_event), 10)
+        finally:
+            writer.close()
+
+    @staticmethod
+    async def read_answer(reader, on_event):
+        status = int((await reader.readline()).split()[1])
+        headers = {}
+        while (line := (await reader.readline()).decode().strip()):
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+        body = b""
+        try:
+            if headers.get("transfer-encoding") == "chunked":
+                while (size := int(await reader.readline(), 16)) > 0:
+                    body += await reader.readexactly(size)
+                    await reader.readexactly(2)
+                    if on_event:
+                        on_event(body)
+                await reader.readexactly(2)
+            else:
+                body = await reader.readexactly(int(headers["content-length"]))
+            return Answer(status, headers, body, True)
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            return Answer(status, headers, body, False)
+
+    async def ready(self):
+        try:
+            return (await self.call("GET", "/ready", port=self.ready_port)).status == 200
+        except OSError:
+            return False
+
+    async def engines_known(self):
+        return (await self.call("POST", "/chat/1")).status == 200
+
+    async def wait(self, condition, limit=20):
+        end = asyncio.get_running_loop().time() + limit
+        while True:
+            result = condition()
+            if asyncio.iscoroutine(result):
+                result = await result
+            if result:
+                return
+            if asyncio.get_running_loop().time() > end:
+                raise AssertionError(f"{condition} did not come true in {limit} s")
+            await asyncio.sleep(0.05)
+
+
+WHOLE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 11))
+
+
+class PlatformTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform(self.folder.name)
+        await self.platform.start()
+
+    async def asyncTearDown(self):
+        await self.platform.stop()
+        self.folder.cleanup()
+
+    async def test_requests_are_served_whole_by_the_named_instance(self):
+        answer = await self.platform.call("POST", "/chat/1")
+        self.assertEqual((200, WHOLE, True), (answer.status, answer.body, answer.whole))
+        self.assertTrue(answer.headers["x-pumicemast-response-signature"].startswith("sig-e"))
+        answer = await self.platform.call("GET", "/read/1")
+        self.assertEqual(200, answer.status)
+        ran = next(r for p in self.platform.plain for r in p.requests)
+        self.assertEqual("acme", ran["x-pumicemast-tenant"])
+        self.assertNotIn("x-api-key", ran)
+        self.assertLessEqual(int(ran["x-pumicemast-deadline-ms"]), 5000)
+
+    async def test_keys_routes_and_a_new_configuration(self):
+        self.assertEqual(401, (await self.platform.call("GET", "/read/1", {"X-Api-Key": "x"})).status)
+        self.assertEqual(404, (await self.platform.call("GET", "/new/1")).status)
+        self.platform.configure(2, [Platform.route("/new/", "safe", "plain", 2)])
+
+        async def in_force():
+            return (await self.platform.call("GET", "/new/1")).status == 200
+        await self.platform.wait(in_force, 2)
+        self.platform.configure(1)  # An older one never comes back into force.
+        await asyncio.sleep(0.6)
+        self.assertEqual(200, (await self.platform.call("GET", "/new/1")).status)
+
+    async def test_an_unsafe_request_whose_answer_is_lost_runs_once(self):
+        for runner in self.platform.plain:
+            runner.mode = "lost"
+        answer = await self.platform.call("POST", "/write/1")
+        self.assertEqual(502, answer.status)
+        self.assertEqual(1, sum(len(runner.requests) for runner in self.platform.plain))
+
+    async def test_a_refused_request_is_told_when_to_come_back(self):
+        for runner in self.platform.plain:
+            runner.mode = "shed"
+        answer = await self.platform.call("POST", "/write/1")
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertEqual(0, sum(len(runner.requests) for runner in self.platform.plain))
+
+    async def test_a_broken_stream_goes_on_at_another_engine(self):
+        for runner in self.platform.engines:
+            runner.mode = "break"
+        answer = await self.platform.call("POST", "/chat/1")
+        resumed = [r for e in self.platform.engines for r in e.requests if "last-event-id" in r]
+        self.assertEqual("3", resumed[0]["last-event-id"])
+        # The second one breaks as well: no attempt is left, and the answer must look broken.
+        self.assertFalse(answer.whole)
+
+    async def test_a_stream_broken_once_is_whole_in_the_end(self):
+        broken = self.platform.engines[0]
+
+        async def resumed_once():
+            broken.mode = "break"
+            answer = await self.platform.call("POST", "/chat/1")
+            self.assertEqual((True, WHOLE), (answer.whole, answer.body))
+            return any("last-event-id" in r for r in self.platform.engines[1].requests)
+        await self.platform.wait(resumed_once)
+
+    async def test_a_draining_back_end_gets_nothing_new(self):
+        self.platform.register(self.platform.plain[0], "plain", "draining")
+        await asyncio.sleep(1.5)
+        before = len(self.platform.plain[0].requests)
+        for _ in range(6):
+            self.assertEqual(200, (await self.platform.call("GET", "/read/1")).status)
+        self.assertEqual(before, len(self.platform.plain[0].requests))
+
+    async def test_new_weights_come_verified_and_mostly_once_from_the_origin(self):
+        self.platform.origin.newest = 2
+        self.platform.origin.spoil = {(2, 0)}
+        self.platform.store.put("versions", "m", {"model": "m", "version": 2})
+        await self.platform.wait(lambda: all(e.version == 2 for e in self.platform.engines), 10)
+        for engine in self.platform.engines:
+            self.assertEqual({n: piece(2, n) for n in range(CHUNKS)}, engine.taken[-1])
+        sent = [n for version, n in self.platform.origin.sent if version == 2]
+        self.assertEqual({0, 2, 4, 6}, set(sent))  # Odd pieces were held already.
+        self.assertLessEqual(len(sent), 6)
+
+        async def on_new_weights():
+            answer = await self.platform.call("POST", "/chat/1")
+            return answer.headers.get("x-pumicemast-weight-versions") == "2"
+        await self.platform.wait(on_new_weights)
+
+    async def test_spoilt_staging_memory_is_mended_before_a_start(self):
+        engine = self.platform.engines[0]
+        engine.staged[3] = b"rotten"
+        engine.version = 0  # The engine was started anew and holds no layers.
+        await self.platform.wait(lambda: engine.version == 1, 10)
+        self.assertEqual(piece(1, 3), engine.taken[-1][3])
+
+    async def test_a_planned_stop_cuts_nothing_off(self):
+        for runner in self.platform.engines:
+            runner.event_gap = 0.15
+        begun = asyncio.Event()
+        stream = asyncio.create_task(
+            self.platform.call("POST", "/chat/1", on_event=lambda _: begun.set()))
+        await asyncio.wait_for(begun.wait(), 5)
+        self.platform.gateway.send_signal(signal.SIGTERM)
+        await self.platform.wait(lambda: self.not_ready(), 3)
+        answer = await stream
+        self.assertEqual((True, WHOLE), (answer.whole, answer.body))
+        await self.platform.wait(lambda: self.platform.gateway.poll() is not None, 8)
+        self.assertEqual(0, self.platform.gateway.poll())
+
+    async def not_ready(self):
+        return (await self.platform.call("GET", "/ready", port=self.platform.ready_port)).status == 503
+
+    async def test_serves_on_while_the_store_is_down(self):
+        self.platform.store.down = True
+        await asyncio.sleep(1)
+        self.assertEqual(200, (await self.platform.call("POST", "/chat/1")).status)
+        self.assertEqual(200, (await self.platform.call("GET", "/read/1")).status)
+
+    async def test_hangup_reloads_and_bad_settings_are_refused(self):
+        log = Path(self.folder.name) / "gateway.log"
+        self.platform.gateway.send_signal(signal.SIGHUP)
+        await self.platform.wait(lambda: b"event=reload" in log.read_bytes(), 5)
+        settings = Path(self.folder.name) / "gateway.ini"
+        settings.write_text(settings.read_text() + "\n[nonsense]\na=b\n")
+        await self.platform.wait(lambda: b"reload state=REFUSED" in log.read_bytes(), 5)
+        self.assertEqual(200, (await self.platform.call("GET", "/read/1")).status)
+
+    async def test_a_log_reader_that_does_not_read_holds_nothing_up(self):
+        read_end, write_end = os.pipe()
+        os.set_blocking(write_end, False)
+        try:
+            while True:
+                os.write(write_end, b"x" * 65536)
+        except BlockingIOError:
+            pass  # The pipe is full.
+        os.set_blocking(write_end, True)
+        self.platform.gateway.kill()
+        self.platform.gateway.wait()
+        self.platform.gateway = self.platform.run_gateway(os.fdopen(write_end, "wb"), "all")
+        await self.platform.wait(self.platform.ready)
+        await self.platform.wait(self.platform.engines_known)
+        for _ in range(50):
+            self.assertEqual(200, (await self.platform.call("GET", "/read/1")).status)
+        os.close(read_end)
+
+    async def test_metrics_are_served(self):
+        await self.platform.call("GET", "/read/1")
+
+        async def counted():
+            answer = await self.platform.call("GET", "/metrics", port=self.platform.metrics_port)
+            return b"pumicemast_gateway_requests_total" in answer.body
+        await self.platform.wait(counted)
+
+
+if __name__ == "__main__":
+    unittest.main(argv=[sys.argv[0], *sys.argv[2:]], verbosity=2)
