Know how long ago weights were named, also after a restart

Cause: a gateway that was started anew took a version that had been named seconds before for just named, and would have sent to older weights beyond the bound.

--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -121,10 +121,11 @@
     left->revision = knowledge.leaving[index].revision;
     message.leaving.push_back(std::move(left));
   }
-  for (const auto& [model, version] : knowledge.weights) {
+  for (const auto& [model, weights] : knowledge.weights) {
     auto named = std::make_unique<wire::WeightsNamedT>();
     named->model = model;
-    named->version = version;
+    named->version = weights.version;
+    named->age_ms = static_cast<std::uint32_t>(to_milliseconds(weights.age));
     message.weights.push_back(std::move(named));
   }
   links_.send(peer, message);
@@ -193,7 +194,7 @@
   }
   if (digest.weights() != nullptr) {
     for (const auto* named : *digest.weights()) {
-      knowledge.weights[named->model()->str()] = named->version();
+      knowledge.weights[named->model()->str()] = {named->version(), milliseconds(named->age_ms())};
     }
   }
   const std::uint64_t own_version = listener_.own_knowledge().configuration_version;
--- a/src/gateway/fleet_links.h
+++ b/src/gateway/fleet_links.h
@@ -18,11 +18,17 @@
 
 namespace pumicemast {
 
+/// A named version, and how long ago it was named.
+struct NamedWeights {
+  std::uint64_t version = 0;
+  Duration age = Duration::zero();
+};
+
 /// What a gateway tells others.
 struct GatewayKnowledge {
   std::uint64_t configuration_version = 0;
   std::vector<LeftBackend> leaving;
-  std::map<std::string, std::uint64_t> weights;  ///< Newest named version of each model.
+  std::map<std::string, NamedWeights> weights;  ///< Newest of each model.
 };
 
 class FleetLinksListener {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kStopAcceptLimit = milliseconds(3000);
 /// Before the grace ends, what is left is ended here, so that the process ends by itself.
 constexpr Duration kStopMargin = milliseconds(300);
+/// A version that was named before this process looked is taken to bind so soon.
+constexpr Duration kAssumedTimeToChangeover = milliseconds(3000);
 /// A caller that does not read is ended beyond this.
 constexpr std::size_t kMaximumUnreadBytes = 2U << 20U;
 constexpr int kStatusOk = 200;
@@ -359,13 +361,22 @@
   update_engines();
 }
 
-void GatewayDaemon::on_weights_named(const std::string& model, std::uint64_t version) {
-  std::uint64_t& known = named_weights_[model];
-  if (version <= known) return;
-  known = version;
-  targets_.on_named(model, version, loop_now());
-  log_line("weights",
-           "weights model=" + model + " version=" + std::to_string(version) + " state=NAMED");
+void GatewayDaemon::on_weights_named(const std::string& model, std::uint64_t version,
+                                     bool seen_change) {
+  // A version found in a list may be about to bind: others that saw it named know better.
+  const Duration assumed_age =
+      std::max(Duration::zero(), settings_.changeover - kAssumedTimeToChangeover);
+  const TimePoint now = loop_now();
+  note_weights(model, version, seen_change ? now : now - assumed_age, !seen_change);
+}
+
+void GatewayDaemon::note_weights(const std::string& model, std::uint64_t version,
+                                 TimePoint named_at, bool assumed) {
+  if (!targets_.on_named(model, version, named_at, assumed)) return;
+  named_weights_[model] = version;
+  log_line("weights", "weights model=" + model + " version=" + std::to_string(version) +
+                          " age_ms=" + std::to_string(to_milliseconds(loop_now() - named_at)) +
+                          " assumed=" + (assumed ? "yes" : "no") + " state=NAMED");
   links_.tell_weights_named(model, version);
   links_.tell_others();
 }
@@ -400,14 +411,18 @@
   for (const LeftBackend& left : knowledge.leaving) {
     pool_.on_leaving(left.id, left.revision, loop_now());
   }
-  for (const auto& [model, version] : knowledge.weights) on_weights_named(model, version);
+  for (const auto& [model, weights] : knowledge.weights) {
+    note_weights(model, weights.version, loop_now() - weights.age, false);
+  }
 }
 
 GatewayKnowledge GatewayDaemon::own_knowledge() {
   GatewayKnowledge knowledge;
   knowledge.configuration_version = routes_ ? routes_->version() : 0;
   knowledge.leaving.assign(pool_.recently_left().begin(), pool_.recently_left().end());
-  knowledge.weights = named_weights_;
+  for (const auto& [model, version] : named_weights_) {
+    knowledge.weights[model] = {version, targets_.age(model, loop_now())};
+  }
   return knowledge;
 }
 
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -69,7 +69,7 @@
   void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
   void on_backend(const BackendRecord& record) override;
   void on_backend_gone(const std::string& id, std::uint64_t revision) override;
-  void on_weights_named(const std::string& model, std::uint64_t version) override;
+  void on_weights_named(const std::string& model, std::uint64_t version, bool seen_change) override;
   void on_list_reachable(bool reachable) override;
   void on_store_reachable(bool reachable) override;
   // FleetLinksListener
@@ -84,6 +84,8 @@
   void apply_configuration(FleetConfiguration configuration, const std::string& document,
                            const char* source);
   void update_engines();
+  void note_weights(const std::string& model, std::uint64_t version, TimePoint named_at,
+                    bool assumed);
   void carry_out(ForwarderActions& actions);
   void flush_answers();
   void act(const SendToBackend& action);
--- a/src/gateway/weight_targets.cpp
+++ b/src/gateway/weight_targets.cpp
@@ -4,19 +4,36 @@
 
 namespace pumicemast {
 
-void WeightTargets::on_named(const std::string& model, std::uint64_t version, TimePoint now) {
+bool WeightTargets::on_named(const std::string& model, std::uint64_t version, TimePoint named_at,
+                             bool assumed) {
   Target& target = targets_[model];
-  if (version <= target.version) return;
+  const auto known = target.namings.find(version);
+  if (known != target.namings.end()) {
+    Naming& naming = known->second;
+    if (assumed) return false;
+    naming.at = naming.assumed ? named_at : std::min(naming.at, named_at);
+    naming.assumed = false;
+    return false;
+  }
+  if (version <= target.version) return false;
   target.version = version;
-  target.named_at.emplace(version, now);
+  target.namings[version] = {named_at, assumed};
+  return true;
+}
+
+Duration WeightTargets::age(const std::string& model, TimePoint now) const {
+  const auto found = targets_.find(model);
+  if (found == targets_.end()) return Duration::zero();
+  const auto newest = found->second.namings.find(found->second.version);
+  return newest == found->second.namings.end() ? Duration::zero() : now - newest->second.at;
 }
 
 std::uint64_t WeightTargets::lowest_allowed(const std::string& model, TimePoint now) const {
   const auto found = targets_.find(model);
   if (found == targets_.end()) return 0;
   std::uint64_t lowest = 0;
-  for (const auto& [version, named_at] : found->second.named_at) {
-    if (now - named_at >= changeover_) lowest = std::max(lowest, version);
+  for (const auto& [version, naming] : found->second.namings) {
+    if (now - naming.at >= changeover_) lowest = std::max(lowest, version);
   }
   return lowest;
 }
--- a/src/gateway/weight_targets.h
+++ b/src/gateway/weight_targets.h
@@ -18,16 +18,25 @@
   explicit WeightTargets(Duration changeover) : changeover_(changeover) {}
 
   void set_changeover(Duration changeover) { changeover_ = changeover; }
-  /// `version` of `model` was named. Versions never go back.
-  void on_named(const std::string& model, std::uint64_t version, TimePoint now);
+  /// `version` of `model` was named at `named_at`. Versions never go back.
+  /// @param assumed  the time is a guess, which a known one replaces.
+  /// @return whether the version is new here.
+  bool on_named(const std::string& model, std::uint64_t version, TimePoint named_at,
+                bool assumed = false);
+  /// How long ago the newest version was named; zero when there is none.
+  Duration age(const std::string& model, TimePoint now) const;
   /// The lowest version on which a request for `model` may start now; 0 for any.
   std::uint64_t lowest_allowed(const std::string& model, TimePoint now) const;
   std::uint64_t newest(const std::string& model) const;
 
  private:
+  struct Naming {
+    TimePoint at{};
+    bool assumed = false;
+  };
   struct Target {
     std::uint64_t version = 0;
-    std::map<std::uint64_t, TimePoint> named_at;
+    std::map<std::uint64_t, Naming> namings;
   };
   Duration changeover_;
   std::map<std::string, Target> targets_;
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kManifestPeersAsked = 2;
 /// What was read back longer ago is read again before a start.
 constexpr Duration kCheckLifetime = milliseconds(1500);
+constexpr Duration kNewProcess = seconds(3);
 /// From the word to gateways until the order: longer than a request waits to begin.
 constexpr Duration kSettleTime = milliseconds(250);
 /// A version of which this share is here is brought to the engine before a newer one is begun,
@@ -66,6 +67,7 @@
       callbacks_(std::move(callbacks)),
       self_(peer_id(settings.internal_address)),
       state_(chart.initial()),
+      began_(loop_now()),
       named_at_(loop_now()),
       uplink_(settings.uplink_bytes_per_second, links, metrics, [](const std::string&) {}),
       upload_gauge_(kUploadSlots),
@@ -132,6 +134,8 @@
   previous_chunks_ = chunks_;
   target_ = version;
   named_at_ = loop_now();
+  // A process that has just begun does not know when: others may be well on their way.
+  if (named_at_ - began_ < kNewProcess) named_at_ -= settings_.changeover / 2;
   ++generation_;
   manifest_.reset();
   swarm_.reset();
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -127,6 +127,7 @@
   std::string previous_key_;  ///< Of the target before; others may still want its chunks.
   std::vector<Bytes> previous_chunks_;
   std::uint64_t generation_ = 0;  ///< Answers to calls of an older target are dropped.
+  TimePoint began_{};
   TimePoint named_at_{};
   std::set<StagingPeer> peers_;
   std::optional<WeightManifest> manifest_;
--- a/tests/gateway/gateway_cores_test.cpp
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(an_unfinished_event_is_kept_apart);
   CPPUNIT_TEST(weight_targets_never_go_back);
   CPPUNIT_TEST(each_named_version_has_its_own_changeover);
+  CPPUNIT_TEST(a_known_time_of_naming_replaces_an_assumed_one);
   CPPUNIT_TEST(log_lines_are_bounded_and_what_is_left_out_is_counted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,17 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, targets.lowest_allowed("m", now + seconds(11)));
   }
 
+  void a_known_time_of_naming_replaces_an_assumed_one() {
+    WeightTargets targets(seconds(7));
+    const TimePoint now(seconds(100));
+    CPPUNIT_ASSERT(targets.on_named("m", 2, now - seconds(4), true));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, targets.lowest_allowed("m", now + seconds(3)));
+    CPPUNIT_ASSERT(!targets.on_named("m", 2, now - seconds(1)));  // Another gateway saw it.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, targets.lowest_allowed("m", now + seconds(3)));
+    CPPUNIT_ASSERT(!targets.on_named("m", 2, now, true));
+    CPPUNIT_ASSERT(targets.age("m", now) == seconds(1));
+  }
+
   void log_lines_are_bounded_and_what_is_left_out_is_counted() {
     LogBudget budget(3);
     TimePoint now(seconds(10));
