Complete weights in the order of turns; tell agents of their engines through gateways

Change: requests for chunks carry the turn, so that who goes first is served first; turns have fixed places between 0.35 and 0.8 of the changeover; gateways describe engines to their agents.

--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -12,6 +12,8 @@
 /// Gateways that each one tells regularly: news reaches all in a few steps.
 constexpr std::size_t kFanOut = 3;
 constexpr std::size_t kLeavingTold = 32;
+/// Engines are described to their agents every so many ticks.
+constexpr std::uint64_t kDescriptionTicks = 4;
 
 PeerId peer_id(const Address& address) { return stable_hash(address.to_string()); }
 
@@ -91,9 +93,21 @@
 
 void FleetLinks::tick() {
   for (const auto& [peer, agent] : agents_) subscribe(agent);
+  if (tick_count_++ % kDescriptionTicks == 0) tell_descriptions();
   for (const PeerId peer : chosen_gateways()) send_digest(peer);
 }
 
+void FleetLinks::set_descriptions(const std::map<Address, wire::EngineDescriptionT>& by_engine) {
+  descriptions_ = by_engine;
+}
+
+void FleetLinks::tell_descriptions() {
+  for (const auto& [peer, engine] : engine_of_agent_) {
+    const auto description = descriptions_.find(engine);
+    if (description != descriptions_.end()) links_.send(peer, description->second);
+  }
+}
+
 void FleetLinks::tell_others() {
   for (const auto& [peer, address] : gateways_) {
     if (links_.connected(peer)) send_digest(peer);
--- a/src/gateway/fleet_links.h
+++ b/src/gateway/fleet_links.h
@@ -54,6 +54,8 @@
   bool start();
   /// The engines there are; an agent is thought beside each, on the port of the own address.
   void set_engines(const std::vector<Address>& engines);
+  /// What agents are told of their engines; empty services have none.
+  void set_descriptions(const std::map<Address, wire::EngineDescriptionT>& by_engine);
   /// Tells everyone at once, after something changed.
   void tell_others();
   void tell_weights_named(const std::string& model, std::uint64_t version);
@@ -61,6 +63,7 @@
  private:
   void tick();
   void subscribe(const Address& agent);
+  void tell_descriptions();
   void send_digest(PeerId peer);
   std::vector<PeerId> chosen_gateways() const;
   void on_frame(PeerId peer, const wire::Frame& frame);
@@ -73,6 +76,8 @@
   std::map<PeerId, Address> agents_;
   std::map<PeerId, Address> engine_of_agent_;
   std::map<PeerId, Address> gateways_;
+  std::map<Address, wire::EngineDescriptionT> descriptions_;
+  std::uint64_t tick_count_ = 0;
   Timer timer_;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -41,6 +41,24 @@
   return options;
 }
 
+/// Empty when the configuration names no origin of weights.
+std::optional<wire::EngineDescriptionT> describe_engine(const RouteTable& routes,
+                                                        const ServiceProfile& service) {
+  wire::EngineDescriptionT description;
+  description.service = service.name;
+  description.slots = service.engine->slots;
+  description.layers = service.engine->layers;
+  for (const ModelProfile& model : service.engine->models) {
+    description.models.push_back(model.name);
+  }
+  for (const ServiceProfile& candidate : routes.configuration().services) {
+    if (!candidate.origin) continue;
+    description.origin = candidate.origin->address.to_string();
+    return description;
+  }
+  return std::nullopt;
+}
+
 std::string_view event_stream_type() { return "text/event-stream"; }
 
 }  // namespace
@@ -327,12 +345,18 @@
 }
 
 void GatewayDaemon::update_engines() {
+  if (!routes_) return;
   std::vector<Address> engines;
+  std::map<Address, wire::EngineDescriptionT> descriptions;
   for (const BackendRecord& record : pool_.records()) {
-    const ServiceProfile* service = routes_ ? routes_->service(record.service) : nullptr;
-    if (service != nullptr && service->engine) engines.push_back(record.address);
+    const ServiceProfile* service = routes_->service(record.service);
+    if (service == nullptr || !service->engine) continue;
+    engines.push_back(record.address);
+    const auto description = describe_engine(*routes_, *service);
+    if (description) descriptions[record.address] = *description;
   }
   links_.set_engines(engines);
+  links_.set_descriptions(descriptions);
 }
 
 void GatewayDaemon::on_backend_list(const std::vector<BackendRecord>& records,
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -37,6 +37,8 @@
 class EngineControl {
  public:
   virtual ~EngineControl() = default;
+  /// Layers that a whole version has.
+  virtual void set_layer_count(std::uint32_t layers) = 0;
   /// `alive` is false when the engine did not answer.
   virtual void read_load(std::function<void(const LoadReport&)> callback) = 0;
   /// The chunks that lie in the engine's staging memory, unverified; empty on failure.
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -106,6 +106,7 @@
 void HostDaemon::on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) {
   if (!origin_) origin_ = origin_factory_->make(origin);
   slots_ = profile.slots;
+  engine_->set_layer_count(profile.layers);
   for (const ModelProfile& model : profile.models) {
     if (stagers_.contains(model.name)) continue;
     auto stager = std::make_unique<ModelStager>(
@@ -149,6 +150,9 @@
     case wire::Body::ReportSubscription:
       on_subscription(peer, *frame.body_as_ReportSubscription());
       return;
+    case wire::Body::EngineDescription:
+      on_description(*frame.body_as_EngineDescription());
+      return;
     case wire::Body::WeightsNamed: {
       const auto* message = frame.body_as_WeightsNamed();
       on_weights_named(message->model()->str(), message->version());
@@ -159,6 +163,20 @@
   }
 }
 
+void HostDaemon::on_description(const wire::EngineDescription& description) {
+  const auto origin = parse_address(description.origin()->str());
+  const bool known = origin_ != nullptr;
+  if (known || !origin || description.service()->str() != settings_.service) return;
+  EngineProfile profile;
+  profile.slots = description.slots();
+  profile.layers = description.layers();
+  if (description.models() != nullptr) {
+    for (const auto* model : *description.models()) profile.models.push_back({model->str(), {}});
+  }
+  log_line("profile", "profile service=" + settings_.service + " source=gateway state=KNOWN");
+  on_engine_profile(profile, {*origin, 1});
+}
+
 void HostDaemon::on_subscription(PeerId peer, const wire::ReportSubscription& subscription) {
   const bool is_new = !subscribers_.contains(peer);
   subscribers_[peer] = {loop_now(), subscription.address()->str(), subscription.ping()};
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -53,6 +53,7 @@
 
   void on_frame(PeerId peer, const wire::Frame& frame);
   void on_subscription(PeerId peer, const wire::ReportSubscription& subscription);
+  void on_description(const wire::EngineDescription& description);
   void poll_engine();
   void on_load(const LoadReport& report);
   void send_report(bool forced);
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -352,6 +352,9 @@
     participants.push_back({self_, static_cast<std::uint32_t>(stable_hash(settings_.region)),
                             static_cast<std::uint32_t>(stable_hash(settings_.zone))});
   }
+  std::vector<PeerId> ids;
+  for (const SwarmParticipant& participant : participants) ids.push_back(participant.id);
+  turn_rank_ = static_cast<std::uint32_t>(turn_rank(self_, ids, target_));
   SwarmActions actions;
   swarm_->on_membership(
       std::make_shared<SwarmMembership>(std::move(participants), stable_hash(key())), loop_now(),
@@ -405,7 +408,9 @@
   wire::ChunkRequestT message;
   message.digest = key();
   message.chunk = action.chunk;
-  message.progress = action.progress;
+  // Whose turn comes first is served first: agents then complete in the order of their turns,
+  // and the fleet does not change over all at once. An engine that serves nothing goes first.
+  message.progress = load_.weight_version == 0 ? 0 : 1 + turn_rank_;
   requested_[action.chunk] = loop_now();
   links_.send(action.peer, message);
 }
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -154,6 +154,7 @@
   TimePoint manifest_at_{};
   TimePoint checked_at_{};
   std::optional<TimePoint> turn_;
+  std::uint32_t turn_rank_ = 0;
   TimePoint order_due_{};
   bool ordered_ = false;  ///< Within STARTING.
   TimePoint started_at_{};
--- a/src/host/start_turns.h
+++ b/src/host/start_turns.h
@@ -18,30 +18,36 @@
 struct StartTurnOptions {
   /// From the naming of a version until requests may no longer start on older ones.
   Duration changeover = seconds(8);
-  /// Turns are spread over what is left until this share of the changeover.
+  /// Turns are spread between these shares of the changeover. The first is about when the
+  /// first agents can have all of a version.
+  double first_turn_share = 0.35;
   double last_turn_share = 0.8;
 };
 
+/// Position of `self` in the order in which agents change over to `version`.
+inline std::size_t turn_rank(PeerId self, const std::vector<PeerId>& participants,
+                             std::uint64_t version) {
+  const std::uint64_t own = stable_hash(self, version);
+  return static_cast<std::size_t>(std::count_if(
+      participants.begin(), participants.end(),
+      [&](PeerId other) { return other != self && stable_hash(other, version) < own; }));
+}
+
 /// @param self          this engine's agent.
 /// @param participants  all agents of the service.
 /// @param named_at      when the version was named, as far as it is known here.
 /// @param now           its weights are complete and verified from now on.
-/// @return when this engine starts the version: at once when the changeover is nearly over.
+/// @return when this engine starts the version: at once when its turn has passed.
 inline TimePoint start_turn(PeerId self, const std::vector<PeerId>& participants,
                             std::uint64_t version, TimePoint named_at, TimePoint now,
                             const StartTurnOptions& options) {
-  const std::uint64_t own = stable_hash(self, version);
-  const auto before = std::count_if(participants.begin(), participants.end(), [&](PeerId other) {
-    return other != self && stable_hash(other, version) < own;
-  });
-  const auto total = std::max<std::size_t>(1, participants.size());
-  const auto span = static_cast<Duration::rep>(static_cast<double>(options.changeover.count()) *
-                                               options.last_turn_share);
-  const TimePoint last = named_at + Duration(span);
-  if (last <= now) return now;
-  const double share = static_cast<double>(before) / static_cast<double>(total);
-  return now +
-         Duration(static_cast<Duration::rep>(static_cast<double>((last - now).count()) * share));
+  const auto total = static_cast<double>(std::max<std::size_t>(1, participants.size()));
+  const double position = static_cast<double>(turn_rank(self, participants, version)) / total;
+  const double share =
+      options.first_turn_share + position * (options.last_turn_share - options.first_turn_share);
+  const auto offset =
+      static_cast<Duration::rep>(static_cast<double>(options.changeover.count()) * share);
+  return std::max(now, named_at + Duration(offset));
 }
 
 }  // namespace pumicemast
