--- /dev/null
+++ b/tests/scripts/trace_request_test.py
@@ -0,0 +1,53 @@
+"""The tool that explains a request from log lines: good lines, cut lines, foreign lines."""
+
+import pathlib
+import subprocess
+import tempfile
+import unittest
+
+TOOL = pathlib.Path(__file__).resolve().parents[2] / "scripts" / "trace-request"
+LINES = """2026-12-02T12:00:00.100 INFO gw1 backend id=b1 service=s address=1.2.3.4:5 state=DRAINING
+2026-12-02T11:59:58.000 INFO gw2 request id=r1 outcome=refused reason=no_capacity status=503 backends=- sends=0
+2026-12-02T12:00:01.000 INFO gw1 request id=r1 outcome=refused reason=backend_failed status=502 backends=b1,b2 sends=2
+2026-12-02T12:00:02.000 INFO gw1 request id=r2 outcome=finished reason=- status=200 backends=b2 sends=2
+not one of ours
+2026-12-02T12:00:03.000 INFO gw1 reque"""
+
+
+def run(*words, text=LINES):
+    return subprocess.run([TOOL, *words], input=text, capture_output=True, text=True, check=False)
+
+
+class TraceRequestTest(unittest.TestCase):
+    def test_a_request_over_processes_whose_clocks_differ(self):
+        result = run("r1")
+        self.assertEqual(0, result.returncode)
+        self.assertIn("cause: no engine had a free slot", result.stdout)
+        self.assertIn("tried b1", result.stdout)
+        self.assertIn("state=DRAINING", result.stdout)
+
+    def test_foreign_and_cut_lines_are_counted_and_do_no_harm(self):
+        self.assertIn("2 lines are no log lines", run("r1").stderr)
+        self.assertEqual(1, run("r1", text="\x00\xff garbage\n").returncode)
+
+    def test_an_unknown_id_gets_a_clear_error(self):
+        result = run("nobody")
+        self.assertEqual(1, result.returncode)
+        self.assertIn("no line of request nobody", result.stderr)
+
+    def test_failed_requests_by_cause(self):
+        result = run("--failed")
+        self.assertEqual("backend_failed gw1 1: r1\nno_capacity gw2 1: r1\n", result.stdout)
+
+    def test_bad_command_lines_and_files(self):
+        self.assertEqual(2, run().returncode)
+        self.assertEqual(2, run("--what").returncode)
+        self.assertEqual(2, run("r1", "/nonexistent").returncode)
+        with tempfile.NamedTemporaryFile("w", suffix=".log") as file:
+            file.write(LINES)
+            file.flush()
+            self.assertEqual(0, run("r1", file.name).returncode)
+
+
+if __name__ == "__main__":
+    unittest.main()
