--- /dev/null
+++ b/src/host/manifest_seeker.cpp
@@ -0,0 +1,105 @@
+#include "host/manifest_seeker.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kAskInterval = milliseconds(150);
+/// Most agents wait so long for a few that ask the origin.
+constexpr Duration kPatience = milliseconds(250);
+constexpr std::size_t kFirstAtOrigin = 2;
+constexpr std::size_t kPeersAsked = 2;
+constexpr std::size_t kHashBytes = sizeof(Sha256);
+
+}  // namespace
+
+ManifestSeeker::ManifestSeeker(std::string model, PeerId self, WeightOrigin& origin,
+                               PeerLinks& links, OnFound on_found)
+    : model_(std::move(model)),
+      self_(self),
+      origin_(origin),
+      links_(links),
+      on_found_(std::move(on_found)) {}
+
+void ManifestSeeker::begin(std::uint64_t version, TimePoint now) {
+  version_ = version;
+  ++generation_;
+  seeking_ = true;
+  origin_asked_ = false;
+  begun_ = now;
+  next_ask_ = now;
+  on_tick(now);
+}
+
+void ManifestSeeker::on_tick(TimePoint now) {
+  if (!seeking_ || now < next_ask_) return;
+  next_ask_ = now + kAskInterval;
+  ask_peers(now);
+  const bool patient = now - begun_ < kPatience && !asks_origin_first();
+  if (!patient && !origin_asked_) ask_origin();
+}
+
+void ManifestSeeker::ask_peers(TimePoint now) {
+  wire::ManifestRequestT request;
+  request.model = model_;
+  request.least_version = version_;
+  const auto salt = static_cast<std::uint64_t>(now.time_since_epoch().count());
+  std::size_t asked = 0;
+  for (const PeerId peer : peers_) {
+    // Others each time, without keeping whom.
+    const bool chosen = peer != self_ && (stable_hash(peer, salt) & 1U) == 0;
+    if (!chosen) continue;
+    links_.send(peer, request);
+    if (++asked >= kPeersAsked) return;
+  }
+}
+
+bool ManifestSeeker::asks_origin_first() const {
+  const std::uint64_t own = stable_hash(self_, version_);
+  const auto before = std::count_if(peers_.begin(), peers_.end(), [&](PeerId peer) {
+    return peer != self_ && stable_hash(peer, version_) < own;
+  });
+  return static_cast<std::size_t>(before) < kFirstAtOrigin;
+}
+
+void ManifestSeeker::ask_origin() {
+  origin_asked_ = true;
+  origin_.fetch_manifest(model_, version_,
+                         [this, generation = generation_](std::optional<WeightManifest> manifest) {
+                           if (generation != generation_) return;
+                           origin_asked_ = false;
+                           if (manifest && seeking_) on_found_(std::move(*manifest), "origin");
+                         });
+}
+
+wire::ManifestDocumentT ManifestSeeker::encode(const WeightManifest& manifest) {
+  wire::ManifestDocumentT message;
+  message.model = manifest.model;
+  message.version = manifest.version;
+  message.chunk_bytes = manifest.chunk_bytes;
+  message.layers = manifest.layers;
+  for (const Sha256& hash : manifest.hashes) {
+    message.hashes.insert(message.hashes.end(), hash.begin(), hash.end());
+  }
+  return message;
+}
+
+WeightManifest ManifestSeeker::decode(const wire::ManifestDocument& document) {
+  WeightManifest manifest;
+  manifest.model = document.model()->str();
+  manifest.version = document.version();
+  manifest.chunk_bytes = document.chunk_bytes();
+  manifest.layers = document.layers();
+  if (document.hashes() == nullptr) return manifest;
+  for (std::size_t at = 0; at + kHashBytes <= document.hashes()->size(); at += kHashBytes) {
+    Sha256 hash{};
+    std::copy_n(document.hashes()->data() + at, kHashBytes, hash.begin());
+    manifest.hashes.push_back(hash);
+  }
+  return manifest;
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/host/manifest_seeker.h
@@ -0,0 +1,53 @@
+/// Finds out what the wanted version of a model consists of.
+///
+/// Manifests come from other agents where they have them, so that the origin's narrow link
+/// sends few copies: two agents ask it at once, the others after a moment in vain.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "host/engine_control.h"
+#include "transport/peer_links.h"
+
+namespace pumicemast {
+
+class ManifestSeeker {
+ public:
+  /// Called for each manifest that was found; it may be of a newer version than was asked for.
+  using OnFound = std::function<void(WeightManifest, const char* source)>;
+
+  ManifestSeeker(std::string model, PeerId self, WeightOrigin& origin, PeerLinks& links,
+                 OnFound on_found);
+
+  /// Seeks `version` (0: the newest) from now on, and nothing else.
+  void begin(std::uint64_t version, TimePoint now);
+  void stop() { seeking_ = false; }
+  void set_peers(std::vector<PeerId> peers) { peers_ = std::move(peers); }
+  /// Call every few hundredths of a second.
+  void on_tick(TimePoint now);
+
+  static wire::ManifestDocumentT encode(const WeightManifest& manifest);
+  static WeightManifest decode(const wire::ManifestDocument& document);
+
+ private:
+  void ask_peers(TimePoint now);
+  void ask_origin();
+  bool asks_origin_first() const;
+
+  std::string model_;
+  PeerId self_;
+  WeightOrigin& origin_;
+  PeerLinks& links_;
+  OnFound on_found_;
+  std::vector<PeerId> peers_;
+  std::uint64_t version_ = 0;
+  std::uint64_t generation_ = 0;  ///< Answers to what was asked before are dropped.
+  bool seeking_ = false;
+  bool origin_asked_ = false;
+  TimePoint begun_{};
+  TimePoint next_ask_{};
+};
+
+}  // namespace pumicemast
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -8,13 +8,8 @@
 namespace pumicemast {
 namespace {
 
-constexpr Duration kManifestAskInterval = milliseconds(150);
-/// Others wait so long for the manifest that a few agents draw from the origin.
-constexpr Duration kManifestPatience = milliseconds(250);
-constexpr std::size_t kManifestDrawers = 2;
 /// An engine that has not answered for so long is not asked what it holds before the transfer.
 constexpr Duration kEnginePatience = milliseconds(2500);
-constexpr std::size_t kManifestPeersAsked = 2;
 /// What was read back longer ago is read again before a start.
 constexpr Duration kCheckLifetime = milliseconds(1500);
 constexpr Duration kNewProcess = seconds(3);
@@ -40,7 +35,6 @@
 constexpr Duration kUploadPatience = milliseconds(1500);
 constexpr Duration kOriginProbeInterval = milliseconds(500);
 constexpr Duration kSourcePause = milliseconds(200);
-constexpr std::size_t kHashBytes = sizeof(Sha256);
 
 /// Age of the oldest entry; zero when there is none.
 template <class Key>
@@ -66,12 +60,18 @@
       metrics_(metrics),
       callbacks_(std::move(callbacks)),
       self_(peer_id(settings.internal_address)),
+      seeker_(model_, self_, origin, links,
+              [this](WeightManifest manifest, const char* source) {
+                take_manifest(std::move(manifest), source);
+              }),
       state_(chart.initial()),
       began_(loop_now()),
       named_at_(loop_now()),
       uplink_(settings.uplink_bytes_per_second, links, metrics, [](const std::string&) {}),
       upload_gauge_(kUploadSlots),
-      download_gauge_(kChunkWindow) {}
+      download_gauge_(kChunkWindow) {
+  seeker_.begin(target_, began_);
+}
 
 void ModelStager::step(const char* event) {
   const std::string next = chart_.next(state_, event);
@@ -145,50 +145,9 @@
   turn_.reset();
   writing_ = false;
   reading_from_engine_ = false;
-  origin_asked_ = false;
-  manifest_asked_since_ = named_at_;
-  next_manifest_ask_ = named_at_;
   origin_.cancel_chunks();
   step("target_changed");
-  seek_manifest();
-}
-
-bool ModelStager::draws_manifest_first() const {
-  const std::uint64_t own = stable_hash(self_, target_);
-  const auto before = std::count_if(peers_.begin(), peers_.end(), [&](const StagingPeer& peer) {
-    return peer_id(peer.address) != self_ && stable_hash(peer_id(peer.address), target_) < own;
-  });
-  return static_cast<std::size_t>(before) < kManifestDrawers;
-}
-
-void ModelStager::seek_manifest() {
-  if (manifest_) return;
-  const TimePoint now = loop_now();
-  if (now < next_manifest_ask_) return;
-  next_manifest_ask_ = now + kManifestAskInterval;
-  if (manifest_asked_since_ == TimePoint{}) manifest_asked_since_ = now;
-  wire::ManifestRequestT request;
-  request.model = model_;
-  request.least_version = target_;
-  std::size_t asked = 0;
-  for (const StagingPeer& peer : peers_) {
-    const PeerId id = peer_id(peer.address);
-    if (id == self_ ||
-        (stable_hash(id, static_cast<std::uint64_t>(now.time_since_epoch().count())) & 1U) != 0) {
-      continue;
-    }
-    links_.send(id, request);
-    if (++asked >= kManifestPeersAsked) break;
-  }
-  const bool patient = now - manifest_asked_since_ < kManifestPatience && !draws_manifest_first();
-  if (patient || origin_asked_) return;
-  origin_asked_ = true;
-  origin_.fetch_manifest(model_, target_,
-                         [this, generation = generation_](std::optional<WeightManifest> manifest) {
-                           if (generation != generation_) return;
-                           origin_asked_ = false;
-                           if (manifest) take_manifest(std::move(*manifest), "origin");
-                         });
+  seeker_.begin(target_, loop_now());
 }
 
 void ModelStager::take_manifest(WeightManifest manifest, const char* source) {
@@ -198,6 +157,7 @@
     ++generation_;
   }
   manifest_ = std::move(manifest);
+  seeker_.stop();
   const auto count = static_cast<ChunkIndex>(manifest_->hashes.size());
   callbacks_.on_line("manifest", "manifest model=" + model_ +
                                      " version=" + std::to_string(target_) +
@@ -215,7 +175,8 @@
   staged_ = std::move(staged);
   if (std::string_view(source) == "origin") {
     for (const StagingPeer& peer : peers_) {
-      if (peer_id(peer.address) != self_) send_manifest(peer_id(peer.address));
+      const PeerId id = peer_id(peer.address);
+      if (id != self_) links_.send(id, ManifestSeeker::encode(*manifest_));
     }
   }
   step("manifest_read");
@@ -227,18 +188,6 @@
   }
 }
 
-void ModelStager::send_manifest(PeerId peer) {
-  wire::ManifestDocumentT message;
-  message.model = model_;
-  message.version = manifest_->version;
-  message.chunk_bytes = manifest_->chunk_bytes;
-  message.layers = manifest_->layers;
-  for (const Sha256& hash : manifest_->hashes) {
-    message.hashes.insert(message.hashes.end(), hash.begin(), hash.end());
-  }
-  links_.send(peer, message);
-}
-
 // ---- what the engine already holds ----
 
 void ModelStager::read_staged_chunks() {
@@ -333,6 +282,9 @@
 void ModelStager::set_peers(const std::set<StagingPeer>& peers) {
   if (peers == peers_) return;
   peers_ = peers;
+  std::vector<PeerId> ids;
+  for (const StagingPeer& peer : peers_) ids.push_back(peer_id(peer.address));
+  seeker_.set_peers(std::move(ids));
   for (const StagingPeer& peer : peers_) {
     if (peer_id(peer.address) != self_) links_.set_address(peer_id(peer.address), peer.address);
   }
@@ -363,7 +315,7 @@
 }
 
 void ModelStager::on_tick() {
-  if (!manifest_) seek_manifest();
+  seeker_.on_tick(loop_now());
   if (swarm_) {
     SwarmActions actions;
     const TimePoint tick = loop_now();
@@ -567,7 +519,9 @@
       const auto* message = frame.body_as_ManifestRequest();
       if (message->model()->string_view() != model_) return;
       on_named(message->least_version());
-      if (manifest_ && manifest_->version >= message->least_version()) send_manifest(peer);
+      if (manifest_ && manifest_->version >= message->least_version()) {
+        links_.send(peer, ManifestSeeker::encode(*manifest_));
+      }
       return;
     }
     case wire::Body::ManifestDocument: {
@@ -577,17 +531,7 @@
         on_named(message->version());
         if (message->version() > target_) return;  // Put off; it is asked for when begun.
       }
-      WeightManifest manifest;
-      manifest.model = model_;
-      manifest.version = message->version();
-      manifest.chunk_bytes = message->chunk_bytes();
-      manifest.layers = message->layers();
-      for (std::size_t at = 0; at + kHashBytes <= message->hashes()->size(); at += kHashBytes) {
-        Sha256 hash{};
-        std::copy_n(message->hashes()->data() + at, kHashBytes, hash.begin());
-        manifest.hashes.push_back(hash);
-      }
-      take_manifest(std::move(manifest), "peer");
+      take_manifest(ManifestSeeker::decode(*message), "peer");
       return;
     }
     case wire::Body::SwarmJoin:
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -19,6 +19,7 @@
 #include "host/engine_control.h"
 #include "host/host_settings.h"
 #include "host/link_gauge.h"
+#include "host/manifest_seeker.h"
 #include "swarm/swarm.h"
 #include "transfer/uplink_pacer.h"
 #include "transport/peer_links.h"
@@ -75,10 +76,7 @@
   void change_target(std::uint64_t version);
   void end_deferral(TimePoint now);
   void serve_previous(PeerId peer, const wire::ChunkRequest& request);
-  void seek_manifest();
-  bool draws_manifest_first() const;
   void take_manifest(WeightManifest manifest, const char* source);
-  void send_manifest(PeerId peer);
   void read_staged_chunks();
   void read_next_staged(std::vector<ChunkIndex> chunks, std::size_t position);
   void note_staged_bytes(ChunkIndex chunk, std::string bytes);
@@ -120,6 +118,7 @@
   Metrics& metrics_;
   Callbacks callbacks_;
   PeerId self_;
+  ManifestSeeker seeker_;
   std::string state_;
   std::uint64_t target_ = 0;           ///< 0: whichever the origin has as its newest.
   std::uint64_t deferred_target_ = 0;  ///< Named, but not begun yet; 0 for none.
@@ -148,9 +147,6 @@
   std::map<std::pair<PeerId, ChunkIndex>, TimePoint> uploads_;
   /// Chunks asked for, and since when.
   std::map<ChunkIndex, TimePoint> requested_;
-  TimePoint next_manifest_ask_{};
-  TimePoint manifest_asked_since_{};
-  bool origin_asked_ = false;
   TimePoint manifest_at_{};
   TimePoint checked_at_{};
   std::optional<TimePoint> turn_;
