Let no idle connection rest at the origin

Cause: agents kept up to three connections open at the origin. Ruled out: an unread configuration (the profile was known 0.1 s after the start).

--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -109,6 +109,8 @@
   engine_->set_layer_count(profile.layers);
   for (const ModelProfile& model : profile.models) {
     if (stagers_.contains(model.name)) continue;
+    log_line("profile", "profile service=" + settings_.service + " model=" + model.name +
+                            " slots=" + std::to_string(profile.slots) + " state=KNOWN");
     auto stager = std::make_unique<ModelStager>(
         model.name, settings_, chart_, *engine_, *origin_, links_, metrics_,
         ModelStager::Callbacks{
@@ -173,7 +175,6 @@
   if (description.models() != nullptr) {
     for (const auto* model : *description.models()) profile.models.push_back({model->str(), {}});
   }
-  log_line("profile", "profile service=" + settings_.service + " source=gateway state=KNOWN");
   on_engine_profile(profile, {*origin, 1});
 }
 
--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -45,6 +45,7 @@
 void HttpFetcher::fetch(const FetchRequest& request, Callback callback) {
   cancel();
   callback_ = std::move(callback);
+  keep_connection_ = request.keep_connection;
   result_ = {};
   if (connection_ && !connection_->reusable()) drop_connection();
   if (!connection_) {
@@ -84,6 +85,7 @@
   const Callback callback = std::move(callback_);
   callback_ = nullptr;
   callback(result);  // May begin the next request.
+  if (!callback_ && !keep_connection_) drop_connection();
 }
 
 }  // namespace pumicemast
--- a/src/http1/http_fetcher.h
+++ b/src/http1/http_fetcher.h
@@ -17,6 +17,9 @@
   std::string body;
   std::string content_type = "application/json";
   Duration timeout = seconds(1);
+  /// Leave the connection open when no request follows at once. Where connections are few, those
+  /// that machines without power leave behind would shut others out.
+  bool keep_connection = true;
 };
 
 struct FetchResult {
@@ -51,6 +54,7 @@
   Address address_;
   std::unique_ptr<ClientConnection> connection_;
   Callback callback_;
+  bool keep_connection_ = true;
   FetchResult result_;
   Timer timeout_;
   DeferredDeleter deleter_;
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -298,6 +298,13 @@
             return answer.headers.get("x-pumicemast-weight-versions") == "2"
         await self.platform.wait(on_new_weights)
 
+    async def test_no_connection_rests_at_the_origin(self):
+        # What machines that lost power leave open there would shut everyone out.
+        self.platform.origin.newest = 2
+        self.platform.store.put("versions", "m", {"model": "m", "version": 2})
+        await self.platform.wait(lambda: all(e.version == 2 for e in self.platform.engines), 10)
+        await self.platform.wait(lambda: not self.platform.origin.writers, 2)
+
     async def test_spoilt_staging_memory_is_mended_before_a_start(self):
         engine = self.platform.engines[0]
         engine.staged[3] = b"rotten"
