--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -283,6 +283,7 @@
   if (peers == peers_) return;
   peers_ = peers;
   std::vector<PeerId> ids;
+  ids.reserve(peers_.size());
   for (const StagingPeer& peer : peers_) ids.push_back(peer_id(peer.address));
   seeker_.set_peers(std::move(ids));
   for (const StagingPeer& peer : peers_) {
@@ -305,6 +306,7 @@
                             static_cast<std::uint32_t>(stable_hash(settings_.zone))});
   }
   std::vector<PeerId> ids;
+  ids.reserve(participants.size());
   for (const SwarmParticipant& participant : participants) ids.push_back(participant.id);
   turn_rank_ = static_cast<std::uint32_t>(turn_rank(self_, ids, target_));
   SwarmActions actions;
@@ -678,6 +680,7 @@
     turn_ = now;
   } else {
     std::vector<PeerId> participants;
+    participants.reserve(peers_.size());
     for (const StagingPeer& peer : peers_) participants.push_back(peer_id(peer.address));
     StartTurnOptions options;
     options.changeover = settings_.changeover;
