--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -153,10 +153,10 @@
   callers_[key] = std::move(connection);
 }
 
-void GatewayDaemon::on_caller_request(CallerConnection& connection, HttpRequest request) {
+void GatewayDaemon::on_caller_request(CallerConnection& connection, ReceivedRequest request) {
   const RequestNumber number = next_number_++;
   connection.request_number = number;
-  CallerRequest facts = protocol_->read_request(request);
+  RequestFacts facts = protocol_->read_request(request);
   Exchange& exchange = exchanges_[number];
   exchange.connection = &connection;
   exchange.request_id = facts.id;
@@ -271,7 +271,7 @@
   backends_.start(action, protocol_->encode_request(exchange->request, action), head_request);
 }
 
-void GatewayDaemon::act(const CancelAtBackend& action) { backends_.cancel(action.request); }
+void GatewayDaemon::act(const CancelAttempt& action) { backends_.cancel(action.request); }
 
 void GatewayDaemon::act(const BeginAnswer& action) {
   Exchange* exchange = find(action.request);
@@ -282,14 +282,14 @@
       action.length ? AnswerFraming::length : AnswerFraming::chunked, action.length.value_or(0));
 }
 
-void GatewayDaemon::act(const AnswerBytes& action) {
+void GatewayDaemon::act(const RelayBytes& action) {
   Exchange* exchange = find(action.request);
   if (exchange == nullptr) return;
   exchange->connection->write_answer(action.bytes);
   written_.push_back(action.request);
 }
 
-void GatewayDaemon::act(const FinishAnswer& action) {
+void GatewayDaemon::act(const EndAnswer& action) {
   Exchange* exchange = find(action.request);
   if (exchange == nullptr) return;
   CallerConnection& connection = *exchange->connection;
@@ -297,7 +297,7 @@
   connection.end_answer();
 }
 
-void GatewayDaemon::act(const RefuseRequest& action) {
+void GatewayDaemon::act(const RefuseCaller& action) {
   Exchange* exchange = find(action.request);
   if (exchange == nullptr) return;
   CallerConnection& connection = *exchange->connection;
@@ -306,7 +306,7 @@
   connection.answer(action.status, fields, to_string(action.reason));
 }
 
-void GatewayDaemon::act(const AbortAnswer& action) {
+void GatewayDaemon::act(const CutAnswer& action) {
   Exchange* exchange = find(action.request);
   if (exchange == nullptr) return;
   CallerConnection& connection = *exchange->connection;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -44,7 +44,7 @@
   /// One request in progress, as the shell keeps it.
   struct Exchange {
     CallerConnection* connection = nullptr;
-    HttpRequest request;
+    ReceivedRequest request;
     std::string request_id;
     std::string answer_head;  ///< Header lines of the answer to be passed on.
     std::string answer_reason;
@@ -55,7 +55,7 @@
   // TcpListener::Acceptor
   void on_accepted(int descriptor) override;
   // CallerConnectionObserver
-  void on_caller_request(CallerConnection& connection, HttpRequest request) override;
+  void on_caller_request(CallerConnection& connection, ReceivedRequest request) override;
   void on_caller_gone(CallerConnection& connection) override;
   void on_caller_connection_closed(CallerConnection& connection) override;
   // AttemptObserver
@@ -89,12 +89,12 @@
   void carry_out(ForwarderActions& actions);
   void flush_answers();
   void act(const SendToBackend& action);
-  void act(const CancelAtBackend& action);
+  void act(const CancelAttempt& action);
   void act(const BeginAnswer& action);
-  void act(const AnswerBytes& action);
-  void act(const FinishAnswer& action);
-  void act(const RefuseRequest& action);
-  void act(const AbortAnswer& action);
+  void act(const RelayBytes& action);
+  void act(const EndAnswer& action);
+  void act(const RefuseCaller& action);
+  void act(const CutAnswer& action);
   Exchange* find(RequestNumber number);
   void release(RequestNumber number);
 
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -14,9 +14,9 @@
 class GatewayProtocol {
  public:
   virtual ~GatewayProtocol() = default;
-  virtual CallerRequest read_request(const HttpRequest& request) const = 0;
+  virtual RequestFacts read_request(const ReceivedRequest& request) const = 0;
   /// The whole request as the back end is to receive it.
-  virtual std::string encode_request(const HttpRequest& request,
+  virtual std::string encode_request(const ReceivedRequest& request,
                                      const SendToBackend& send) const = 0;
   /// Whether the answer belongs to the request with this id.
   virtual bool belongs_to(const ResponseHead& head, const std::string& request_id) const = 0;
--- a/src/gateway/request_forwarder.cpp
+++ b/src/gateway/request_forwarder.cpp
@@ -112,7 +112,7 @@
   return route;
 }
 
-void RequestForwarder::on_request(RequestNumber number, CallerRequest request, TimePoint now,
+void RequestForwarder::on_request(RequestNumber number, RequestFacts request, TimePoint now,
                                   ForwarderActions& actions) {
   ++counters_.requests;
   Session& session = sessions_[number];
@@ -266,14 +266,14 @@
   // The answer to a resumption that is no stream is no part of the one that was begun.
   if (session.stream_begun) return;
   if (session.answer_begun) {
-    actions.emplace_back(AnswerBytes{number, std::string(bytes)});
+    actions.emplace_back(RelayBytes{number, std::string(bytes)});
     return;
   }
   session.buffered.append(bytes);
   if (session.buffered.size() <= options_.whole_answer_bytes || session.facts.not_run) return;
   session.answer_begun = true;
   actions.emplace_back(BeginAnswer{number, std::nullopt});
-  actions.emplace_back(AnswerBytes{number, std::move(session.buffered)});
+  actions.emplace_back(RelayBytes{number, std::move(session.buffered)});
   session.buffered.clear();
 }
 
@@ -289,7 +289,7 @@
     session.answer_version = session.last_version;
     actions.emplace_back(BeginAnswer{number, std::nullopt});
   }
-  actions.emplace_back(AnswerBytes{number, std::move(ready)});
+  actions.emplace_back(RelayBytes{number, std::move(ready)});
 }
 
 void RequestForwarder::on_response_complete(RequestNumber number, TimePoint now,
@@ -347,16 +347,16 @@
   if (session.events) {
     const std::string rest = session.splitter.take_rest();
     if (!session.answer_begun) actions.emplace_back(BeginAnswer{number, std::nullopt});
-    if (!rest.empty()) actions.emplace_back(AnswerBytes{number, rest});
+    if (!rest.empty()) actions.emplace_back(RelayBytes{number, rest});
   } else if (!session.answer_begun) {
     actions.emplace_back(BeginAnswer{number, session.buffered.size()});
     if (!session.buffered.empty()) {
-      actions.emplace_back(AnswerBytes{number, std::move(session.buffered)});
+      actions.emplace_back(RelayBytes{number, std::move(session.buffered)});
     }
     if (session.first_event == TimePoint{}) session.first_event = now;
   }
   ++counters_.finished;
-  actions.emplace_back(FinishAnswer{number});
+  actions.emplace_back(EndAnswer{number});
   leave_backend(session);
   summarize(session, "finished", "", session.facts.status, now);
   sessions_.erase(number);
@@ -458,7 +458,7 @@
   assert(!session.answer_begun);
   assert(status != kStatusUnavailable || !session.may_have_run);
   ++counters_.refused;
-  actions.emplace_back(RefuseRequest{number, status, reason, retry_after});
+  actions.emplace_back(RefuseCaller{number, status, reason, retry_after});
   summarize(session, "refused", to_string(reason), status, now);
   waiting_.erase(number);
   sessions_.erase(number);
@@ -467,7 +467,7 @@
 void RequestForwarder::abort(RequestNumber number, Session& session, RefusalReason reason,
                              TimePoint now, ForwarderActions& actions) {
   ++counters_.aborted;
-  actions.emplace_back(AbortAnswer{number, reason});
+  actions.emplace_back(CutAnswer{number, reason});
   summarize(session, "aborted", to_string(reason), session.facts.status, now);
   sessions_.erase(number);
 }
@@ -479,7 +479,7 @@
   Session& session = found->second;
   ++counters_.callers_gone;
   if (!session.backend.empty()) {
-    actions.emplace_back(CancelAtBackend{number});
+    actions.emplace_back(CancelAttempt{number});
     leave_backend(session);
   }
   summarize(session, "gone", "caller_left", 0, now);
@@ -498,7 +498,7 @@
 void RequestForwarder::check_attempt(RequestNumber number, Session& session, TimePoint now,
                                      ForwarderActions& actions) {
   if (!session.connected && now - session.sent_at > options_.connect_limit) {
-    actions.emplace_back(CancelAtBackend{number});
+    actions.emplace_back(CancelAttempt{number});
     on_attempt_failed(number, AttemptFailure::not_sent, now, actions);
     return;
   }
@@ -515,7 +515,7 @@
   const auto choice = pool_.choose(need_of(session, now), session.tried, now);
   if (!choice || choice->expected_ms > to_ms(session.deadline - now)) return;
   if (!spend_retry(session)) return;
-  actions.emplace_back(CancelAtBackend{number});
+  actions.emplace_back(CancelAttempt{number});
   pool_.on_failure(session.backend, now);
   session.may_have_run = true;
   leave_backend(session);
@@ -535,7 +535,7 @@
     if (now >= session.deadline - kDeadlineMargin) {
       if (!session.backend.empty()) {
         session.may_have_run = true;
-        actions.emplace_back(CancelAtBackend{number});
+        actions.emplace_back(CancelAttempt{number});
         leave_backend(session);
       }
       if (session.answer_begun) {
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -4,7 +4,7 @@
 /// sends again or resumes what failed, and keeps every deadline.
 ///
 /// Invariants:
-/// - each request gets exactly one final action (FinishAnswer, RefuseRequest, AbortAnswer),
+/// - each request gets exactly one final action (EndAnswer, RefuseCaller, CutAnswer),
 ///   unless its caller has left;
 /// - a refusal says "not run" only when no back end may have run the request, or ever will;
 /// - a request that may not be repeated is sent again only after proof that it did not run;
@@ -34,7 +34,7 @@
 using RequestNumber = std::uint64_t;
 
 /// What a caller's request says of itself.
-struct CallerRequest {
+struct RequestFacts {
   std::string id;  ///< The caller's own, for logs.
   std::string host;
   std::string target;
@@ -85,7 +85,7 @@
   bool attempt_repeatable = false;     ///< A stale connection does no harm.
 };
 /// The caller left, or the attempt is given up: the back end is to stop.
-struct CancelAtBackend {
+struct CancelAttempt {
   RequestNumber request = 0;
 };
 /// Begins the answer with the head that the back end gave to this attempt.
@@ -93,26 +93,26 @@
   RequestNumber request = 0;
   std::optional<std::size_t> length;  ///< Chunked when empty.
 };
-struct AnswerBytes {
+struct RelayBytes {
   RequestNumber request = 0;
   std::string bytes;
 };
-struct FinishAnswer {
+struct EndAnswer {
   RequestNumber request = 0;
 };
-struct RefuseRequest {
+struct RefuseCaller {
   RequestNumber request = 0;
   int status = 0;
   RefusalReason reason = RefusalReason::no_capacity;
   Duration retry_after = Duration::zero();  ///< Zero: nothing is said.
 };
 /// The answer can't be completed: the caller must see it fail.
-struct AbortAnswer {
+struct CutAnswer {
   RequestNumber request = 0;
   RefusalReason reason = RefusalReason::backend_failed;
 };
-using ForwarderAction = std::variant<SendToBackend, CancelAtBackend, BeginAnswer, AnswerBytes,
-                                     FinishAnswer, RefuseRequest, AbortAnswer>;
+using ForwarderAction = std::variant<SendToBackend, CancelAttempt, BeginAnswer, RelayBytes,
+                                     EndAnswer, RefuseCaller, CutAnswer>;
 using ForwarderActions = std::vector<ForwarderAction>;
 
 struct ForwarderOptions {
@@ -181,7 +181,7 @@
   /// New requests are refused from now on.
   void set_stopping() { stopping_ = true; }
 
-  void on_request(RequestNumber number, CallerRequest request, TimePoint now,
+  void on_request(RequestNumber number, RequestFacts request, TimePoint now,
                   ForwarderActions& actions);
   /// @return false when the answer belongs to no attempt in progress.
   bool on_response_head(RequestNumber number, const ResponseFacts& facts, bool event_stream,
@@ -206,7 +206,7 @@
 
  private:
   struct Session {
-    CallerRequest request;
+    RequestFacts request;
     RouteTablePointer routes;  ///< Keeps `route` alive.
     const RouteRule* route = nullptr;
     const ServiceProfile* service = nullptr;
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -63,7 +63,7 @@
     case RequestStatus::complete:
       break;
   }
-  HttpRequest request = reader_.take_request();
+  ReceivedRequest request = reader_.take_request();
   state_ = State::handling;
   continue_sent_ = false;
   keep_alive_ = request.keep_alive;
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -16,7 +16,7 @@
  public:
   virtual ~CallerConnectionObserver() = default;
   /// A whole request; exactly one answer is owed.
-  virtual void on_caller_request(CallerConnection& connection, HttpRequest request) = 0;
+  virtual void on_caller_request(CallerConnection& connection, ReceivedRequest request) = 0;
   /// The caller left while its request was in progress; no answer can be given any more.
   virtual void on_caller_gone(CallerConnection& connection) = 0;
   /// The connection is over; the owner drops it after this turn.
--- a/src/http1/http_message.h
+++ b/src/http1/http_message.h
@@ -13,7 +13,7 @@
 using ResponseHead = boost::beast::http::response_header<HttpFields>;
 
 /// A whole request as a caller sent it.
-struct HttpRequest {
+struct ReceivedRequest {
   RequestHead head;
   std::string body;
   bool keep_alive = true;
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -59,8 +59,8 @@
          boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
 }
 
-HttpRequest RequestReader::take_request() {
-  HttpRequest request;
+ReceivedRequest RequestReader::take_request() {
+  ReceivedRequest request;
   request.keep_alive = parser_->get().keep_alive();
   request.body = std::move(parser_->get().body());
   request.head = std::move(parser_->get().base());
--- a/src/http1/request_reader.h
+++ b/src/http1/request_reader.h
@@ -38,7 +38,7 @@
   void append_pending(std::string_view bytes) { pending_.append(bytes); }
   /// Reads on in what was received beyond the last request.
   RequestStatus resume() { return parse(); }
-  HttpRequest take_request();
+  ReceivedRequest take_request();
 
   /// Part of a request, or of one after the present one, has been received.
   bool has_partial() const { return !pending_.empty() || started_; }
--- a/src/http1/status_server.cpp
+++ b/src/http1/status_server.cpp
@@ -22,7 +22,7 @@
   connections_[key] = std::move(connection);
 }
 
-void StatusServer::on_caller_request(CallerConnection& connection, HttpRequest request) {
+void StatusServer::on_caller_request(CallerConnection& connection, ReceivedRequest request) {
   if (request.head.method() != boost::beast::http::verb::get) {
     connection.answer(kStatusMethodNotAllowed, {}, {});
     return;
--- a/src/http1/status_server.h
+++ b/src/http1/status_server.h
@@ -30,7 +30,7 @@
 
  private:
   void on_accepted(int descriptor) override;
-  void on_caller_request(CallerConnection& connection, HttpRequest request) override;
+  void on_caller_request(CallerConnection& connection, ReceivedRequest request) override;
   void on_caller_gone(CallerConnection&) override {}
   void on_caller_connection_closed(CallerConnection& connection) override;
 
--- a/tests/gateway/request_forwarder_test.cpp
+++ b/tests/gateway/request_forwarder_test.cpp
@@ -130,7 +130,7 @@
     world.complete(request);
     // No attempt is left: the back end's own failure is passed on, unchanged.
     CPPUNIT_ASSERT(world.first<BeginAnswer>() != nullptr);
-    CPPUNIT_ASSERT_EQUAL(std::string("sorry"), world.first<AnswerBytes>()->bytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("sorry"), world.first<RelayBytes>()->bytes);
   }
 
   void a_stream_resumes_after_the_last_whole_event() {
@@ -140,7 +140,7 @@
     world.head(request, 200, false, true);
     world.body(request, std::string(kFirstEvents) + "id: 3\ndat");
     CPPUNIT_ASSERT(world.first<BeginAnswer>() != nullptr);
-    CPPUNIT_ASSERT_EQUAL(std::string(kFirstEvents), world.first<AnswerBytes>()->bytes);
+    CPPUNIT_ASSERT_EQUAL(std::string(kFirstEvents), world.first<RelayBytes>()->bytes);
     world.fail(request, AttemptFailure::cut_off);
     const auto* resumed = world.first<SendToBackend>();
     CPPUNIT_ASSERT(resumed != nullptr && resumed->backend != first);
@@ -148,9 +148,9 @@
     world.head(request, 200, false, true);
     world.body(request, "id: 3\ndata: c\n\n");
     CPPUNIT_ASSERT(world.first<BeginAnswer>() == nullptr);  // The first run's head stands.
-    CPPUNIT_ASSERT_EQUAL(std::string("id: 3\ndata: c\n\n"), world.first<AnswerBytes>()->bytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 3\ndata: c\n\n"), world.first<RelayBytes>()->bytes);
     world.complete(request);
-    CPPUNIT_ASSERT(world.first<FinishAnswer>() != nullptr);
+    CPPUNIT_ASSERT(world.first<EndAnswer>() != nullptr);
   }
 
   void a_stream_that_cannot_resume_is_cut_and_never_completed() {
@@ -162,8 +162,8 @@
     world.head(request, 200, false, true);
     world.body(request, "id: 3\ndata: c\n\n");
     world.fail(request, AttemptFailure::cut_off);  // The second of two attempts.
-    CPPUNIT_ASSERT(world.first<AbortAnswer>() != nullptr);
-    CPPUNIT_ASSERT(world.first<FinishAnswer>() == nullptr);
+    CPPUNIT_ASSERT(world.first<CutAnswer>() != nullptr);
+    CPPUNIT_ASSERT(world.first<EndAnswer>() == nullptr);
   }
 
   void a_failed_resumption_does_not_end_the_stream_as_complete() {
@@ -175,12 +175,12 @@
     for (const int status : {500, 404}) {
       world.head(request, status);
       world.body(request, "no");
-      CPPUNIT_ASSERT(world.first<AnswerBytes>() == nullptr);
+      CPPUNIT_ASSERT(world.first<RelayBytes>() == nullptr);
       if (status == 404) break;
     }
     world.complete(request);
-    CPPUNIT_ASSERT(world.first<FinishAnswer>() == nullptr);
-    CPPUNIT_ASSERT(world.first<AbortAnswer>() != nullptr);
+    CPPUNIT_ASSERT(world.first<EndAnswer>() == nullptr);
+    CPPUNIT_ASSERT(world.first<CutAnswer>() != nullptr);
   }
 
   void answers_at_the_route_timeout() {
@@ -191,7 +191,7 @@
     world.tick(milliseconds(5900));
     CPPUNIT_ASSERT(world.actions.empty());
     world.tick(milliseconds(100));
-    CPPUNIT_ASSERT(world.first<CancelAtBackend>() != nullptr);
+    CPPUNIT_ASSERT(world.first<CancelAttempt>() != nullptr);
     CPPUNIT_ASSERT_EQUAL(504, world.refused_with());
   }
 
@@ -203,8 +203,8 @@
     CPPUNIT_ASSERT(world.actions.empty());  // It waits a moment for room.
     world.tick(milliseconds(100));          // A quarter of its goal.
     CPPUNIT_ASSERT_EQUAL(503, world.refused_with());
-    CPPUNIT_ASSERT(world.first<RefuseRequest>()->retry_after > Duration::zero());
-    CPPUNIT_ASSERT(world.first<RefuseRequest>()->retry_after <= seconds(2));
+    CPPUNIT_ASSERT(world.first<RefuseCaller>()->retry_after > Duration::zero());
+    CPPUNIT_ASSERT(world.first<RefuseCaller>()->retry_after <= seconds(2));
   }
 
   void refusals_at_once_come_back_apart() {
@@ -215,7 +215,7 @@
     for (int count = 0; count < 8; ++count) world.ask("/chat/1");
     world.tick(milliseconds(100));
     for (const ForwarderAction& action : world.actions) {
-      times.insert(std::get<RefuseRequest>(action).retry_after.count());
+      times.insert(std::get<RefuseCaller>(action).retry_after.count());
     }
     CPPUNIT_ASSERT(times.size() > 4);
   }
@@ -225,7 +225,7 @@
     const RequestNumber request = world.ask("/chat/1");
     world.actions.clear();
     world.forwarder.on_caller_gone(request, world.now, world.actions);
-    CPPUNIT_ASSERT(world.first<CancelAtBackend>() != nullptr);
+    CPPUNIT_ASSERT(world.first<CancelAttempt>() != nullptr);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.forwarder.active());
   }
 
@@ -243,7 +243,7 @@
     world.report(1, 4, 1);
     world.report(2, 4, 1);
     world.tick(milliseconds(200));
-    CPPUNIT_ASSERT(world.first<CancelAtBackend>() != nullptr);
+    CPPUNIT_ASSERT(world.first<CancelAttempt>() != nullptr);
     CPPUNIT_ASSERT(!world.sent_to().empty());
   }
 
@@ -256,7 +256,7 @@
     world.now += seconds(1);  // No report of either engine for that long.
     world.report(first == "e1" ? 2 : 1, 4, 1);
     world.tick(milliseconds(1));
-    CPPUNIT_ASSERT(world.first<CancelAtBackend>() != nullptr);
+    CPPUNIT_ASSERT(world.first<CancelAttempt>() != nullptr);
     CPPUNIT_ASSERT(!world.sent_to().empty());
     CPPUNIT_ASSERT_EQUAL(std::string("2"), world.first<SendToBackend>()->resume_after);
   }
@@ -301,7 +301,7 @@
     world.forwarder.set_stopping();
     world.ask("/chat/1");
     CPPUNIT_ASSERT_EQUAL(503, world.refused_with());
-    CPPUNIT_ASSERT(world.first<RefuseRequest>()->reason == RefusalReason::stopping);
+    CPPUNIT_ASSERT(world.first<RefuseCaller>()->reason == RefusalReason::stopping);
   }
 
   void a_plain_answer_is_passed_on_only_when_whole() {
@@ -316,7 +316,7 @@
     world.head(request, 200);
     world.body(request, "all");
     world.complete(request);
-    CPPUNIT_ASSERT_EQUAL(std::string("all"), world.first<AnswerBytes>()->bytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("all"), world.first<RelayBytes>()->bytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, *world.first<BeginAnswer>()->length);
   }
 
--- a/tests/http1/http_readers_test.cpp
+++ b/tests/http1/http_readers_test.cpp
@@ -98,7 +98,7 @@
     const std::string first = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy";
     const std::string second = "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
     CPPUNIT_ASSERT(reader.consume(first + second) == RequestStatus::complete);
-    HttpRequest request = reader.take_request();
+    ReceivedRequest request = reader.take_request();
     CPPUNIT_ASSERT_EQUAL(std::string("xy"), request.body);
     CPPUNIT_ASSERT(request.keep_alive);
     CPPUNIT_ASSERT(reader.resume() == RequestStatus::complete);
@@ -139,7 +139,7 @@
     reader.consume(
         "GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\n"
         "Keep-Alive: timeout=7\r\nTE: trailers\r\nX-Kept: 2\r\n\r\n");
-    const HttpRequest request = reader.take_request();
+    const ReceivedRequest request = reader.take_request();
     std::string text;
     append_end_to_end_fields(text, request.head);
     CPPUNIT_ASSERT_EQUAL(std::string("Host: h\r\nX-Kept: 2\r\n"), text);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -12,7 +12,7 @@
 
 using nlohmann::json;
 
-HttpRequest read(const std::string& text) {
+ReceivedRequest read(const std::string& text) {
   RequestReader reader{RequestLimits{}};
   CPPUNIT_ASSERT(reader.consume(text) == RequestStatus::complete);
   return reader.take_request();
@@ -44,7 +44,7 @@
 
  public:
   void reads_what_the_gateway_decides_upon() {
-    const CallerRequest request = translation.read_request(read(kRequest));
+    const RequestFacts request = translation.read_request(read(kRequest));
     CPPUNIT_ASSERT_EQUAL(std::string("9c41"), request.id);
     CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), request.target);
     CPPUNIT_ASSERT_EQUAL(std::string("secret"), request.api_key);
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -68,7 +68,7 @@
 
   RequestNumber ask(const std::string& target, const std::string& key = "key-1",
                     Duration time_left = seconds(6)) {
-    CallerRequest request;
+    RequestFacts request;
     request.id = "r" + std::to_string(++number);
     request.host = "api.example";
     request.target = target;
@@ -122,7 +122,7 @@
     return send == nullptr ? "" : send->backend;
   }
   int refused_with() const {
-    const auto* refusal = first<RefuseRequest>();
+    const auto* refusal = first<RefuseCaller>();
     return refusal == nullptr ? 0 : refusal->status;
   }
 
