Spend one retry a repeat, pass on what cannot be bettered, serve the most urgent first

Cause: found by reading. A 500 of a repeatable request spent two retries a repeat, and was lost (502) when no other back end was there; those that waited were served in order of arrival whatever their priority; a request taken before a stop was not tried elsewhere; fields of actions that nobody read. Change: choose_again() decides whether and where, and spends last; recover() is the one way on from a failed attempt.

--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -41,7 +41,7 @@
   return left != left_.end() && left->second >= record.revision;
 }
 
-void BackendPool::on_record(const BackendRecord& record, TimePoint) {
+void BackendPool::on_record(const BackendRecord& record) {
   Backend& backend = backends_[record.id];
   // The engine's own report is newer than the list.
   const std::uint64_t version =
@@ -76,7 +76,7 @@
   });
 }
 
-void BackendPool::on_leaving(const std::string& id, std::uint64_t revision, TimePoint) {
+void BackendPool::on_leaving(const std::string& id, std::uint64_t revision) {
   Backend* backend = find(id);
   if (backend != nullptr && backend->record.revision > revision) return;
   note_left(id, revision);
@@ -97,7 +97,7 @@
     if (!named.contains(id)) missing.push_back(id);
   }
   for (const std::string& id : missing) on_gone(id, revision, now);
-  for (const BackendRecord& record : records) on_record(record, now);
+  for (const BackendRecord& record : records) on_record(record);
 }
 
 void BackendPool::on_report(const Address& address, const LoadReport& report, TimePoint now) {
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -69,12 +69,12 @@
   explicit BackendPool(BackendPoolOptions options);
 
   /// Adds or updates one incarnation. One that left never comes back.
-  void on_record(const BackendRecord& record, TimePoint now);
+  void on_record(const BackendRecord& record);
   /// Its entry vanished. That means that it leaves, unless entries may have lapsed because
   /// nobody could renew them; then one whose agent says that it lives is used a while longer.
   void on_gone(const std::string& id, std::uint64_t revision, TimePoint now);
   /// Another gateway has seen it leaving or gone: no new work, unless a newer entry is known.
-  void on_leaving(const std::string& id, std::uint64_t revision, TimePoint now);
+  void on_leaving(const std::string& id, std::uint64_t revision);
   /// The whole list was read: what it does not name is gone.
   void on_list(const std::vector<BackendRecord>& records, std::uint64_t revision, TimePoint now);
   /// The list can be read, or can't.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -196,9 +196,7 @@
     append_end_to_end_fields(exchange->answer_head, head);
   }
   const bool events = field_value(head, "Content-Type").starts_with(event_stream_type());
-  ForwarderActions actions;
-  forwarder_.on_response_head(number, facts, events, loop_now(), actions);
-  carry_out(actions);
+  forwarder_.on_response_head(number, facts, events, loop_now());
   return true;
 }
 
@@ -368,7 +366,7 @@
 
 void GatewayDaemon::on_backend(const BackendRecord& record) {
   const bool was_leaving = pool_.leaving(record.id);
-  pool_.on_record(record, loop_now());
+  pool_.on_record(record);
   if (was_leaving != record.draining) {
     log_line("backend", "backend id=" + record.id + " service=" + record.service +
                             " address=" + record.address.to_string() +
@@ -433,7 +431,7 @@
 
 void GatewayDaemon::on_other_knowledge(const GatewayKnowledge& knowledge) {
   for (const LeftBackend& left : knowledge.leaving) {
-    pool_.on_leaving(left.id, left.revision, loop_now());
+    pool_.on_leaving(left.id, left.revision);
   }
   for (const auto& [model, weights] : knowledge.weights) {
     note_weights(model, weights.version, loop_now() - weights.age, false);
--- a/src/gateway/request_forwarder.cpp
+++ b/src/gateway/request_forwarder.cpp
@@ -20,6 +20,15 @@
 /// The answer at a deadline leaves a moment early, so that the caller still gets it.
 constexpr Duration kDeadlineMargin = milliseconds(20);
 
+/// Whether a caller takes an answer of this status to mean that its request did not run.
+bool promises_not_run(int status) {
+  constexpr int kStatusTimeout = 408;
+  constexpr int kStatusMisdirected = 421;
+  constexpr int kStatusTooMany = 429;
+  return status == kStatusUnavailable || status == kStatusTooMany || status == kStatusTimeout ||
+         status == kStatusMisdirected;
+}
+
 double to_ms(Duration duration) { return to_seconds(duration) * 1000; }
 
 Duration scaled(Duration duration, double share) {
@@ -28,32 +37,6 @@
 
 }  // namespace
 
-const char* to_string(RefusalReason reason) {
-  switch (reason) {
-    case RefusalReason::no_configuration:
-      return "no_configuration";
-    case RefusalReason::no_route:
-      return "no_route";
-    case RefusalReason::no_key:
-      return "no_key";
-    case RefusalReason::no_capacity:
-      return "no_capacity";
-    case RefusalReason::no_backend:
-      return "no_backend";
-    case RefusalReason::weights_stale:
-      return "weights_stale";
-    case RefusalReason::backend_refused:
-      return "backend_refused";
-    case RefusalReason::backend_failed:
-      return "backend_failed";
-    case RefusalReason::deadline_passed:
-      return "deadline_passed";
-    case RefusalReason::stopping:
-      return "stopping";
-  }
-  return "unknown";
-}
-
 RequestForwarder::RequestForwarder(BackendPool& pool, const WeightTargets& targets,
                                    ForwarderOptions options)
     : pool_(pool),
@@ -65,12 +48,6 @@
   return budgets_.try_emplace(service, options_.retry_ratio, options_.retry_reserve).first->second;
 }
 
-bool RequestForwarder::repeatable(const Session& session) const {
-  const RouteRule& route = *session.route;
-  return route.kind == RequestKind::repeatable ||
-         (route.kind == RequestKind::stream && route.resumable);
-}
-
 const std::string& RequestForwarder::pick_service(const RouteRule& route) {
   static const std::string kNone;
   if (route.services.empty()) return kNone;
@@ -85,7 +62,7 @@
   return route.services.back().service;
 }
 
-const RouteRule* RequestForwarder::authorize(RequestNumber number, Session& session,
+const RouteRule* RequestForwarder::authorize(RequestNumber number, RequestSession& session,
                                              ForwarderActions& actions) {
   const TimePoint now = session.arrived;
   if (!routes_) {
@@ -115,7 +92,7 @@
 void RequestForwarder::on_request(RequestNumber number, RequestFacts request, TimePoint now,
                                   ForwarderActions& actions) {
   ++counters_.requests;
-  Session& session = sessions_[number];
+  RequestSession& session = sessions_[number];
   session.request = std::move(request);
   session.arrived = now;
   const RouteRule* route = authorize(number, session, actions);
@@ -139,10 +116,10 @@
   budget(service).on_first_attempt();
   if (dispatch(number, session, now, actions)) return;
   session.waiting = true;
-  waiting_.insert(number);
+  waiting_.emplace(session.priority, number);
 }
 
-BackendNeed RequestForwarder::need_of(const Session& session, TimePoint now) const {
+BackendNeed RequestForwarder::need_of(const RequestSession& session, TimePoint now) const {
   BackendNeed need;
   need.service = session.service;
   need.prompt_tokens = session.request.prompt_tokens;
@@ -152,14 +129,14 @@
   return need;
 }
 
-double RequestForwarder::admission_limit_ms(const Session& session, TimePoint now) const {
+double RequestForwarder::admission_limit_ms(const RequestSession& session, TimePoint now) const {
   const double goal_ms = to_ms(session.route->goal);
   // What has begun is worth finishing, also late.
   if (session.sends > 0) return to_ms(session.deadline - now);
   return goal_ms * options_.admit_share - to_ms(now - session.arrived);
 }
 
-bool RequestForwarder::dispatch(RequestNumber number, Session& session, TimePoint now,
+bool RequestForwarder::dispatch(RequestNumber number, RequestSession& session, TimePoint now,
                                 ForwarderActions& actions) {
   const auto choice = pool_.choose(need_of(session, now), session.tried, now);
   if (!choice) {
@@ -175,10 +152,10 @@
   return true;
 }
 
-void RequestForwarder::send(RequestNumber number, Session& session, const BackendChoice& choice,
-                            TimePoint now, ForwarderActions& actions) {
+void RequestForwarder::send(RequestNumber number, RequestSession& session,
+                            const BackendChoice& choice, TimePoint now, ForwarderActions& actions) {
   session.waiting = false;
-  waiting_.erase(number);
+  waiting_.erase({session.priority, number});
   session.backend = choice.id;
   session.sent_at = now;
   session.last_progress = now;
@@ -186,7 +163,6 @@
   session.head_seen = false;
   session.first_token_seen = false;
   session.events = false;
-  session.keep_answer = false;
   session.buffered.clear();
   session.splitter.drop_rest();
   session.tried.insert(choice.id);
@@ -203,17 +179,15 @@
   action.request = number;
   action.backend = choice.id;
   action.address = choice.address;
-  action.maximum_connections = session.service->maximum_connections;
   action.time_left = session.deadline - now;
   action.expected_version =
       targets_.lowest_allowed(session.request.model, now) > 0 ? choice.weight_version : 0;
   if (session.answer_begun) action.resume_after = session.splitter.last_id().value_or("");
   action.tenant = session.tenant;
-  action.attempt_repeatable = repeatable(session);
   actions.emplace_back(std::move(action));
 }
 
-void RequestForwarder::leave_backend(Session& session) {
+void RequestForwarder::leave_backend(RequestSession& session) {
   if (session.backend.empty()) return;
   if (!session.first_token_seen) {
     pool_.on_first_token(session.backend, session.request.prompt_tokens);
@@ -227,21 +201,18 @@
   if (found != sessions_.end()) found->second.connected = true;
 }
 
-bool RequestForwarder::on_response_head(RequestNumber number, const ResponseFacts& facts,
-                                        bool event_stream, TimePoint now,
-                                        ForwarderActions& actions) {
+void RequestForwarder::on_response_head(RequestNumber number, const ResponseFacts& facts,
+                                        bool event_stream, TimePoint now) {
   const auto found = sessions_.find(number);
-  if (found == sessions_.end() || found->second.backend.empty()) return false;
-  Session& session = found->second;
+  if (found == sessions_.end() || found->second.backend.empty()) return;
+  RequestSession& session = found->second;
   session.head_seen = true;
   session.facts = facts;
   session.last_progress = now;
   session.events = event_stream && facts.success && session.route->kind == RequestKind::stream;
-  (void)actions;
-  return true;
 }
 
-void RequestForwarder::note_progress(Session& session, TimePoint now) {
+void RequestForwarder::note_progress(RequestSession& session, TimePoint now) {
   if (session.last_event != TimePoint{}) {
     session.longest_gap = std::max(session.longest_gap, now - session.last_event);
   }
@@ -257,7 +228,7 @@
                                         ForwarderActions& actions) {
   const auto found = sessions_.find(number);
   if (found == sessions_.end() || found->second.backend.empty()) return;
-  Session& session = found->second;
+  RequestSession& session = found->second;
   if (session.events) {
     relay_events(number, session, bytes, now, actions);
     return;
@@ -277,8 +248,9 @@
   session.buffered.clear();
 }
 
-void RequestForwarder::relay_events(RequestNumber number, Session& session, std::string_view bytes,
-                                    TimePoint now, ForwarderActions& actions) {
+void RequestForwarder::relay_events(RequestNumber number, RequestSession& session,
+                                    std::string_view bytes, TimePoint now,
+                                    ForwarderActions& actions) {
   std::string ready =
       session.route->resumable ? session.splitter.take_whole_events(bytes) : std::string(bytes);
   if (ready.empty()) return;
@@ -296,7 +268,7 @@
                                             ForwarderActions& actions) {
   const auto found = sessions_.find(number);
   if (found == sessions_.end() || found->second.backend.empty()) return;
-  Session& session = found->second;
+  RequestSession& session = found->second;
   const std::string backend = session.backend;
   if (session.facts.not_run) {
     ++counters_.refused_by_backend;
@@ -306,38 +278,32 @@
       pool_.on_refusal(backend, now);
     }
     session.last_reason = RefusalReason::backend_refused;
-    leave_backend(session);
-    retry_or_give_up(number, session, now, actions);
+    recover(number, session, now, actions);
     return;
   }
-  if (!session.facts.success && repeatable(session) && session.facts.status >= kFirstServerError &&
-      !session.answer_begun) {
-    // Another back end may do better; if none may be tried, this answer is passed on.
-    session.may_have_run = true;
-    pool_.on_failure(backend, now);
-    if (session.sends < session.route->attempts && spend_retry(session)) {
-      leave_backend(session);
-      retry_or_give_up(number, session, now, actions);
-      return;
-    }
-  }
   if (session.stream_begun && !session.events) {
     // A resumption that failed: its answer is not part of the stream.
     session.may_have_run = true;
-    leave_backend(session);
-    resume_or_abort(number, session, now, actions);
+    recover(number, session, now, actions);
     return;
   }
+  if (!session.answer_begun && session.repeatable() && session.facts.status >= kFirstServerError) {
+    session.may_have_run = true;
+    pool_.on_failure(backend, now);
+    // Another back end may do better; otherwise this answer is passed on.
+    const auto choice = choose_again(session, now);
+    if (choice) {
+      send_again(number, session, *choice, now, actions);
+      return;
+    }
+  }
   if (session.facts.success) pool_.on_success(backend);
   finish(number, session, now, actions);
 }
 
-void RequestForwarder::finish(RequestNumber number, Session& session, TimePoint now,
+void RequestForwarder::finish(RequestNumber number, RequestSession& session, TimePoint now,
                               ForwarderActions& actions) {
-  const bool ambiguous_promise = session.facts.status == kStatusUnavailable ||
-                                 session.facts.status == 429 || session.facts.status == 408 ||
-                                 session.facts.status == 421;
-  if (!session.answer_begun && ambiguous_promise) {
+  if (!session.answer_begun && promises_not_run(session.facts.status)) {
     // Passed on it would promise that the request did not run, which its back end did not say.
     session.may_have_run = true;
     leave_backend(session);
@@ -366,7 +332,7 @@
                                          TimePoint now, ForwarderActions& actions) {
   const auto found = sessions_.find(number);
   if (found == sessions_.end() || found->second.backend.empty()) return;
-  Session& session = found->second;
+  RequestSession& session = found->second;
   const bool refused_then_cut = session.head_seen && session.facts.not_run;
   pool_.on_failure(session.backend, now);
   if (failure == AttemptFailure::not_sent) {
@@ -377,61 +343,55 @@
     session.may_have_run = true;
     session.last_reason = RefusalReason::backend_failed;
   }
-  leave_backend(session);
-  if (session.answer_begun) {
-    resume_or_abort(number, session, now, actions);
-    return;
-  }
-  if (failure == AttemptFailure::not_sent && session.unsent_failures <= kMaximumUnsentFailures) {
+  if (failure == AttemptFailure::not_sent && !session.answer_begun &&
+      session.unsent_failures <= kMaximumUnsentFailures) {
+    // Nothing was sent, so that this is no repeat.
+    leave_backend(session);
     if (dispatch(number, session, now, actions)) return;
     give_up(number, session, session.last_reason, now, actions);
     return;
   }
-  retry_or_give_up(number, session, now, actions);
+  recover(number, session, now, actions);
 }
 
-bool RequestForwarder::spend_retry(const Session& session) {
-  if (budget(session.service->name).try_spend()) return true;
+std::optional<BackendChoice> RequestForwarder::choose_again(const RequestSession& session,
+                                                            TimePoint now) {
+  const bool harmless = !session.may_have_run || session.repeatable();
+  if (!harmless || session.sends >= session.route->attempts) return std::nullopt;
+  if (session.deadline - now <= kLeastTimeLeft) return std::nullopt;
+  const auto choice = pool_.choose(need_of(session, now), session.tried, now);
+  if (!choice || choice->expected_ms >= to_ms(session.deadline - now)) return std::nullopt;
+  // Last, so that only what is sent costs a retry.
+  if (budget(session.service->name).try_spend()) return choice;
   ++counters_.budget_exhausted;
-  return false;
+  return std::nullopt;
 }
 
-void RequestForwarder::retry_or_give_up(RequestNumber number, Session& session, TimePoint now,
-                                        ForwarderActions& actions) {
-  if (session.answer_begun) {
-    resume_or_abort(number, session, now, actions);
-    return;
-  }
-  const bool allowed = !session.may_have_run || repeatable(session);
-  if (allowed && !stopping_ && session.sends < session.route->attempts &&
-      session.deadline - now > kLeastTimeLeft) {
-    const auto choice = pool_.choose(need_of(session, now), session.tried, now);
-    if (choice && choice->expected_ms < to_ms(session.deadline - now) && spend_retry(session)) {
-      ++counters_.repeats;
-      send(number, session, *choice, now, actions);
-      return;
-    }
-  }
-  give_up(number, session, session.last_reason, now, actions);
-}
-
-void RequestForwarder::resume_or_abort(RequestNumber number, Session& session, TimePoint now,
-                                       ForwarderActions& actions) {
-  const bool resumable =
-      session.events && session.route->resumable && session.splitter.last_id().has_value() &&
-      session.sends < session.route->attempts && session.deadline - now > kLeastTimeLeft;
-  if (resumable) {
-    const auto choice = pool_.choose(need_of(session, now), session.tried, now);
-    if (choice && spend_retry(session)) {
-      ++counters_.resumes;
-      send(number, session, *choice, now, actions);
-      return;
-    }
+void RequestForwarder::send_again(RequestNumber number, RequestSession& session,
+                                  const BackendChoice& choice, TimePoint now,
+                                  ForwarderActions& actions) {
+  leave_backend(session);
+  ++(session.answer_begun ? counters_.resumes : counters_.repeats);
+  send(number, session, choice, now, actions);
+}
+
+void RequestForwarder::recover(RequestNumber number, RequestSession& session, TimePoint now,
+                               ForwarderActions& actions) {
+  leave_backend(session);
+  // What was begun can only go on where a stream says after which event.
+  const bool can_continue =
+      !session.answer_begun || (session.stream_begun && session.splitter.last_id().has_value());
+  const auto choice = can_continue ? choose_again(session, now) : std::nullopt;
+  if (choice) {
+    send_again(number, session, *choice, now, actions);
+  } else if (session.answer_begun) {
+    abort(number, session, RefusalReason::backend_failed, now, actions);
+  } else {
+    give_up(number, session, session.last_reason, now, actions);
   }
-  abort(number, session, RefusalReason::backend_failed, now, actions);
 }
 
-void RequestForwarder::give_up(RequestNumber number, Session& session, RefusalReason reason,
+void RequestForwarder::give_up(RequestNumber number, RequestSession& session, RefusalReason reason,
                                TimePoint now, ForwarderActions& actions) {
   if (session.may_have_run) {
     const int status =
@@ -442,7 +402,7 @@
   refuse(number, session, kStatusUnavailable, reason, draw_retry_after(session, now), now, actions);
 }
 
-Duration RequestForwarder::draw_retry_after(const Session& session, TimePoint now) {
+Duration RequestForwarder::draw_retry_after(const RequestSession& session, TimePoint now) {
   constexpr Duration kLeastUsefulTime = milliseconds(300);
   const Duration left = session.route == nullptr ? kUnstatedTimeLeft : session.deadline - now;
   if (left < kLeastUsefulTime) return Duration::zero();
@@ -452,7 +412,7 @@
   return scaled(longest, upper_half(random_));
 }
 
-void RequestForwarder::refuse(RequestNumber number, Session& session, int status,
+void RequestForwarder::refuse(RequestNumber number, RequestSession& session, int status,
                               RefusalReason reason, Duration retry_after, TimePoint now,
                               ForwarderActions& actions) {
   assert(!session.answer_begun);
@@ -460,11 +420,11 @@
   ++counters_.refused;
   actions.emplace_back(RefuseCaller{number, status, reason, retry_after});
   summarize(session, "refused", to_string(reason), status, now);
-  waiting_.erase(number);
+  waiting_.erase({session.priority, number});
   sessions_.erase(number);
 }
 
-void RequestForwarder::abort(RequestNumber number, Session& session, RefusalReason reason,
+void RequestForwarder::abort(RequestNumber number, RequestSession& session, RefusalReason reason,
                              TimePoint now, ForwarderActions& actions) {
   ++counters_.aborted;
   actions.emplace_back(CutAnswer{number, reason});
@@ -476,51 +436,46 @@
                                       ForwarderActions& actions) {
   const auto found = sessions_.find(number);
   if (found == sessions_.end()) return;
-  Session& session = found->second;
+  RequestSession& session = found->second;
   ++counters_.callers_gone;
   if (!session.backend.empty()) {
     actions.emplace_back(CancelAttempt{number});
     leave_backend(session);
   }
   summarize(session, "gone", "caller_left", 0, now);
-  waiting_.erase(number);
+  waiting_.erase({session.priority, number});
   sessions_.erase(found);
 }
 
 void RequestForwarder::on_capacity(TimePoint now, ForwarderActions& actions) {
-  const std::set<RequestNumber> waiting = waiting_;
-  for (const RequestNumber number : waiting) {
+  const auto waiting = waiting_;
+  for (const auto& [priority, number] : waiting) {
     const auto found = sessions_.find(number);
     if (found != sessions_.end()) dispatch(number, found->second, now, actions);
   }
 }
 
-void RequestForwarder::check_attempt(RequestNumber number, Session& session, TimePoint now,
+void RequestForwarder::check_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                                      ForwarderActions& actions) {
   if (!session.connected && now - session.sent_at > options_.connect_limit) {
     actions.emplace_back(CancelAttempt{number});
     on_attempt_failed(number, AttemptFailure::not_sent, now, actions);
     return;
   }
-  if (!repeatable(session) || session.sends >= session.route->attempts) return;
-  const Duration silent = now - session.last_progress;
+  if (!session.repeatable()) return;
   const bool stream = session.route->kind == RequestKind::stream;
+  if (!stream && session.head_seen) return;
   const bool healthy = pool_.known_alive(session.backend, now);
   const Duration limit = !stream   ? session.route->goal * 2
                          : healthy ? options_.healthy_silence
                                    : options_.doubtful_silence;
-  if (!stream && session.head_seen) return;
-  if (silent <= limit) return;
-  // Only if another one can do it; the retry budget bounds how often.
-  const auto choice = pool_.choose(need_of(session, now), session.tried, now);
-  if (!choice || choice->expected_ms > to_ms(session.deadline - now)) return;
-  if (!spend_retry(session)) return;
+  if (now - session.last_progress <= limit) return;
+  const auto choice = choose_again(session, now);
+  if (!choice) return;
   actions.emplace_back(CancelAttempt{number});
   pool_.on_failure(session.backend, now);
   session.may_have_run = true;
-  leave_backend(session);
-  ++(session.answer_begun ? counters_.resumes : counters_.repeats);
-  send(number, session, *choice, now, actions);
+  send_again(number, session, *choice, now, actions);
 }
 
 void RequestForwarder::on_tick(TimePoint now, ForwarderActions& actions) {
@@ -531,7 +486,7 @@
   for (const RequestNumber number : numbers) {
     const auto found = sessions_.find(number);
     if (found == sessions_.end()) continue;
-    Session& session = found->second;
+    RequestSession& session = found->second;
     if (now >= session.deadline - kDeadlineMargin) {
       if (!session.backend.empty()) {
         session.may_have_run = true;
@@ -557,33 +512,9 @@
   }
 }
 
-void RequestForwarder::summarize(const Session& session, const char* outcome, const char* reason,
-                                 int status, TimePoint now) {
-  RequestSummary summary;
-  summary.id = session.request.id;
-  if (session.route != nullptr) {
-    summary.route = session.route->name;
-    summary.kind = session.route->kind;
-  }
-  summary.tenant = session.tenant;
-  if (session.service != nullptr) summary.service = session.service->name;
-  summary.outcome = outcome;
-  summary.reason = reason;
-  summary.backends = session.tried_order;
-  summary.status = status;
-  summary.sends = session.sends;
-  summary.configuration = session.routes ? session.routes->version() : 0;
-  summary.weight_version = session.last_version;
-  summary.expected_ms = session.expected_ms;
-  summary.waited = (session.first_sent == TimePoint{} ? now : session.first_sent) - session.arrived;
-  if (session.first_event != TimePoint{}) {
-    summary.first_event = session.first_event - session.arrived;
-    summary.in_time = session.route != nullptr && summary.first_event <= session.route->goal &&
-                      session.longest_gap <= session.route->gap_goal;
-  }
-  summary.longest_gap = session.longest_gap;
-  summary.total = now - session.arrived;
-  summaries_.push_back(std::move(summary));
+void RequestForwarder::summarize(const RequestSession& session, const char* outcome,
+                                 const char* reason, int status, TimePoint now) {
+  summaries_.push_back(session.summarize(outcome, reason, status, now));
 }
 
 std::vector<RequestSummary> RequestForwarder::take_summaries() {
--- /dev/null
+++ b/src/gateway/request_session.cpp
@@ -0,0 +1,65 @@
+#include "gateway/request_session.h"
+
+namespace pumicemast {
+
+const char* to_string(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::no_configuration:
+      return "no_configuration";
+    case RefusalReason::no_route:
+      return "no_route";
+    case RefusalReason::no_key:
+      return "no_key";
+    case RefusalReason::no_capacity:
+      return "no_capacity";
+    case RefusalReason::no_backend:
+      return "no_backend";
+    case RefusalReason::weights_stale:
+      return "weights_stale";
+    case RefusalReason::backend_refused:
+      return "backend_refused";
+    case RefusalReason::backend_failed:
+      return "backend_failed";
+    case RefusalReason::deadline_passed:
+      return "deadline_passed";
+    case RefusalReason::stopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+bool RequestSession::repeatable() const {
+  return route->kind == RequestKind::repeatable ||
+         (route->kind == RequestKind::stream && route->resumable);
+}
+
+RequestSummary RequestSession::summarize(const char* outcome, const char* reason, int status,
+                                         TimePoint now) const {
+  RequestSummary summary;
+  summary.id = request.id;
+  if (route != nullptr) {
+    summary.route = route->name;
+    summary.kind = route->kind;
+  }
+  summary.tenant = tenant;
+  if (service != nullptr) summary.service = service->name;
+  summary.outcome = outcome;
+  summary.reason = reason;
+  summary.backends = tried_order;
+  summary.status = status;
+  summary.sends = sends;
+  summary.configuration = routes ? routes->version() : 0;
+  summary.weight_version = last_version;
+  summary.expected_ms = expected_ms;
+  summary.waited = (first_sent == TimePoint{} ? now : first_sent) - arrived;
+  if (first_event != TimePoint{}) {
+    summary.first_event = first_event - arrived;
+    summary.in_time =
+        route != nullptr && summary.first_event <= route->goal && longest_gap <= route->gap_goal;
+  }
+  summary.longest_gap = longest_gap;
+  summary.total = now - arrived;
+  return summary;
+}
+
+}  // namespace pumicemast
--- a/tests/gateway/backend_pool_test.cpp
+++ b/tests/gateway/backend_pool_test.cpp
@@ -34,7 +34,7 @@
   void a_leaving_back_end_gets_nothing_new() {
     world.add_backend("p1", "plain", 1);
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
-    world.pool.on_leaving("p1", world.revision, world.now);
+    world.pool.on_leaving("p1", world.revision);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());
   }
 
@@ -78,9 +78,9 @@
 
   void news_of_others_is_ordered_by_revision() {
     world.add_backend("p1", "plain", 1);
-    world.pool.on_leaving("p1", world.revision - 1, world.now);  // Older than the entry here.
+    world.pool.on_leaving("p1", world.revision - 1);  // Older than the entry here.
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
-    world.pool.on_leaving("p1", world.revision + 1, world.now);
+    world.pool.on_leaving("p1", world.revision + 1);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());
   }
 
@@ -168,7 +168,7 @@
     older.address = {"127.0.0.1", 1};
     older.draining = true;
     older.revision = 0;
-    world.pool.on_record(older, world.now);
+    world.pool.on_record(older);
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
   }
 
--- a/tests/gateway/request_forwarder_test.cpp
+++ b/tests/gateway/request_forwarder_test.cpp
@@ -21,6 +21,10 @@
   CPPUNIT_TEST(a_refusal_counts_only_when_the_back_end_says_not_run);
   CPPUNIT_TEST(a_not_run_refusal_is_sent_elsewhere_within_the_attempts);
   CPPUNIT_TEST(a_failure_of_a_repeatable_request_is_tried_elsewhere);
+  CPPUNIT_TEST(a_failure_that_cannot_be_tried_elsewhere_is_passed_on);
+  CPPUNIT_TEST(a_repeat_after_a_failure_costs_one_retry);
+  CPPUNIT_TEST(the_most_urgent_of_those_that_wait_goes_first);
+  CPPUNIT_TEST(a_request_taken_before_a_stop_is_still_tried_elsewhere);
   CPPUNIT_TEST(a_stream_resumes_after_the_last_whole_event);
   CPPUNIT_TEST(a_stream_that_cannot_resume_is_cut_and_never_completed);
   CPPUNIT_TEST(a_failed_resumption_does_not_end_the_stream_as_complete);
@@ -133,6 +137,61 @@
     CPPUNIT_ASSERT_EQUAL(std::string("sorry"), world.first<RelayBytes>()->bytes);
   }
 
+  void a_failure_that_cannot_be_tried_elsewhere_is_passed_on() {
+    world.configure();
+    world.add_backend("p1", "plain", 1);  // The only one.
+    const RequestNumber request = world.ask("/read/1");
+    world.head(request, 500);
+    world.body(request, "sorry");
+    world.complete(request);
+    CPPUNIT_ASSERT_EQUAL(0, world.refused_with());
+    CPPUNIT_ASSERT_EQUAL(std::string("sorry"), world.first<RelayBytes>()->bytes);
+  }
+
+  void a_repeat_after_a_failure_costs_one_retry() {
+    world.configure();
+    const ForwarderOptions options;
+    const auto reserve = static_cast<int>(options.retry_reserve);
+    for (std::uint16_t port = 1; port <= 60; ++port) {
+      world.add_backend("p" + std::to_string(port), "plain", port);
+    }
+    int repeats = 0;
+    for (int count = 0; count < reserve; ++count) {
+      const RequestNumber request = world.ask("/read/1");
+      world.head(request, 500);
+      world.complete(request);
+      if (!world.sent_to().empty()) ++repeats;
+    }
+    CPPUNIT_ASSERT_EQUAL(reserve, repeats);
+  }
+
+  void the_most_urgent_of_those_that_wait_goes_first() {
+    FleetConfiguration configuration = tests::GatewayWorld::configuration();
+    configuration.tenants.push_back({"urgent", {"key-0"}, 0});
+    configuration.routes[0].priority = 5;
+    world.forwarder.set_routes(std::make_shared<RouteTable>(configuration));
+    world.add_backend("e1", "engines", 1, 1);
+    world.report(1, 0, 1, 4);
+    world.ask("/chat/1", "key-1");
+    const RequestNumber urgent = world.ask("/chat/2", "key-0");
+    world.now += milliseconds(10);
+    world.report(1, 1, 1, 3);
+    world.actions.clear();
+    world.forwarder.on_capacity(world.now, world.actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.actions.size());
+    CPPUNIT_ASSERT_EQUAL(urgent, world.first<SendToBackend>()->request);
+  }
+
+  void a_request_taken_before_a_stop_is_still_tried_elsewhere() {
+    world.configure();
+    world.add_backend("p1", "plain", 1);
+    world.add_backend("p2", "plain", 2);
+    const RequestNumber request = world.ask("/read/1");
+    world.forwarder.set_stopping();
+    world.fail(request, AttemptFailure::cut_off);
+    CPPUNIT_ASSERT(!world.sent_to().empty());
+  }
+
   void a_stream_resumes_after_the_last_whole_event() {
     add_engines();
     const RequestNumber request = world.ask("/chat/1");
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -52,7 +52,7 @@
     record.slots = 4;
     record.revision = ++revision;
     record.weight_version = weights;
-    pool.on_record(record, now);
+    pool.on_record(record);
   }
 
   /// A fresh report of an engine.
@@ -88,7 +88,7 @@
     facts.success = status >= 200 && status < 300;
     actions.clear();
     forwarder.on_connected(request);
-    forwarder.on_response_head(request, facts, events, now, actions);
+    forwarder.on_response_head(request, facts, events, now);
   }
   void body(RequestNumber request, const std::string& bytes) {
     actions.clear();
