Test how large configurations spread over narrow links

Two gateways of a zone read a configuration, the others ask them. Where sending it takes longer than 600 ms each asks another holder, also in other regions, then the same ones again, and holders queue a copy for each request.

62 copies are needed. Ruled out: a reader that hangs just after the first version is passed over in time as it is.

--- /dev/null
+++ b/tests/gateway/configuration_spread_test.cpp
@@ -0,0 +1,85 @@
+// What users saw: after two configurations of several hundred KB, 2 s apart, two gateways still
+// answered 404 by the older one more than 3 s after the second was acknowledged, and one ended
+// over its memory limit of 160 MB.
+// Order of events: two gateways of a zone read the document from the store, the others ask them.
+// Sending it to all takes longer than the limit for an answer, so each asks another holder, also
+// in other regions, then the same ones again.
+// Cause: a fixed time for a whole document, and holders that queue a copy for each request: what
+// is sent in vain makes the next answer later.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "support/configuration_spread_world.h"
+
+namespace pumicemast {
+
+class ConfigurationSpreadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigurationSpreadTest);
+  CPPUNIT_TEST(all_gateways_have_the_newest_within_three_seconds);
+  CPPUNIT_TEST(a_document_is_not_sent_more_often_than_needed);
+  CPPUNIT_TEST(a_holder_keeps_little_for_others);
+  CPPUNIT_TEST(a_holder_that_hangs_is_passed_over);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t kSeeds = 5;
+
+  static SpreadOutcome spread(std::size_t document_bytes, std::uint32_t seed) {
+    SpreadSetup setup;
+    setup.document_bytes = document_bytes;
+    setup.seed = seed;
+    return spread_configurations(setup);
+  }
+  static std::string describe(const SpreadOutcome& outcome) {
+    return "last_ms=" + std::to_string(to_milliseconds(outcome.last_after)) +
+           " copies=" + std::to_string(outcome.copies) +
+           " between_regions=" + std::to_string(outcome.copies_between_regions) +
+           " peak_queued_bytes=" + std::to_string(outcome.peak_queued_bytes);
+  }
+  static void check(bool holds, const SpreadOutcome& outcome) {
+    CPPUNIT_ASSERT_MESSAGE(describe(outcome), holds);
+  }
+
+ public:
+  void all_gateways_have_the_newest_within_three_seconds() {
+    for (const std::size_t bytes : {50'000U, 300'000U, 700'000U, 1'000'000U}) {
+      for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+        const SpreadOutcome outcome = spread(bytes, seed);
+        check(outcome.all_have_newest && outcome.last_after < seconds(3), outcome);
+      }
+    }
+  }
+
+  void a_document_is_not_sent_more_often_than_needed() {
+    // 39 gateways lack two versions; those that read the store get them there.
+    for (const std::size_t bytes : {700'000U, 1'500'000U}) {
+      for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+        const SpreadOutcome outcome = spread(bytes, seed);
+        check(outcome.copies < 2 * 39 && outcome.copies_between_regions < 4, outcome);
+      }
+    }
+  }
+
+  void a_holder_keeps_little_for_others() {
+    constexpr std::size_t kLimitBytes = 5'000'000;  // 3 % of 160 MB.
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      const SpreadOutcome outcome = spread(1'500'000, seed);
+      check(outcome.peak_queued_bytes < kLimitBytes, outcome);
+    }
+  }
+
+  void a_holder_that_hangs_is_passed_over() {
+    SpreadSetup setup;
+    setup.document_bytes = 300'000;
+    setup.reader_hangs_after = milliseconds(2100);
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      setup.seed = seed;
+      const SpreadOutcome outcome = spread_configurations(setup);
+      check(outcome.all_have_newest && outcome.last_after < seconds(3), outcome);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationSpreadTest);
+
+}  // namespace pumicemast
--- /dev/null
+++ b/tests/support/configuration_spread_world.cpp
@@ -0,0 +1,195 @@
+#include "support/configuration_spread_world.h"
+
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/configuration_catch_up.h"
+#include "support/spread_network.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr std::size_t kDigestBytes = 400;
+constexpr std::size_t kRequestBytes = 60;
+constexpr Duration kTickInterval = milliseconds(500);
+constexpr Duration kCatchUpInterval = milliseconds(50);
+constexpr Duration kReadingPause = milliseconds(150);
+constexpr Duration kLongestRun = seconds(30);
+constexpr std::size_t kRing = 3;
+constexpr std::size_t kDrawn = 5;
+constexpr double kBytesPerMegabit = 125'000;
+
+struct Gateway {
+  explicit Gateway(PeerId id) : catch_up(id) {}
+  ConfigurationCatchUp catch_up;
+  std::uint64_t version = 1;
+  bool reads_store = false;
+  bool store_reading = false;  ///< A document of the store is on its way.
+  bool looks = false;          ///< The timer that looks whether to ask runs.
+  bool hangs = false;
+};
+
+class World {
+ public:
+  explicit World(const SpreadSetup& setup)
+      : setup_(setup),
+        random_(setup.seed),
+        network_(events_,
+                 {setup.machine_mbit_per_s * kBytesPerMegabit,
+                  setup.region_mbit_per_s * kBytesPerMegabit},
+                 regions()) {
+    for (std::size_t index = 0; index < setup.gateways; ++index) add_gateway(index);
+  }
+
+  SpreadOutcome run() {
+    for (std::size_t index = 0; index < gateways_.size(); ++index) {
+      std::uniform_int_distribution<std::int64_t> phase(0, to_milliseconds(kTickInterval));
+      events_.schedule_in(milliseconds(phase(random_)), [this, index] { tick(index); });
+    }
+    const TimePoint first_at = events_.now() + seconds(2);
+    const TimePoint second_at = first_at + setup_.second_after;
+    events_.schedule_at(first_at, [this] { publish(2); });
+    events_.schedule_at(second_at, [this] { publish(3); });
+    if (setup_.reader_hangs_after > Duration::zero()) {
+      events_.schedule_at(first_at + setup_.reader_hangs_after, [this] { hang_readers(); });
+    }
+    while (!all_have(3) && events_.now() < second_at + kLongestRun) events_.run_next();
+    outcome_.all_have_newest = all_have(3);
+    outcome_.last_after = events_.now() - second_at;
+    const auto document = static_cast<double>(setup_.document_bytes);
+    outcome_.copies = bytes_sent_ / document;
+    outcome_.copies_between_regions = bytes_between_regions_ / document;
+    for (std::size_t index = 0; index < gateways_.size(); ++index) {
+      outcome_.peak_queued_bytes =
+          std::max(outcome_.peak_queued_bytes, network_.peak_queued_bytes(index));
+    }
+    return outcome_;
+  }
+
+ private:
+  std::size_t zone(std::size_t index) const { return index % setup_.zones; }
+  std::size_t store() const { return setup_.gateways; }
+  std::vector<std::size_t> regions() const {
+    std::vector<std::size_t> result;
+    for (std::size_t index = 0; index < setup_.gateways; ++index) {
+      result.push_back(zone(index) < setup_.zones / 2 ? 0 : 1);
+    }
+    result.push_back(0);
+    return result;
+  }
+  static PeerId id(std::size_t index) { return index + 1; }
+  void add_gateway(std::size_t index) {
+    gateways_.emplace_back(id(index));
+    Gateway& gateway = gateways_.back();
+    gateway.reads_store = index / setup_.zones < setup_.readers_per_zone;
+    gateway.catch_up.set_reads_store(gateway.reads_store);
+    gateway.catch_up.on_in_force(1);
+  }
+  bool all_have(std::uint64_t version) const {
+    return std::all_of(gateways_.begin(), gateways_.end(), [&](const Gateway& gateway) {
+      return gateway.hangs || gateway.version >= version;
+    });
+  }
+  void hang_readers() {
+    for (std::size_t index = 0; index < setup_.zones; ++index) {
+      gateways_[index].hangs = true;
+      network_.hang(index);
+    }
+  }
+
+  // ---- the store ----
+
+  void publish(std::uint64_t version) {
+    published_ = version;
+    for (std::size_t index = 0; index < gateways_.size(); ++index) read_store(index);
+  }
+  void read_store(std::size_t index) {
+    Gateway& gateway = gateways_[index];
+    if (!gateway.reads_store || gateway.store_reading || gateway.version >= published_) return;
+    gateway.store_reading = true;
+    network_.send(store(), index, setup_.document_bytes, [this, index, version = published_] {
+      gateways_[index].store_reading = false;
+      take(index, version);
+      events_.schedule_in(kReadingPause, [this, index] { read_store(index); });
+    });
+  }
+
+  // ---- what gateways tell each other ----
+
+  std::set<std::size_t> regular(std::size_t index) const {
+    std::set<std::size_t> told;
+    for (std::size_t step = 1; step <= kRing; ++step) told.insert((index + step) % setup_.gateways);
+    if (!gateways_[index].reads_store) return told;
+    for (std::size_t other = 0; other < gateways_.size(); ++other) {
+      if (other != index && zone(other) == zone(index)) told.insert(other);
+    }
+    return told;
+  }
+  void tick(std::size_t index) {
+    for (const std::size_t other : regular(index)) tell(index, other);
+    events_.schedule_in(kTickInterval, [this, index] { tick(index); });
+  }
+  void tell_others(std::size_t index) {
+    std::set<std::size_t> told = regular(index);
+    std::uniform_int_distribution<std::size_t> any(0, gateways_.size() - 1);
+    for (std::size_t drawn = 0; drawn < kDrawn; ++drawn) told.insert(any(random_));
+    told.erase(index);
+    for (const std::size_t other : told) tell(index, other);
+  }
+  void tell(std::size_t from, std::size_t to) {
+    network_.send(from, to, kDigestBytes, [this, from, to, version = gateways_[from].version] {
+      gateways_[to].catch_up.on_heard(id(from), version, zone(from) == zone(to), events_.now());
+      if (!gateways_[to].looks) look(to);
+    });
+  }
+  void take(std::size_t index, std::uint64_t version) {
+    Gateway& gateway = gateways_[index];
+    if (version <= gateway.version) return;
+    gateway.version = version;
+    gateway.catch_up.on_in_force(version);
+    tell_others(index);
+  }
+
+  // ---- fetching it from each other, as gateway/fleet_links does ----
+
+  void look(std::size_t index) {
+    Gateway& gateway = gateways_[index];
+    gateway.looks = gateway.catch_up.behind();
+    if (!gateway.looks) return;
+    if (const auto asked = gateway.catch_up.next_request(events_.now())) ask(index, *asked - 1);
+    events_.schedule_in(kCatchUpInterval, [this, index] { look(index); });
+  }
+  void ask(std::size_t from, std::size_t holder) {
+    network_.send(from, holder, kRequestBytes,
+                  [this, from, holder, known = gateways_[from].version] {
+                    const std::uint64_t version = gateways_[holder].version;
+                    if (version <= known) return;
+                    send_document(holder, from, setup_.document_bytes,
+                                  [this, from, version] { take(from, version); });
+                  });
+  }
+  void send_document(std::size_t from, std::size_t to, std::size_t bytes,
+                     std::function<void()> on_arrival) {
+    bytes_sent_ += static_cast<double>(bytes);
+    if (!network_.same_region(from, to)) bytes_between_regions_ += static_cast<double>(bytes);
+    network_.send(from, to, bytes, std::move(on_arrival));
+  }
+
+  SpreadSetup setup_;
+  std::minstd_rand random_;
+  simulation::EventQueue events_;
+  SpreadNetwork network_;
+  std::vector<Gateway> gateways_;
+  std::uint64_t published_ = 1;
+  double bytes_sent_ = 0;
+  double bytes_between_regions_ = 0;
+  SpreadOutcome outcome_;
+};
+
+}  // namespace
+
+SpreadOutcome spread_configurations(const SpreadSetup& setup) { return World(setup).run(); }
+
+}  // namespace pumicemast
