Fetch configurations from other gateways piece by piece

Cause: a gateway asked another holder whenever a whole document had not come within 600 ms, also in other regions, then the same ones again, and holders queued a copy for each request. What was sent in vain made the next answers later: the more was asked for the less arrived. Change: a document is fetched in pieces of 32 KB, four ahead. A holder is passed over when nothing has come for 600 ms, and what has arrived is not sent again by the next one; an answer after that doubles the limit. Near holders share what is left. Other zones are asked by the first gateway of a zone; the others have later turns. A holder keeps the two versions before the one in force, so that who is past the half finishes it. Gateways of earlier releases get whole documents. Operators see from whom a version came and how late, documents sent, and bytes queued to gateways.

--- a/src/gateway/configuration_catch_up.h
+++ b/src/gateway/configuration_catch_up.h
@@ -2,7 +2,9 @@
 ///
 /// A decision core: no I/O. The store usually brings a configuration to every gateway within
 /// moments; fetching it from each other as well multiplies a large document by the number of
-/// gateways twice. So a gateway asks only when the store has had its time, and one at a time.
+/// gateways twice. So a gateway asks only when the store has had its time, and one at a time; it
+/// asks another one when nothing arrives any more, not when the whole takes long. Gateways of
+/// other zones are asked by one of a zone after the other: links between zones are narrow.
 #pragma once
 
 #include <cstdint>
@@ -20,8 +22,19 @@
   Duration patience = milliseconds(400);
   /// The same while no configuration is in force here, when nothing can be served.
   Duration first_patience = milliseconds(150);
-  /// A gateway that has not answered for so long is passed over.
+  /// A gateway that has sent nothing for so long is passed over. If something arrives after that,
+  /// the limit doubles until a newer version is in force here: on a full link pieces take longer,
+  /// and asking again for what is on its way would fill it further.
   Duration answer_limit = milliseconds(600);
+  std::uint32_t most_doublings = 3;
+  /// Each further gateway of a zone asks in another zone so much later: most documents have come
+  /// by then, and the others of the zone fetch them there.
+  Duration far_turn = milliseconds(800);
+  /// Added by each gateway's own share, but for the first of its zone, so that not all of a zone
+  /// ask at once.
+  Duration far_spread = seconds(6);
+  /// A gateway of the zone that was not heard of for so long does not go before this one.
+  Duration neighbour_lifetime = milliseconds(1500);
 };
 
 class ConfigurationCatchUp {
@@ -41,6 +54,12 @@
   bool behind() const { return !heard_at_.empty(); }
   /// Whom to ask now; the caller sends the request.
   std::optional<PeerId> next_request(TimePoint now);
+  /// A part of the document that was asked for has arrived.
+  void on_progress(TimePoint now);
+  /// The version that `gateway` told last; 0 for none.
+  std::uint64_t version_at(PeerId gateway) const;
+  /// Since when another gateway was known to have `version` or a newer one, if any.
+  std::optional<TimePoint> first_heard(std::uint64_t version) const;
 
  private:
   PeerId self_;
@@ -49,14 +68,19 @@
   struct Holder {
     std::uint64_t version = 0;
     bool near = false;
+    TimePoint heard_at{};
   };
   bool near_holder() const;
+  /// Whether a gateway of another zone may be asked now, `since` the newer version was heard of.
+  bool far_turn_has_come(Duration since, Duration patience, TimePoint now) const;
 
   bool reads_store_ = true;
   std::map<PeerId, Holder> holders_;
   /// When versions above the own one were first heard of.
   std::map<std::uint64_t, TimePoint> heard_at_;
-  std::set<PeerId> asked_;  ///< Since the own version last changed.
+  std::set<PeerId> asked_;    ///< Since the own version last changed.
+  bool passed_over_ = false;  ///< Someone, since a part of a document arrived.
+  std::uint32_t doublings_ = 0;
   std::optional<TimePoint> asked_at_;
 };
 
--- /dev/null
+++ b/src/gateway/configuration_download.cpp
@@ -0,0 +1,107 @@
+#include "gateway/configuration_download.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.h"
+
+namespace pumicemast {
+namespace {
+
+/// Asked for ahead of what has arrived: as much as fills 20 Mbit/s over a path of 50 ms. A holder
+/// that 38 gateways ask keeps 5 MB for them.
+constexpr std::uint64_t kWindowBytes = 4 * kConfigurationPieceBytes;
+
+}  // namespace
+
+void ConfigurationDownload::restart(std::uint64_t version) {
+  version_ = version;
+  document_bytes_ = 0;
+  received_.clear();
+  early_.clear();
+  pending_.clear();
+  asked_to_ = 0;
+}
+
+ConfigurationPieceRequests ConfigurationDownload::begin(PeerId gateway, std::uint64_t newest) {
+  holders_ = {gateway};
+  const bool holder_lacks_it = newest < version_;
+  if (newest != version_ && (holder_lacks_it || !half_there())) restart(newest);
+  early_.clear();
+  pending_.clear();
+  asked_to_ = received_.size();
+  return ask_on();
+}
+
+ConfigurationPieceRequests ConfigurationDownload::on_heard(PeerId gateway, std::uint64_t newest) {
+  if (holders_.empty()) return {};
+  if (newest == version_) holders_.insert(gateway);
+  if (!holders_.contains(gateway) || newest <= version_ || half_there()) return {};
+  return begin(gateway, newest);
+}
+
+ConfigurationPieceRequests ConfigurationDownload::on_piece(const ConfigurationPiece& piece) {
+  progressed_ = false;
+  if (holders_.empty() || piece.version < version_) return {};
+  const bool another_document =
+      piece.version > version_ || (document_bytes_ > 0 && document_bytes_ != piece.document_bytes);
+  if (another_document) restart(piece.version);
+  const bool wanted = piece.offset >= received_.size() &&
+                      piece.offset <= received_.size() + kWindowBytes && !piece.bytes.empty();
+  if (wanted) {
+    document_bytes_ = piece.document_bytes;
+    pending_.erase(piece.offset);
+    progressed_ = early_.try_emplace(piece.offset, piece.bytes).second;
+    join_early();
+  }
+  return ask_on();
+}
+
+void ConfigurationDownload::join_early() {
+  while (!early_.empty() && early_.begin()->first <= received_.size()) {
+    const auto node = early_.extract(early_.begin());
+    if (node.key() == received_.size()) received_ += node.mapped();
+  }
+  asked_to_ = std::max<std::uint64_t>(asked_to_, received_.size());
+}
+
+PeerId ConfigurationDownload::least_asked() const {
+  const auto rank = [this](PeerId holder) {
+    const auto asked = std::count_if(pending_.begin(), pending_.end(), [holder](const auto& entry) {
+      return entry.second == holder;
+    });
+    return std::make_pair(asked, stable_hash(holder, self_));
+  };
+  return *std::min_element(holders_.begin(), holders_.end(),
+                           [&](PeerId left, PeerId right) { return rank(left) < rank(right); });
+}
+
+ConfigurationPieceRequests ConfigurationDownload::ask_on() {
+  ConfigurationPieceRequests requests;
+  // The size is told by the first piece; most documents are not longer than that.
+  const std::uint64_t end = document_bytes_ == 0
+                                ? kConfigurationPieceBytes
+                                : std::min(document_bytes_, received_.size() + kWindowBytes);
+  for (; asked_to_ < end; asked_to_ += kConfigurationPieceBytes) {
+    const PeerId holder = least_asked();
+    pending_[asked_to_] = holder;
+    requests.push_back({holder, version_, asked_to_});
+  }
+  return requests;
+}
+
+std::optional<std::string> ConfigurationDownload::take_whole() {
+  if (document_bytes_ == 0 || received_.size() < document_bytes_) return std::nullopt;
+  std::string whole = std::move(received_);
+  restart(version_);
+  holders_.clear();
+  return whole;
+}
+
+void ConfigurationDownload::on_in_force(std::uint64_t version) {
+  if (version < version_) return;
+  restart(0);
+  holders_.clear();
+}
+
+}  // namespace pumicemast
--- /dev/null
+++ b/src/gateway/configuration_shelf.h
@@ -0,0 +1,49 @@
+/// The documents that a gateway hands out to others: the one in force and the two before it.
+///
+/// A decision core: no I/O. Who has begun to fetch one is not made to begin anew by each change;
+/// with changes faster than a document crosses a link it would never have any.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "gateway/configuration_download.h"
+
+namespace pumicemast {
+
+class ConfigurationShelf {
+ public:
+  /// `document` is in force here now.
+  void keep(std::uint64_t version, std::string document) {
+    documents_[version] = std::move(document);
+    while (documents_.size() > kKept) documents_.erase(documents_.begin());
+  }
+  /// The document in force, or null.
+  const std::string* newest() const {
+    return documents_.empty() ? nullptr : &documents_.rbegin()->second;
+  }
+  /// The piece that begins at `offset`, or the first one of the newest version where `version` is
+  /// not kept. Empty when there is none. Valid until the next change.
+  std::optional<ConfigurationPiece> piece(std::uint64_t version, std::uint64_t offset) const {
+    if (documents_.empty()) return std::nullopt;
+    const auto found = documents_.find(version);
+    const bool kept = found != documents_.end();
+    const auto& [held, document] = kept ? *found : *documents_.rbegin();
+    const std::uint64_t begin = kept ? offset : 0;
+    if (begin >= document.size()) return std::nullopt;
+    const std::uint64_t count = std::min(kConfigurationPieceBytes, document.size() - begin);
+    return ConfigurationPiece{held, document.size(), begin,
+                              std::string_view(document).substr(begin, count)};
+  }
+
+ private:
+  static constexpr std::size_t kKept = 3;
+  std::map<std::uint64_t, std::string> documents_;
+};
+
+}  // namespace pumicemast
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -32,6 +32,7 @@
                        Metrics& metrics, FleetLinksListener& listener)
     : own_address_(std::move(own_address)),
       zone_(std::move(zone)),
+      metrics_(metrics),
       listener_(listener),
       links_(own_address_.to_string(), metrics,
              {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
@@ -42,6 +43,7 @@
               },
               [](PeerId) {}}),
       catch_up_(peer_id(own_address_)),
+      download_(peer_id(own_address_)),
       role_(peer_id(own_address_)),
       random_(static_cast<std::minstd_rand::result_type>(peer_id(own_address_))) {
   links_.set_unanswered_limit(kUnansweredLimit);
@@ -166,15 +168,28 @@
   }
 }
 
-void FleetLinks::on_configuration_in_force(std::uint64_t version) {
+void FleetLinks::on_configuration_in_force(std::uint64_t version, const std::string& document) {
   catch_up_.on_in_force(version);
+  download_.on_in_force(version);
+  shelf_.keep(version, document);
+}
+
+Duration FleetLinks::known_elsewhere_for(std::uint64_t version) const {
+  const auto first = catch_up_.first_heard(version);
+  return first ? loop_now() - *first : Duration::zero();
+}
+
+std::size_t FleetLinks::bytes_queued_to_gateways() const {
+  std::size_t bytes = 0;
+  for (const auto& [peer, gateway] : gateways_) bytes += links_.queued_bytes(peer);
+  return bytes;
 }
 
 void FleetLinks::catch_up() {
   if (const auto gateway = catch_up_.next_request(loop_now())) {
-    wire::ConfigurationRequestT request;
-    request.known_version = listener_.own_knowledge().configuration_version;
-    links_.send(*gateway, request);
+    metrics_.count("pumicemast_gateway_configuration_fetches_total",
+                   {{"zone", near(*gateway) ? "own" : "other"}});
+    send_requests(download_.begin(*gateway, catch_up_.version_at(*gateway)));
   }
   if (catch_up_.behind()) catch_up_timer_.start_once(kCatchUpInterval, [this] { catch_up(); });
 }
@@ -236,13 +251,11 @@
       on_digest(peer, *frame.body_as_GatewayDigest());
       return;
     case wire::Body::ConfigurationRequest:
-      on_configuration_request(peer, frame.body_as_ConfigurationRequest()->known_version());
+      on_configuration_request(peer, *frame.body_as_ConfigurationRequest());
       return;
-    case wire::Body::ConfigurationDocument: {
-      const auto* message = frame.body_as_ConfigurationDocument();
-      listener_.on_other_configuration(message->version(), message->document()->str());
+    case wire::Body::ConfigurationDocument:
+      on_configuration_document(peer, *frame.body_as_ConfigurationDocument());
       return;
-    }
     default:
       return;
   }
@@ -276,15 +289,66 @@
   }
 }
 
-void FleetLinks::on_configuration_request(PeerId peer, std::uint64_t known_version) {
+void FleetLinks::send_requests(const ConfigurationPieceRequests& requests) {
+  for (const ConfigurationPieceRequest& piece : requests) {
+    wire::ConfigurationRequestT request;
+    request.known_version = listener_.own_knowledge().configuration_version;
+    request.pieces = true;
+    request.version = piece.version;
+    request.offset = piece.offset;
+    links_.send(piece.gateway, request);
+  }
+}
+
+void FleetLinks::on_configuration_request(PeerId peer, const wire::ConfigurationRequest& request) {
   const std::uint64_t version = listener_.own_knowledge().configuration_version;
-  if (version <= known_version) return;
+  if (version <= request.known_version()) return;
   wire::ConfigurationDocumentT message;
-  message.version = version;
-  message.document = listener_.own_configuration_document();
+  if (!request.pieces()) {
+    // A gateway of an earlier release: it knows no pieces.
+    if (shelf_.newest() == nullptr) return;
+    message.version = version;
+    message.document = *shelf_.newest();
+    send_configuration(peer, message);
+    return;
+  }
+  const auto piece = shelf_.piece(request.version(), request.offset());
+  if (!piece) return;
+  message.version = piece->version;
+  message.document = std::string(piece->bytes);
+  message.document_bytes = piece->document_bytes;
+  message.offset = piece->offset;
+  send_configuration(peer, message);
+}
+
+void FleetLinks::send_configuration(PeerId peer, const wire::ConfigurationDocumentT& message) {
+  metrics_.count("pumicemast_gateway_configuration_sent_bytes_total",
+                 {{"zone", near(peer) ? "own" : "other"}},
+                 static_cast<double>(message.document.size()));
   links_.send(peer, message);
 }
 
+void FleetLinks::on_configuration_document(PeerId peer,
+                                           const wire::ConfigurationDocument& message) {
+  const auto gateway = gateways_.find(peer);
+  FetchedConfiguration fetched;
+  fetched.gateway = gateway == gateways_.end() ? "-" : gateway->second.address.to_string();
+  fetched.version = message.version();
+  if (message.document_bytes() == 0) {
+    fetched.document = message.document()->str();
+    listener_.on_other_configuration(fetched);
+    return;
+  }
+  send_requests(download_.on_piece({message.version(), message.document_bytes(), message.offset(),
+                                    message.document()->string_view()}));
+  if (download_.progressed()) catch_up_.on_progress(loop_now());
+  auto whole = download_.take_whole();
+  if (!whole) return;
+  fetched.version = download_.version();
+  fetched.document = std::move(*whole);
+  listener_.on_other_configuration(fetched);
+}
+
 void FleetLinks::on_digest(PeerId peer, const wire::GatewayDigest& digest) {
   note_gateway(digest.address()->str(), text_of(digest.zone()));
   if (near(peer)) role_.on_heard(peer, digest.reads_store(), loop_now());
@@ -302,6 +366,7 @@
     }
   }
   catch_up_.on_heard(peer, knowledge.configuration_version, near(peer), loop_now());
+  if (near(peer)) send_requests(download_.on_heard(peer, knowledge.configuration_version));
   if (!catch_up_timer_.active()) catch_up();
   listener_.on_other_knowledge(knowledge);
 }
--- a/src/gateway/fleet_links.h
+++ b/src/gateway/fleet_links.h
@@ -16,6 +16,8 @@
 #include "fleet/backend_record.h"
 #include "gateway/backend_pool.h"
 #include "gateway/configuration_catch_up.h"
+#include "gateway/configuration_download.h"
+#include "gateway/configuration_shelf.h"
 #include "gateway/store_reader_role.h"
 #include "gateway/weight_targets.h"
 #include "transport/peer_links.h"
@@ -29,6 +31,13 @@
   std::vector<NamedWeights> weights;
 };
 
+/// A configuration that was fetched from another gateway.
+struct FetchedConfiguration {
+  std::uint64_t version = 0;
+  std::string document;
+  std::string gateway;  ///< The address of the one that sent the last piece.
+};
+
 class FleetLinksListener {
  public:
   virtual ~FleetLinksListener() = default;
@@ -38,12 +47,10 @@
   virtual void on_path_delay(const Address& engine, Duration delay) = 0;
   virtual void on_engine_agent_lost(const Address& engine) = 0;
   virtual void on_other_knowledge(const GatewayKnowledge& knowledge) = 0;
-  virtual void on_other_configuration(std::uint64_t version, const std::string& document) = 0;
+  virtual void on_other_configuration(const FetchedConfiguration& fetched) = 0;
   /// This gateway is to read configurations from the store itself, or leaves it to others.
   virtual void on_store_reader(bool reads) = 0;
   virtual GatewayKnowledge own_knowledge() = 0;
-  /// The document in force, for a gateway that lacks it.
-  virtual const std::string& own_configuration_document() = 0;
 };
 
 class FleetLinks {
@@ -65,8 +72,12 @@
   void tell_others();
   /// Whether the platform's store answers this gateway.
   void set_store_reachable(bool reachable);
-  /// `version` is in force here.
-  void on_configuration_in_force(std::uint64_t version);
+  /// `version` is in force here; other gateways may fetch `document`.
+  void on_configuration_in_force(std::uint64_t version, const std::string& document);
+  /// For how long another gateway has been known to have `version` or a newer one.
+  Duration known_elsewhere_for(std::uint64_t version) const;
+  /// Bytes to other gateways that the system has not taken yet.
+  std::size_t bytes_queued_to_gateways() const;
   /// Tells the agent beside `engine` how many prompt tokens this gateway's requests wait to be
   /// read there; the agent tells other gateways.
   void tell_backlog(const Address& engine, double unread_tokens);
@@ -89,7 +100,10 @@
   void on_frame(PeerId peer, const wire::Frame& frame);
   void on_report(const wire::EngineReport& message);
   void on_gateway_list(const wire::GatewayList& list);
-  void on_configuration_request(PeerId peer, std::uint64_t known_version);
+  void on_configuration_request(PeerId peer, const wire::ConfigurationRequest& request);
+  void on_configuration_document(PeerId peer, const wire::ConfigurationDocument& message);
+  void send_configuration(PeerId peer, const wire::ConfigurationDocumentT& message);
+  void send_requests(const ConfigurationPieceRequests& requests);
   void on_digest(PeerId peer, const wire::GatewayDigest& digest);
   void note_gateway(const std::string& address, const std::string& zone);
   /// Asks another gateway for a newer configuration when it is time.
@@ -98,6 +112,7 @@
   Address own_address_;
   std::string zone_;
   double demand_ = 0;  ///< Requests a second.
+  Metrics& metrics_;
   FleetLinksListener& listener_;
   PeerLinks links_;
   std::map<PeerId, Address> agents_;
@@ -105,6 +120,8 @@
   std::map<PeerId, Gateway> gateways_;
   std::map<Address, wire::EngineDescriptionT> descriptions_;
   ConfigurationCatchUp catch_up_;
+  ConfigurationDownload download_;
+  ConfigurationShelf shelf_;
   StoreReaderRole role_;
   bool reads_store_ = true;
   bool store_reachable_ = false;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -42,6 +42,7 @@
                        Metrics& metrics, Callbacks callbacks)
     : feed_(feed),
       log_(log),
+      metrics_(metrics),
       callbacks_(std::move(callbacks)),
       changeover_(settings.changeover),
       pool_(pool_options(settings)),
@@ -69,33 +70,37 @@
 }
 
 void FleetState::apply_configuration(FleetConfiguration configuration, const std::string& document,
-                                     const char* source) {
+                                     const char* source, const std::string& from) {
   if (routes_ && configuration.version <= routes_->version()) return;
+  const Duration lag = links_.known_elsewhere_for(configuration.version);
+  metrics_.observe("pumicemast_gateway_configuration_lag_seconds", {{"source", source}}, lag);
   log_.line("configuration",
             "configuration version=" + std::to_string(configuration.version) + " source=" + source +
+                " from=" + from + " bytes=" + std::to_string(document.size()) +
+                " lag_ms=" + std::to_string(to_milliseconds(lag)) +
                 " routes=" + std::to_string(configuration.routes.size()) + " state=IN_FORCE");
   routes_ = std::make_shared<RouteTable>(std::move(configuration));
-  document_ = document;
   callbacks_.on_routes(routes_);
   // Which back ends are engines, whose agents are to report, stands in the configuration; the list
   // may have come before it.
   update_engines();
-  links_.on_configuration_in_force(routes_->version());
+  links_.on_configuration_in_force(routes_->version(), document);
   links_.tell_others();
 }
 
 void FleetState::on_configuration(FleetConfiguration configuration, const std::string& document) {
-  apply_configuration(std::move(configuration), document, "store");
+  apply_configuration(std::move(configuration), document, "store", "-");
 }
 
-void FleetState::on_other_configuration(std::uint64_t version, const std::string& document) {
-  if (routes_ && version <= routes_->version()) return;
-  auto configuration = feed_.read_document(document);
+void FleetState::on_other_configuration(const FetchedConfiguration& fetched) {
+  if (routes_ && fetched.version <= routes_->version()) return;
+  auto configuration = feed_.read_document(fetched.document);
   if (!configuration) {
-    log_.line("configuration", "configuration source=gateway state=REFUSED reason=malformed");
+    log_.line("configuration", "configuration source=gateway from=" + fetched.gateway +
+                                   " state=REFUSED reason=malformed");
     return;
   }
-  apply_configuration(std::move(*configuration), document, "gateway");
+  apply_configuration(std::move(*configuration), fetched.document, "gateway", fetched.gateway);
 }
 
 void FleetState::update_engines() {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -48,6 +48,7 @@
   /// Null before the first configuration.
   const RouteTablePointer& routes() const { return routes_; }
   std::uint64_t configuration_version() const { return routes_ ? routes_->version() : 0; }
+  std::size_t bytes_queued_to_gateways() const { return links_.bytes_queued_to_gateways(); }
 
  private:
   // FleetListener
@@ -64,26 +65,25 @@
   void on_others_backlog(const Address& engine, std::uint32_t unread_tokens) override;
   void on_engine_agent_lost(const Address& engine) override;
   void on_other_knowledge(const GatewayKnowledge& knowledge) override;
-  void on_other_configuration(std::uint64_t version, const std::string& document) override;
+  void on_other_configuration(const FetchedConfiguration& fetched) override;
   void on_store_reader(bool reads) override;
   GatewayKnowledge own_knowledge() override;
-  const std::string& own_configuration_document() override { return document_; }
 
   void apply_configuration(FleetConfiguration configuration, const std::string& document,
-                           const char* source);
+                           const char* source, const std::string& from);
   void update_engines();
   void note_weights(const std::string& model, std::uint64_t version, TimePoint named_at,
                     bool assumed);
 
   FleetFeed& feed_;
   GatewayLog& log_;
+  Metrics& metrics_;
   Callbacks callbacks_;
   Duration changeover_;
   BackendPool pool_;
   WeightTargets targets_;
   FleetLinks links_;
   RouteTablePointer routes_;
-  std::string document_;  ///< Of the configuration in force, in the platform's own form.
   bool store_reachable_ = false;
   /// Gateways that a cut hides for a while still share the retries.
   RecentMaximum gateways_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -377,6 +377,7 @@
     figures.backends = fleet_.pool().size();
     figures.reporting_engines = fleet_.pool().reporting(loop_now());
     figures.configuration_version = fleet_.configuration_version();
+    figures.bytes_queued_to_gateways = fleet_.bytes_queued_to_gateways();
     metrics_.update(forwarder_.counters(), figures);
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -50,6 +50,8 @@
   set("pumicemast_gateway_reporting_engines", static_cast<double>(figures.reporting_engines));
   set("pumicemast_gateway_configuration_version",
       static_cast<double>(figures.configuration_version));
+  set("pumicemast_gateway_queued_to_gateways_bytes",
+      static_cast<double>(figures.bytes_queued_to_gateways));
 }
 
 }  // namespace pumicemast
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -14,6 +14,7 @@
   std::size_t backends = 0;
   std::size_t reporting_engines = 0;
   std::uint64_t configuration_version = 0;
+  std::size_t bytes_queued_to_gateways = 0;
 };
 
 class GatewayMetrics {
--- a/tests/gateway/configuration_catch_up_test.cpp
+++ b/tests/gateway/configuration_catch_up_test.cpp
@@ -15,6 +15,9 @@
   CPPUNIT_TEST(without_any_configuration_patience_is_short);
   CPPUNIT_TEST(who_does_not_read_the_store_asks_a_near_gateway_at_once);
   CPPUNIT_TEST(those_that_lack_a_version_ask_different_gateways);
+  CPPUNIT_TEST(who_sends_on_is_not_passed_over);
+  CPPUNIT_TEST(a_late_answer_makes_patience_longer);
+  CPPUNIT_TEST(gateways_of_a_zone_ask_in_other_zones_one_after_the_other);
   CPPUNIT_TEST_SUITE_END();
 
   CatchUpOptions options;
@@ -110,6 +113,50 @@
     }
     CPPUNIT_ASSERT(asked.size() >= 8);
   }
+
+  void who_sends_on_is_not_passed_over() {
+    ConfigurationCatchUp catch_up(1, options);
+    catch_up.on_heard(10, 5, true, now);
+    catch_up.on_heard(11, 5, true, now);
+    now += options.patience;
+    CPPUNIT_ASSERT(catch_up.next_request(now).has_value());
+    for (int piece = 0; piece < 20; ++piece) {
+      now += options.answer_limit - milliseconds(1);
+      CPPUNIT_ASSERT(!catch_up.next_request(now));
+      catch_up.on_progress(now);
+    }
+    CPPUNIT_ASSERT(catch_up.next_request(now + options.answer_limit).has_value());
+  }
+
+  void a_late_answer_makes_patience_longer() {
+    ConfigurationCatchUp catch_up(1, options);
+    for (PeerId gateway = 10; gateway < 20; ++gateway) catch_up.on_heard(gateway, 5, true, now);
+    now += options.patience;
+    CPPUNIT_ASSERT(catch_up.next_request(now).has_value());
+    now += options.answer_limit;
+    CPPUNIT_ASSERT(catch_up.next_request(now).has_value());
+    catch_up.on_progress(now);  // Of the one that was passed over.
+    CPPUNIT_ASSERT(!catch_up.next_request(now + 2 * options.answer_limit - milliseconds(1)));
+    CPPUNIT_ASSERT(catch_up.next_request(now + 2 * options.answer_limit).has_value());
+  }
+
+  void gateways_of_a_zone_ask_in_other_zones_one_after_the_other() {
+    // Ten of a zone that know each other, and a holder in another zone.
+    std::size_t asking_at_once = 0;
+    for (PeerId self = 1; self <= 10; ++self) {
+      ConfigurationCatchUp catch_up(self, options);
+      catch_up.on_in_force(4);
+      catch_up.on_heard(99, 5, false, now);
+      const TimePoint asked_at = now + options.patience;
+      for (PeerId other = 1; other <= 10; ++other) {
+        if (other != self) catch_up.on_heard(other, 4, true, asked_at);
+      }
+      if (catch_up.next_request(asked_at)) ++asking_at_once;
+      // When those that go before it are not heard of any more, its turn comes.
+      CPPUNIT_ASSERT(catch_up.next_request(asked_at + seconds(2)).has_value());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asking_at_once);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationCatchUpTest);
--- a/tests/gateway/configuration_spread_test.cpp
+++ b/tests/gateway/configuration_spread_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(a_document_is_not_sent_more_often_than_needed);
   CPPUNIT_TEST(a_holder_keeps_little_for_others);
   CPPUNIT_TEST(a_holder_that_hangs_is_passed_over);
+  CPPUNIT_TEST(a_full_link_between_regions_is_not_filled_further);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint32_t kSeeds = 5;
@@ -78,6 +79,20 @@
       check(outcome.all_have_newest && outcome.last_after < seconds(3), outcome);
     }
   }
+
+  void a_full_link_between_regions_is_not_filled_further() {
+    // What four gateways read from the store takes 3.2 s over it, and twice in 2 s is more than it
+    // carries.
+    SpreadSetup setup;
+    setup.document_bytes = 1'000'000;
+    setup.region_mbit_per_s = 10;
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      setup.seed = seed;
+      const SpreadOutcome outcome = spread_configurations(setup);
+      check(outcome.all_have_newest && outcome.last_after < seconds(8), outcome);
+      check(outcome.copies_between_regions < 4 && outcome.peak_queued_bytes < 5'000'000, outcome);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationSpreadTest);
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -139,6 +141,43 @@
 store=127.0.0.1:{self.store.port}
 """, stdout)
 
+    def run_gateway_without_store(self):
+        """Another one of the zone, that knows only what the first tells it."""
+        self.second_metrics = free_port()
+        return self.launch("gateway2", "pumicemast-gateway", f"""
+[process]
+name=gateway2
+zone=z1
+charts={ROOT}/charts
+stop_grace_ms=6000
+[listen]
+callers=127.0.0.2:{free_port()}
+ready=127.0.0.2:{free_port()}
+metrics=127.0.0.1:{self.second_metrics}
+internal=127.0.0.2:{self.internal}
+[membership]
+seeds=127.0.0.1:{self.internal}
+[weights]
+changeover_ms=3000
+changeover_margin_ms=500
+[log]
+decisions=failures
+[platform]
+store=127.0.0.1:{free_port()}
+""")
+
+    async def metric(self, name, port):
+        """The first value of a metric, or None."""
+        try:
+            text = (await self.call("GET", "/metrics", port=port)).body.decode()
+        except OSError:
+            return None
+        values = [line.split()[-1] for line in text.splitlines() if line.startswith(name)]
+        return float(values[0]) if values else None
+
+    def many_routes(self, count):
+        return [self.route(f"/many/{number:05}/", "safe", "plain", 2) for number in range(count)]
+
     async def stop(self):
         for process in self.processes:
             if process.poll() is None:
@@ -257,6 +296,30 @@
         # One answer with each of 40 versions would be 40.
         self.assertLessEqual(store.sent.count("config"), 10)
 
+    async def test_a_large_configuration_is_fetched_from_another_gateway(self):
+        platform = self.platform
+        platform.run_gateway_without_store()
+        name = "pumicemast_gateway_configuration_version"
+
+        async def version():
+            return await platform.metric(name, platform.second_metrics)
+
+        async def has(wanted):
+            return await version() == wanted
+        await platform.wait(lambda: has(1))
+        platform.configure(2, extra=platform.many_routes(3000))
+        platform.configure(3, extra=platform.many_routes(3001))
+        await platform.wait(lambda: has(3), limit=3)
+        sent = await platform.metric("pumicemast_gateway_configuration_sent_bytes_total",
+                                     platform.metrics_port)
+        document = len(json.dumps(platform.store.objects["config"]["main"]["spec"]))
+        self.assertGreater(sent, document / 2)  # It was not the store that brought it.
+        self.assertLess(sent, 2.5 * document)
+        told = re.compile(rf"version=3 source=gateway from=127.0.0.1:{platform.internal} "
+                          r"bytes=\d+ lag_ms=\d+ routes=3004 state=IN_FORCE")
+        log = platform.folder / "gateway2.log"
+        await platform.wait(lambda: told.search(log.read_text()), limit=3)
+
     async def test_a_watch_that_was_lost_with_the_store_is_renewed(self):
         platform = self.platform
         await platform.ready()
--- a/tests/support/configuration_spread_world.cpp
+++ b/tests/support/configuration_spread_world.cpp
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "gateway/configuration_catch_up.h"
+#include "gateway/configuration_download.h"
+#include "gateway/configuration_shelf.h"
 #include "support/spread_network.h"
 
 namespace pumicemast {
@@ -22,8 +24,10 @@
 constexpr double kBytesPerMegabit = 125'000;
 
 struct Gateway {
-  explicit Gateway(PeerId id) : catch_up(id) {}
+  explicit Gateway(PeerId id) : catch_up(id), download(id) {}
   ConfigurationCatchUp catch_up;
+  ConfigurationDownload download;
+  ConfigurationShelf shelf;
   std::uint64_t version = 1;
   bool reads_store = false;
   bool store_reading = false;  ///< A document of the store is on its way.
@@ -85,7 +89,13 @@
     Gateway& gateway = gateways_.back();
     gateway.reads_store = index / setup_.zones < setup_.readers_per_zone;
     gateway.catch_up.set_reads_store(gateway.reads_store);
-    gateway.catch_up.on_in_force(1);
+    put_in_force(gateway, 1);
+  }
+  void put_in_force(Gateway& gateway, std::uint64_t version) {
+    gateway.version = version;
+    gateway.catch_up.on_in_force(version);
+    gateway.download.on_in_force(version);
+    gateway.shelf.keep(version, std::string(setup_.document_bytes, 'd'));
   }
   bool all_have(std::uint64_t version) const {
     return std::all_of(gateways_.begin(), gateways_.end(), [&](const Gateway& gateway) {
@@ -141,14 +151,16 @@
   void tell(std::size_t from, std::size_t to) {
     network_.send(from, to, kDigestBytes, [this, from, to, version = gateways_[from].version] {
       gateways_[to].catch_up.on_heard(id(from), version, zone(from) == zone(to), events_.now());
+      if (zone(from) == zone(to)) {
+        ask(to, gateways_[to].download.on_heard(id(from), version));
+      }
       if (!gateways_[to].looks) look(to);
     });
   }
   void take(std::size_t index, std::uint64_t version) {
     Gateway& gateway = gateways_[index];
     if (version <= gateway.version) return;
-    gateway.version = version;
-    gateway.catch_up.on_in_force(version);
+    put_in_force(gateway, version);
     tell_others(index);
   }
 
@@ -158,18 +170,34 @@
     Gateway& gateway = gateways_[index];
     gateway.looks = gateway.catch_up.behind();
     if (!gateway.looks) return;
-    if (const auto asked = gateway.catch_up.next_request(events_.now())) ask(index, *asked - 1);
+    if (const auto asked = gateway.catch_up.next_request(events_.now())) {
+      ask(index, gateway.download.begin(*asked, gateway.catch_up.version_at(*asked)));
+    }
     events_.schedule_in(kCatchUpInterval, [this, index] { look(index); });
   }
-  void ask(std::size_t from, std::size_t holder) {
-    network_.send(from, holder, kRequestBytes,
-                  [this, from, holder, known = gateways_[from].version] {
-                    const std::uint64_t version = gateways_[holder].version;
-                    if (version <= known) return;
-                    send_document(holder, from, setup_.document_bytes,
-                                  [this, from, version] { take(from, version); });
+  void ask(std::size_t from, const ConfigurationPieceRequests& requests) {
+    for (const ConfigurationPieceRequest& request : requests) {
+      network_.send(from, request.gateway - 1, kRequestBytes,
+                    [this, from, request] { on_request(from, request); });
+    }
+  }
+  void on_request(std::size_t from, const ConfigurationPieceRequest& request) {
+    const std::size_t holder = request.gateway - 1;
+    const auto piece = gateways_[holder].shelf.piece(request.version, request.offset);
+    if (!piece) return;
+    send_document(holder, from, piece->bytes.size(),
+                  [this, from, piece = *piece, bytes = std::string(piece->bytes)]() mutable {
+                    piece.bytes = bytes;
+                    on_piece(from, piece);
                   });
   }
+  void on_piece(std::size_t index, const ConfigurationPiece& piece) {
+    Gateway& gateway = gateways_[index];
+    ask(index, gateway.download.on_piece(piece));
+    if (gateway.download.progressed()) gateway.catch_up.on_progress(events_.now());
+    const std::uint64_t version = gateway.download.version();
+    if (gateway.download.take_whole()) take(index, version);
+  }
   void send_document(std::size_t from, std::size_t to, std::size_t bytes,
                      std::function<void()> on_arrival) {
     bytes_sent_ += static_cast<double>(bytes);
