Limit the silence of an answer of the store, not its length

Cause: lists and single objects were given up 1.5 s after they were asked for, and a watch 0.7 s after its wait, also while the answer came in; then they were asked for anew. A document of 900 KB over 400 KB/s takes 2.2 s and was never read: not after 25 s, and a gateway that started then was never ready. Change: once an answer has begun, its limit is 1.5 s without a further byte. Who does not begin to answer is given up as before. A store that falls silent in an answer is asked anew as before. An older state that is being read still delays the newer one by its own reading.

--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -46,28 +46,41 @@
   cancel();
   callback_ = std::move(callback);
   keep_connection_ = request.keep_connection;
+  silence_limit_ = request.silence_limit;
   result_ = {};
   if (connection_ && !connection_->reusable()) drop_connection();
   if (!connection_) {
     connection_ = std::make_unique<ClientConnection>(address_, kUnansweredLimit, *this);
   }
-  timeout_.start_once(request.timeout, [this] {
+  limit(request.timeout);
+  connection_->send_request(encode(request, address_), request.method == "HEAD", *this);
+}
+
+void HttpFetcher::limit(Duration duration) {
+  timeout_.start_once(duration, [this] {
     drop_connection();
     finish({});
   });
-  connection_->send_request(encode(request, address_), request.method == "HEAD", *this);
+}
+
+void HttpFetcher::on_progress() {
+  if (silence_limit_ > Duration::zero()) limit(silence_limit_);
 }
 
 void HttpFetcher::on_idle_connection_ended(ClientConnection&) { drop_connection(); }
 
 bool HttpFetcher::on_response_head(const ResponseHead& head) {
   result_.status = static_cast<int>(head.result_int());
+  on_progress();
   return true;
 }
 
 void HttpFetcher::on_response_body(std::string_view bytes) {
   result_.body.append(bytes);
-  if (result_.body.size() <= kMaximumBodyBytes) return;
+  if (result_.body.size() <= kMaximumBodyBytes) {
+    on_progress();
+    return;
+  }
   drop_connection();
   finish({});
 }
--- a/src/http1/http_fetcher.h
+++ b/src/http1/http_fetcher.h
@@ -17,6 +17,10 @@
   std::string body;
   std::string content_type = "application/json";
   Duration timeout = seconds(1);
+  /// Once an answer has begun, it may be silent for so long instead, and take as long as it needs:
+  /// a long one over a full link, given up by the clock and asked for anew, would never be whole.
+  /// Zero: `timeout` holds for the whole answer.
+  Duration silence_limit = Duration::zero();
   /// Leave the connection open when no request follows at once. Where connections are few, those
   /// that machines without power leave behind would shut others out.
   bool keep_connection = true;
@@ -49,12 +53,15 @@
   void on_response_complete() override;
   void on_exchange_failed(ExchangeFailure failure) override;
   void drop_connection();
+  void limit(Duration duration);
+  void on_progress();
   void finish(FetchResult result);
 
   Address address_;
   std::unique_ptr<ClientConnection> connection_;
   Callback callback_;
   bool keep_connection_ = true;
+  Duration silence_limit_ = Duration::zero();
   FetchResult result_;
   Timer timeout_;
   DeferredDeleter deleter_;
