Test an agent that reads a large configuration over a slow link

A document of 900 KB over 400 KB/s takes 2.2 s; an agent gives its reading up after 1.5 s and begins anew: 4 readings in 6 s, all in vain. Ruled out: that its engine stays on old weights or unreported; gateways describe engines to agents, too.

--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -342,6 +342,21 @@
         platform.gateway = platform.run_gateway()
         await platform.wait(lambda: platform.ready(), limit=5)
 
+    # What users saw: links that stayed full while agents were stopped and started in turn. Order of
+    # events: an agent reads the configuration at its start, gives it up after a fixed time and begins
+    # anew. Cause: the limit was one for the whole answer.
+    async def test_an_agent_reads_a_large_configuration_once_over_a_slow_link(self):
+        platform = self.platform
+        for host in platform.processes[:2]:
+            host.kill()
+        platform.configure(2, extra=platform.many_routes(4000))
+        await platform.wait(lambda: self.in_force("many/03999"), limit=3)
+        platform.store.sent.clear()
+        platform.store.bytes_per_s["config"] = 400_000
+        platform.run_host(0, platform.engines[0])
+        await asyncio.sleep(6)
+        self.assertEqual(1, platform.store.sent.count("config"))
+
     async def test_a_store_that_falls_silent_in_an_answer_is_asked_anew(self):
         platform = self.platform
         platform.store.bytes_per_s["config"] = 400_000
