--- /dev/null
+++ b/tests/support/scripted_engine.h
@@ -0,0 +1,151 @@
+/// An engine and an origin of weights in memory, for the agent's staging.
+///
+/// Calls are answered by deliver(), as a loop would. Orders may be left without an answer and be
+/// carried out when the test says so, as an engine may that was slow or hard to reach.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "host/engine_control.h"
+
+namespace pumicemast::tests {
+
+/// Chunks of a version: no two versions have one in common.
+inline std::string chunk_of(std::uint64_t version, ChunkIndex chunk) {
+  return "chunk " + std::to_string(chunk) + " of version " + std::to_string(version);
+}
+
+/// Calls whose answers are on their way.
+class PendingAnswers {
+ public:
+  void add(std::function<void()> answer) { answers_.push_back(std::move(answer)); }
+  void deliver() {
+    auto answers = std::move(answers_);
+    answers_.clear();
+    for (const auto& answer : answers) answer();
+  }
+
+ private:
+  std::deque<std::function<void()>> answers_;
+};
+
+class ScriptedEngine : public EngineControl {
+ public:
+  /// What an order found in the staging memory when it was carried out.
+  struct Taken {
+    std::uint64_t version = 0;
+    std::map<ChunkIndex, std::string> chunks;
+    bool whole(ChunkIndex chunk_count) const {
+      if (chunks.size() != chunk_count) return false;
+      return std::all_of(chunks.begin(), chunks.end(), [this](const auto& entry) {
+        return entry.second == chunk_of(version, entry.first);
+      });
+    }
+  };
+
+  /// The next so many orders get no answer; carry_out_late_order() carries them out.
+  void leave_unanswered(std::size_t orders) { unanswered_left_ = orders; }
+  void carry_out_late_order() {
+    if (late_.empty()) return;
+    const std::uint64_t version = late_.front();
+    late_.pop_front();
+    take(version);
+  }
+  void deliver() { answers_.deliver(); }
+  LoadReport report() const {
+    LoadReport report;
+    report.alive = true;
+    report.weight_version = serving_;
+    return report;
+  }
+  const std::vector<Taken>& taken() const { return taken_; }
+  std::size_t late_orders() const { return late_.size(); }
+  std::uint64_t serving() const { return serving_; }
+  /// Whether all that lies in the staging memory is of `version`.
+  bool holds(std::uint64_t version, ChunkIndex chunk_count) const {
+    return Taken{version, staged_}.whole(chunk_count);
+  }
+
+  // EngineControl
+  void set_layer_count(std::uint32_t) override {}
+  void read_load(std::function<void(const LoadReport&)> callback) override {
+    answers_.add([this, callback] { callback(report()); });
+  }
+  void list_staged(const std::string&,
+                   std::function<void(std::optional<std::vector<ChunkIndex>>)> callback) override {
+    std::vector<ChunkIndex> held;
+    for (const auto& [chunk, bytes] : staged_) held.push_back(chunk);
+    answers_.add([callback, held] { callback(held); });
+  }
+  void read_staged(const std::string&, ChunkIndex chunk,
+                   std::function<void(std::optional<std::string>)> callback) override {
+    const auto found = staged_.find(chunk);
+    std::optional<std::string> bytes;
+    if (found != staged_.end()) bytes = found->second;
+    answers_.add([callback, bytes] { callback(bytes); });
+  }
+  void write_staged(const std::string&, ChunkIndex chunk, const std::string& bytes,
+                    std::function<void(bool)> callback) override {
+    staged_[chunk] = bytes;
+    answers_.add([callback] { callback(true); });
+  }
+  void start_serving(const std::string&, std::uint64_t version,
+                     std::function<void(StartOutcome)> callback) override {
+    if (unanswered_left_ > 0) {
+      --unanswered_left_;
+      late_.push_back(version);
+      answers_.add([callback] { callback(StartOutcome::unknown); });
+      return;
+    }
+    take(version);
+    answers_.add([callback] { callback(StartOutcome::begun); });
+  }
+
+ private:
+  void take(std::uint64_t version) {
+    taken_.push_back({version, staged_});
+    serving_ = version;
+  }
+
+  PendingAnswers answers_;
+  std::map<ChunkIndex, std::string> staged_;
+  std::size_t unanswered_left_ = 0;
+  std::deque<std::uint64_t> late_;
+  std::vector<Taken> taken_;
+  std::uint64_t serving_ = 0;
+};
+
+class ScriptedOrigin : public WeightOrigin {
+ public:
+  explicit ScriptedOrigin(ChunkIndex chunk_count) : chunk_count_(chunk_count) {}
+  void set_newest(std::uint64_t version) { newest_ = version; }
+  void deliver() { answers_.deliver(); }
+
+  // WeightOrigin
+  void fetch_manifest(const std::string& model, std::uint64_t version,
+                      std::function<void(std::optional<WeightManifest>)> callback) override {
+    WeightManifest manifest{model, version == 0 ? newest_ : version, 0, 1, {}};
+    for (ChunkIndex chunk = 0; chunk < chunk_count_; ++chunk) {
+      manifest.hashes.push_back(sha256(chunk_of(manifest.version, chunk)));
+    }
+    answers_.add([callback, manifest] { callback(manifest); });
+  }
+  void fetch_chunk(const std::string&, std::uint64_t version, ChunkIndex chunk,
+                   std::function<void(std::optional<std::string>)> callback) override {
+    answers_.add([callback, version, chunk] { callback(chunk_of(version, chunk)); });
+  }
+  void cancel_chunks(const std::string&, std::uint64_t) override {}
+  std::uint32_t connection_limit() const override { return 9; }
+
+ private:
+  ChunkIndex chunk_count_;
+  std::uint64_t newest_ = 1;
+  PendingAnswers answers_;
+};
+
+}  // namespace pumicemast::tests
