Keep what an unanswered order names until no such order can be carried out

Cause: an agent took an order to start weights for carried out 150 ms after it was sent, without the engine's word. The class: an effect assumed after a fixed time, in place of an acknowledgement. Change: each order states the engine's count of orders, which voids it once another one has begun. An order without an answer is given again after 100 ms; until one is answered or the count tells that it was carried out, nothing is written over what it names and the engine takes no requests. Ruled out: waiting a fixed longer time (orders took up to 12 s), unanswered writes as the cause (the chunks written from 0.5 s after the order on are those of the next version). Open: an agent that is killed within the 0.6 s in which an order has no answer does not know of it after its start.

--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -38,6 +38,8 @@
   /// Until the engine leaves service to change weights, from the report on; if that is planned.
   std::optional<Duration> leaves_in;
   std::uint32_t gateways = 0;  ///< To which its agent reports.
+  /// Orders that the engine has begun to carry out since it was started; its agent alone knows.
+  std::uint64_t order_sequence = 0;
 };
 
 }  // namespace pumicemast
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -26,13 +26,23 @@
   std::vector<Sha256> hashes;  ///< One a chunk.
 };
 
+/// Tells an engine to take all layers of what is staged, after the requests in progress.
+struct StartOrder {
+  std::string model;
+  std::uint64_t version = 0;
+  /// The engine's count of orders (LoadReport::order_sequence) as it was last read: the engine
+  /// declines the order if another one has begun since.
+  std::uint64_t expected_sequence = 0;
+};
+
 /// How an order to start serving was taken.
 enum class StartOutcome {
   begun,
   already_serving,
-  refused,  ///< It does not fit the engine's state.
-  unknown,  ///< No answer: it may have been taken.
+  refused,  ///< It does not fit the engine's state, or its count of orders.
+  unknown,  ///< No answer: it may have been carried out, or may be later.
 };
+const char* to_string(StartOutcome outcome);
 
 class EngineControl {
  public:
@@ -49,8 +59,7 @@
                            std::function<void(std::optional<std::string>)> callback) = 0;
   virtual void write_staged(const std::string& model, ChunkIndex chunk, const std::string& bytes,
                             std::function<void(bool done)> callback) = 0;
-  /// Takes all layers of what is staged, after the requests in progress.
-  virtual void start_serving(const std::string& model, std::uint64_t version,
+  virtual void start_serving(const StartOrder& order,
                              std::function<void(StartOutcome)> callback) = 0;
 };
 
--- a/src/host/engine_stager.cpp
+++ b/src/host/engine_stager.cpp
@@ -1,6 +1,7 @@
 #include "host/engine_stager.h"
 
 #include <algorithm>
+#include <cassert>
 
 #include "host/settling.h"
 
@@ -9,13 +10,31 @@
 
 /// What was read back longer ago is read again before a start.
 constexpr Duration kCheckLifetime = milliseconds(1500);
-/// The engine has taken what lies in its staging memory so long after an order.
-constexpr Duration kOrderTaken = milliseconds(150);
+/// The same while an order waits for requests to begin, or has to be given again. A chunk that
+/// turns bad is to be found within 3 s.
+constexpr Duration kCheckLifetimeAtOrder = kCheckLifetime + SettlingOptions{}.longest;
+/// An order without an answer is given again after so long: each costs a call to the engine, and
+/// meanwhile the engine serves nobody.
+constexpr Duration kOrderRetry = milliseconds(100);
 /// An order to start that shows no effect for so long is given again.
 constexpr Duration kStartPatience = milliseconds(1500);
 
 }  // namespace
 
+const char* to_string(StartOutcome outcome) {
+  switch (outcome) {
+    case StartOutcome::begun:
+      return "begun";
+    case StartOutcome::already_serving:
+      return "already_serving";
+    case StartOutcome::refused:
+      return "refused";
+    case StartOutcome::unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 EngineStager::EngineStager(std::string model, const StateChart& chart, EngineControl& engine,
                            Metrics& metrics, Callbacks callbacks)
     : model_(std::move(model)),
@@ -36,7 +55,9 @@
 
 void EngineStager::set_source(const VersionDownload* source) {
   if (source == source_) return;
+  assert(!order_pending());
   source_ = source;
+  orders_.begin_version();
   ++generation_;
   writing_ = false;
   turn_.reset();
@@ -55,8 +76,9 @@
   return source_ != nullptr && load_.weight_version == source_->version() && !load_.busy;
 }
 
-bool EngineStager::has_taken(TimePoint now) const {
-  return serving() || (starting() && ordered_ && now - ordered_at_ > kOrderTaken);
+bool EngineStager::has_taken() const {
+  if (order_pending()) return false;
+  return serving() || (state_ == "STARTING" && orders_.carried_out());
 }
 
 std::optional<TimePoint> EngineStager::leaves_at() const {
@@ -74,11 +96,25 @@
     } else {
       begin_start();
     }
-  } else if (starting() && !ordered_) {
+  } else if (state_ == "STARTING") {
+    advance_start(now);
+  }
+}
+
+void EngineStager::advance_start(TimePoint now) {
+  if (!ordered_) {
     const bool serves_nothing = load_.weight_version == 0;
-    if (has_settled(now - turn_came_at_, callbacks_.prompts_wait(), serves_nothing)) order_start();
-  } else if (starting() && now - ordered_at_ > kStartPatience && load_.alive && !load_.busy &&
-             !serves_source()) {
+    if (has_settled(now - turn_came_at_, callbacks_.prompts_wait(), serves_nothing)) {
+      order_start(now);
+    }
+    return;
+  }
+  if (orders_.under_way() || !load_.alive) return;
+  const Duration since_order = now - ordered_at_;
+  const bool again = orders_.unanswered() || orders_.overtaken(load_.order_sequence);
+  if (again && since_order >= kOrderRetry) {
+    order_start(now);
+  } else if (since_order > kStartPatience && !load_.busy && !serves_source()) {
     step("start_failed");
     check_staged(0);
   }
@@ -164,27 +200,40 @@
   ordered_ = false;
 }
 
-void EngineStager::order_start() {
+void EngineStager::order_start(TimePoint now) {
+  if (now - checked_at_ > kCheckLifetimeAtOrder) {
+    step("start_failed");
+    check_staged(0);
+    return;
+  }
   ordered_ = true;
-  ordered_at_ = loop_now();
-  engine_.start_serving(model_, source_->version(),
-                        [this, generation = generation_](StartOutcome outcome) {
-                          if (generation == generation_) on_start_outcome(outcome);
-                        });
+  ordered_at_ = now;
+  orders_.on_sent(load_.order_sequence);
+  engine_.start_serving({model_, source_->version(), load_.order_sequence},
+                        [this](StartOutcome outcome) { on_start_outcome(outcome); });
 }
 
 void EngineStager::on_start_outcome(StartOutcome outcome) {
-  static constexpr const char* kNames[] = {"begun", "already_serving", "refused", "unknown"};
-  callbacks_.on_line("start", "start model=" + model_ +
-                                  " version=" + std::to_string(source_->version()) +
-                                  " outcome=" + kNames[static_cast<std::size_t>(outcome)]);
+  orders_.on_outcome(outcome);
+  metrics_.count("pumicemast_host_start_orders_total", {{"outcome", to_string(outcome)}});
+  callbacks_.on_line("start",
+                     "start model=" + model_ + " version=" + std::to_string(source_->version()) +
+                         " attempt=" + std::to_string(orders_.attempts()) +
+                         " took_ms=" + std::to_string(to_milliseconds(loop_now() - ordered_at_)) +
+                         " outcome=" + to_string(outcome));
   if (outcome == StartOutcome::already_serving) step("serving");
 }
 
 void EngineStager::on_load(const LoadReport& report) {
   load_ = report;
   if (!report.alive || source_ == nullptr) return;
-  if (starting() && serves_source()) step("serving");
+  if (orders_.on_report(report.order_sequence)) {
+    callbacks_.on_line(
+        "start", "start model=" + model_ + " version=" + std::to_string(source_->version()) +
+                     " sequence=" + std::to_string(report.order_sequence) +
+                     " outcome=" + (orders_.carried_out() ? "begun" : "void") + " source=report");
+  }
+  if (state_ == "STARTING" && serves_source()) step("serving");
   if (serving() && report.weight_version != source_->version() && !report.busy) {
     // The engine was started anew, or lost its layers.
     step("engine_lost");
--- a/src/host/engine_stager.h
+++ b/src/host/engine_stager.h
@@ -13,6 +13,7 @@
 #include "common/state_chart.h"
 #include "host/engine_control.h"
 #include "host/host_settings.h"
+#include "host/start_orders.h"
 #include "host/version_download.h"
 
 namespace pumicemast {
@@ -40,10 +41,12 @@
   void on_tick(TimePoint now);
 
   /// The engine has taken, or is just taking, what lies there: it may be written over.
-  bool has_taken(TimePoint now) const;
+  bool has_taken() const;
+  /// An order may still be carried out, and would take what lies there by then.
+  bool order_pending() const { return orders_.pending(); }
   bool serving() const { return state_ == "LIVE"; }
-  /// The engine leaves service, or is about to.
-  bool starting() const { return state_ == "STARTING"; }
+  /// The engine leaves service, or is about to, or may do so at any moment.
+  bool starting() const { return state_ == "STARTING" || order_pending(); }
   /// When the engine leaves service for the version that is staged, once that is planned.
   std::optional<TimePoint> leaves_at() const;
 
@@ -55,7 +58,9 @@
   void on_checked(ChunkIndex chunk, bool intact);
   void on_verified();
   void begin_start();
-  void order_start();
+  /// What is due while the engine is to take what is staged.
+  void advance_start(TimePoint now);
+  void order_start(TimePoint now);
   void on_start_outcome(StartOutcome outcome);
 
   std::string model_;
@@ -74,6 +79,7 @@
   TimePoint turn_came_at_{};
   bool ordered_ = false;  ///< Within STARTING.
   TimePoint ordered_at_{};
+  StartOrders orders_;
   LoadReport load_;
 };
 
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -128,8 +128,10 @@
 
 bool ModelStager::current_is_done_with(TimePoint now) const {
   if (!current_->complete()) return !worth_finishing(now);
+  // The next version would be written over what the engine may still take.
+  if (engine_stager_.order_pending()) return false;
   // Both are here: one changeover is enough.
-  return engine_stager_.has_taken(now) || next_->complete();
+  return engine_stager_.has_taken() || next_->complete();
 }
 
 void ModelStager::change_over_to_next() {
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -45,8 +45,10 @@
   const std::string& model() const { return model_; }
   /// Version that is being brought to the engine; 0 while it is not known.
   std::uint64_t staged_version() const { return current_ ? current_->version() : 0; }
-  /// The engine leaves service, or is about to.
+  /// The engine leaves service, or is about to, or may do so at any moment.
   bool starting() const { return engine_stager_.starting(); }
+  /// The engine serves the staged version.
+  bool serving() const { return engine_stager_.serving(); }
   /// When the engine leaves service to change weights, once that is planned.
   std::optional<TimePoint> leaves_at(TimePoint now);
   /// Something is under way that wants frequent ticks.
--- /dev/null
+++ b/src/host/start_orders.h
@@ -0,0 +1,83 @@
+/// Follows orders to start a version until none of them can be carried out any more.
+///
+/// A decision core: no I/O. An order that got no answer may be carried out seconds later (2.7 to
+/// 12 s were seen), and the engine then takes whatever lies in its one staging place. So what an
+/// order names stays there until the order is settled: answered, or overtaken by the engine's
+/// count of orders, which each order states and which must still be true when it is carried out.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "host/engine_control.h"
+
+namespace pumicemast {
+
+class StartOrders {
+ public:
+  /// An order was given that states `sequence`; its outcome follows.
+  void on_sent(std::uint64_t sequence) {
+    stated_ = sequence;
+    under_way_ = true;
+    ++attempts_;
+  }
+  void on_outcome(StartOutcome outcome) {
+    under_way_ = false;
+    last_outcome_ = outcome;
+    switch (outcome) {
+      case StartOutcome::unknown:
+        unanswered_ = stated_;
+        break;
+      case StartOutcome::begun:            // The engine's count has risen.
+      case StartOutcome::already_serving:  // It would find nothing to do.
+        settle(true);
+        break;
+      case StartOutcome::refused:
+        break;  // Earlier ones may still be carried out.
+    }
+  }
+  /// The engine answered, and counts `sequence` orders since it was started.
+  /// @return whether this settled an order without an answer.
+  bool on_report(std::uint64_t sequence) {
+    if (!unanswered_ || sequence == *unanswered_) return false;
+    // A higher count: it was carried out. A lower one: the engine was started anew, and its
+    // connections ended with it.
+    settle(sequence > *unanswered_);
+    return true;
+  }
+  /// Orders for another version follow.
+  void begin_version() {
+    carried_out_ = false;
+    attempts_ = 0;
+    last_outcome_.reset();
+  }
+
+  /// An order may still be carried out.
+  bool pending() const { return under_way_ || unanswered_.has_value(); }
+  bool under_way() const { return under_way_; }
+  bool unanswered() const { return !under_way_ && unanswered_.has_value(); }
+  /// The last order was declined because the engine's count was another than it stated.
+  bool overtaken(std::uint64_t sequence) const {
+    return !under_way_ && last_outcome_ == StartOutcome::refused && sequence != stated_;
+  }
+  /// The engine has taken what lay there.
+  bool carried_out() const { return carried_out_; }
+  /// Orders given for this version.
+  std::uint32_t attempts() const { return attempts_; }
+
+ private:
+  void settle(bool carried_out) {
+    unanswered_.reset();
+    carried_out_ = carried_out;
+  }
+
+  std::uint64_t stated_ = 0;
+  bool under_way_ = false;
+  /// The count that an order without an answer stated.
+  std::optional<std::uint64_t> unanswered_;
+  std::optional<StartOutcome> last_outcome_;
+  bool carried_out_ = false;
+  std::uint32_t attempts_ = 0;
+};
+
+}  // namespace pumicemast
--- a/tests/host/late_start_order_test.cpp
+++ b/tests/host/late_start_order_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(an_order_carried_out_late_finds_what_it_names);
   CPPUNIT_TEST(what_an_unanswered_order_may_take_stays);
   CPPUNIT_TEST(an_engine_with_an_unanswered_order_is_leaving);
+  CPPUNIT_TEST(a_machine_that_stood_still_reads_back_again_before_it_orders);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -45,7 +46,7 @@
         PeerLinks::Callbacks{[](PeerId, const wire::Frame&) {}, [](PeerId) {}, [](PeerId) {}});
     stager_ = std::make_unique<ModelStager>(
         "m", settings_, tests::charts().staging, *engine_, *origin_, *links_, *metrics_,
-        ModelStager::Callbacks{[] {}, [] { return false; },
+        ModelStager::Callbacks{[] {}, [this] { return prompts_wait_; },
                                [](const std::string&, const std::string&) {}});
   }
 
@@ -87,6 +88,21 @@
     }
   }
 
+  /// Between the reading back and the order an agent waits for requests to begin. When its machine
+  /// stood still meanwhile, what it had read back was too old to tell that a chunk had turned bad.
+  void a_machine_that_stood_still_reads_back_again_before_it_orders() {
+    settings_.changeover = seconds(1);
+    CPPUNIT_ASSERT(run_until([&] { return stager_->serving(); }));
+    prompts_wait_ = true;
+    name_second();
+    CPPUNIT_ASSERT(run_until([&] { return stager_->starting(); }));
+    CPPUNIT_ASSERT_EQUAL(kFirst, engine_->serving());
+    engine_->spoil(3);
+    g_usleep(2600000);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->serving() == kSecond; }));
+    assert_only_whole_versions_were_taken();
+  }
+
  private:
   void name_second() {
     origin_->set_newest(kSecond);
@@ -123,6 +139,7 @@
   }
 
   HostSettings settings_;
+  bool prompts_wait_ = false;
   std::unique_ptr<tests::ScriptedEngine> engine_;
   std::unique_ptr<tests::ScriptedOrigin> origin_;
   std::unique_ptr<Metrics> metrics_;
--- /dev/null
+++ b/tests/host/start_orders_test.cpp
@@ -0,0 +1,92 @@
+#include "host/start_orders.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicemast {
+
+/// Until when an order to start may still be carried out.
+class StartOrdersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StartOrdersTest);
+  CPPUNIT_TEST(an_answered_order_is_settled);
+  CPPUNIT_TEST(an_order_without_an_answer_stays_pending);
+  CPPUNIT_TEST(an_order_that_is_answered_later_settles_earlier_ones);
+  CPPUNIT_TEST(a_declined_order_settles_no_earlier_one);
+  CPPUNIT_TEST(the_count_of_the_engine_settles_an_order);
+  CPPUNIT_TEST(an_engine_started_anew_has_taken_nothing);
+  CPPUNIT_TEST(an_order_with_an_old_count_is_known_as_overtaken);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void an_answered_order_is_settled() {
+    for (const StartOutcome outcome : {StartOutcome::begun, StartOutcome::already_serving}) {
+      StartOrders orders;
+      orders.on_sent(4);
+      CPPUNIT_ASSERT(orders.pending());
+      orders.on_outcome(outcome);
+      CPPUNIT_ASSERT(!orders.pending());
+      CPPUNIT_ASSERT(orders.carried_out());
+    }
+  }
+
+  void an_order_without_an_answer_stays_pending() {
+    StartOrders orders = with_unanswered(4);
+    CPPUNIT_ASSERT(orders.pending());
+    CPPUNIT_ASSERT(orders.unanswered());
+    CPPUNIT_ASSERT(!orders.carried_out());
+    CPPUNIT_ASSERT(!orders.on_report(4));
+    CPPUNIT_ASSERT(orders.pending());
+  }
+
+  void an_order_that_is_answered_later_settles_earlier_ones() {
+    StartOrders orders = with_unanswered(4);
+    orders.on_sent(4);
+    CPPUNIT_ASSERT(!orders.unanswered());  // One is on its way.
+    orders.on_outcome(StartOutcome::begun);
+    CPPUNIT_ASSERT(!orders.pending());
+    CPPUNIT_ASSERT(orders.carried_out());
+    CPPUNIT_ASSERT_EQUAL(2U, orders.attempts());
+  }
+
+  void a_declined_order_settles_no_earlier_one() {
+    StartOrders orders = with_unanswered(4);
+    orders.on_sent(4);
+    orders.on_outcome(StartOutcome::refused);
+    CPPUNIT_ASSERT(orders.pending());
+  }
+
+  void the_count_of_the_engine_settles_an_order() {
+    StartOrders orders = with_unanswered(4);
+    CPPUNIT_ASSERT(orders.on_report(5));
+    CPPUNIT_ASSERT(!orders.pending());
+    CPPUNIT_ASSERT(orders.carried_out());
+    CPPUNIT_ASSERT(!orders.on_report(5));
+  }
+
+  void an_engine_started_anew_has_taken_nothing() {
+    StartOrders orders = with_unanswered(4);
+    CPPUNIT_ASSERT(orders.on_report(0));
+    CPPUNIT_ASSERT(!orders.pending());
+    CPPUNIT_ASSERT(!orders.carried_out());
+  }
+
+  void an_order_with_an_old_count_is_known_as_overtaken() {
+    StartOrders orders;
+    orders.on_sent(4);
+    CPPUNIT_ASSERT(!orders.overtaken(5));
+    orders.on_outcome(StartOutcome::refused);
+    CPPUNIT_ASSERT(orders.overtaken(5));
+    CPPUNIT_ASSERT(!orders.overtaken(4));  // It does not fit the engine's state.
+  }
+
+ private:
+  static StartOrders with_unanswered(std::uint64_t sequence) {
+    StartOrders orders;
+    orders.on_sent(sequence);
+    orders.on_outcome(StartOutcome::unknown);
+    return orders;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StartOrdersTest);
+
+}  // namespace pumicemast
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -52,15 +52,18 @@
   void leave_unanswered(std::size_t orders) { unanswered_left_ = orders; }
   void carry_out_late_order() {
     if (late_.empty()) return;
-    const std::uint64_t version = late_.front();
+    const StartOrder order = late_.front();
     late_.pop_front();
-    take(version);
+    take(order);
   }
+  /// A chunk that lies there turns bad.
+  void spoil(ChunkIndex chunk) { staged_.at(chunk) += " spoilt"; }
   void deliver() { answers_.deliver(); }
   LoadReport report() const {
     LoadReport report;
     report.alive = true;
     report.weight_version = serving_;
+    report.order_sequence = sequence_;
     return report;
   }
   const std::vector<Taken>& taken() const { return taken_; }
@@ -94,28 +97,33 @@
     staged_[chunk] = bytes;
     answers_.add([callback] { callback(true); });
   }
-  void start_serving(const std::string&, std::uint64_t version,
-                     std::function<void(StartOutcome)> callback) override {
+  void start_serving(const StartOrder& order, std::function<void(StartOutcome)> callback) override {
     if (unanswered_left_ > 0) {
       --unanswered_left_;
-      late_.push_back(version);
+      late_.push_back(order);
       answers_.add([callback] { callback(StartOutcome::unknown); });
       return;
     }
-    take(version);
-    answers_.add([callback] { callback(StartOutcome::begun); });
+    const bool begun = take(order);
+    answers_.add(
+        [callback, begun] { callback(begun ? StartOutcome::begun : StartOutcome::refused); });
   }
 
  private:
-  void take(std::uint64_t version) {
-    taken_.push_back({version, staged_});
-    serving_ = version;
+  /// @return whether the order was begun: not if its count is out of date.
+  bool take(const StartOrder& order) {
+    if (order.expected_sequence != sequence_) return false;
+    ++sequence_;
+    taken_.push_back({order.version, staged_});
+    serving_ = order.version;
+    return true;
   }
 
   PendingAnswers answers_;
   std::map<ChunkIndex, std::string> staged_;
   std::size_t unanswered_left_ = 0;
-  std::deque<std::uint64_t> late_;
+  std::deque<StartOrder> late_;
+  std::uint64_t sequence_ = 0;
   std::vector<Taken> taken_;
   std::uint64_t serving_ = 0;
 };
