--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kGatewayListInterval = milliseconds(300);
 constexpr Duration kSubscriptionLifetime = seconds(6);
 constexpr Duration kUnansweredLimit = seconds(2);
+/// A stopping agent waits so long for an order to be settled: the next process knows nothing of it,
+/// and would write over what it may still take. A few attempts of half a second each.
+constexpr Duration kSettleAtStop = seconds(2);
 constexpr std::uint32_t kLinesPerSecond = 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -73,8 +76,19 @@
 }
 
 void HostDaemon::terminate() {
-  // Nothing is kept here that others wait for: the engine serves on without its agent.
   LOG(INFO) << "host event=stop";
+  stop_requested_ = loop_now();
+  check_stopped(loop_now());
+}
+
+void HostDaemon::check_stopped(TimePoint now) {
+  if (!stop_requested_) return;
+  // Nothing else is kept here that others wait for: the engine serves on without its agent.
+  const bool settled = std::none_of(stagers_.begin(), stagers_.end(), [](const auto& entry) {
+    return entry.second->order_pending();
+  });
+  if (!settled && now - *stop_requested_ < kSettleAtStop) return;
+  LOG(INFO) << "host event=end order_settled=" << (settled ? "yes" : "no");
   flush_decision_log();
   loop_.quit();
 }
@@ -333,6 +347,7 @@
     stager->on_tick();
     moving = moving || stager->moving();
   }
+  check_stopped(loop_now());
   tick_timer_.start_once(moving ? kTickInterval : kIdleTickInterval, [this] { tick(); });
 }
 
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +37,7 @@
 
   /// Fails with ErrorCode::unavailable when an address cannot be bound.
   leaf::result<void> start();
+  /// Ends the process, once no order to the engine may still be carried out.
   void terminate();
   /// Takes over what may change while running; addresses and names may not.
   void reload(const HostSettings& settings);
@@ -73,6 +75,8 @@
   void send_gateway_list(PeerId peer);
   void tick();
   void tick_soon();
+  /// Ends a process that was told to, if nothing holds it any more.
+  void check_stopped(TimePoint now);
   void log_line(const std::string& kind, const std::string& line);
 
   HostSettings settings_;
@@ -94,7 +98,7 @@
   CreditDealer dealer_;
   EngineRoom room_;
   ReportSchedule schedule_;
-  TimePoint last_answer_{};
+  std::optional<TimePoint> stop_requested_;
   Timer poll_timer_;
   Timer backlog_timer_;
   Timer gateways_timer_;
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -47,6 +47,8 @@
   std::uint64_t staged_version() const { return current_ ? current_->version() : 0; }
   /// The engine leaves service, or is about to, or may do so at any moment.
   bool starting() const { return engine_stager_.starting(); }
+  /// An order may still be carried out by the engine.
+  bool order_pending() const { return engine_stager_.order_pending(); }
   /// The engine serves the staged version.
   bool serving() const { return engine_stager_.serving(); }
   /// When the engine leaves service to change weights, once that is planned.
