Decide a gateway's share of the retry reserve in a core of its own

Change: gateway/RetryShare takes what agents tell and gives what the retry budgets may hold; FleetState feeds it, the daemon passes its answer on. That an agent may tell the gateways of the largest zone is accepted and not used yet.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -8,8 +8,6 @@
 
 /// A version that was named before this process looked is taken to bind so soon.
 constexpr Duration kAssumedTimeToChangeover = milliseconds(3000);
-/// For longer than regions usually lose each other.
-constexpr Duration kGatewaysRemembered = seconds(600);
 
 BackendPoolOptions pool_options(const GatewaySettings& settings) {
   BackendPoolOptions options;
@@ -18,6 +16,13 @@
   return options;
 }
 
+RetryShareOptions retry_share_options(const GatewaySettings& settings) {
+  RetryShareOptions options;
+  options.extra = settings.retry_extra;
+  options.least_gateways = settings.gateway_count;
+  return options;
+}
+
 /// Empty when the configuration names no origin of weights.
 std::optional<wire::EngineDescriptionT> describe_engine(const RouteTable& routes,
                                                         const ServiceProfile& service) {
@@ -47,7 +52,7 @@
       pool_(pool_options(settings)),
       targets_(settings.changeover),
       links_(settings.internal_address, settings.zone, settings.seeds, metrics, *this),
-      gateways_(kGatewaysRemembered) {
+      retry_share_(retry_share_options(settings), loop_now()) {
   targets_.set_start_bound(settings.start_bound);
 }
 
@@ -65,7 +70,7 @@
 
 void FleetState::sweep(TimePoint now) {
   pool_.sweep(now);
-  if (gateway_count(now) > 0) pool_.set_gateway_count(gateway_count(now));
+  if (retry_share_.told(now) > 0) pool_.set_gateway_count(retry_share_.told(now));
 }
 
 void FleetState::apply_configuration(FleetConfiguration configuration, const std::string& document,
@@ -186,7 +191,7 @@
 
 void FleetState::on_engine_report(const Address& engine, const LoadReport& report) {
   pool_.on_report(engine, report, loop_now());
-  gateways_.note(report.gateways, loop_now());
+  retry_share_.on_gateways_told(report.gateways, loop_now());
   callbacks_.on_report();
 }
 
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -9,12 +9,12 @@
 #include <string>
 #include <vector>
 
-#include "common/recent_maximum.h"
 #include "fleet/feeds.h"
 #include "gateway/backend_pool.h"
 #include "gateway/fleet_links.h"
 #include "gateway/gateway_log.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/retry_share.h"
 #include "gateway/route_table.h"
 #include "gateway/weight_targets.h"
 
@@ -40,8 +40,8 @@
   void set_demand(double requests_per_s) { links_.set_demand(requests_per_s); }
   /// Forgets back ends that are gone, counts the gateways. Call now and then.
   void sweep(TimePoint now);
-  /// Gateways that there were in the last minutes, as agents tell; 0 while none has told.
-  std::size_t gateway_count(TimePoint now) { return gateways_.value(now); }
+  /// What this gateway's retry budgets may hold, by the gateways that are known.
+  RetryAllowance retry_allowance(TimePoint now) { return retry_share_.allowance(now); }
 
   BackendPool& pool() { return pool_; }
   const WeightTargets& targets() const { return targets_; }
@@ -85,8 +85,7 @@
   RouteTablePointer routes_;
   std::string document_;  ///< Of the configuration in force, in the platform's own form.
   bool store_reachable_ = false;
-  /// Gateways that a cut hides for a while still share the retries.
-  RecentMaximum gateways_;
+  RetryShare retry_share_;
 };
 
 }  // namespace pumicemast
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -30,7 +30,6 @@
   ForwarderOptions options;
   options.seed = stable_hash(settings.name);
   options.retry_ratio = settings.retry_ratio * kRatioMargin;
-  options.retry_reserve = settings.retry_extra / settings.gateway_count;
   return options;
 }
 
@@ -54,7 +53,9 @@
       forwarder_(fleet_.pool(), fleet_.targets(), forwarder_options(settings_)),
       backends_(*this),
       status_server_([this](const std::string& path) { return status(path); }),
-      metrics_server_([this](const std::string& path) { return status(path); }) {}
+      metrics_server_([this](const std::string& path) { return status(path); }) {
+  forwarder_.set_retry_allowance(fleet_.retry_allowance(loop_now()));
+}
 
 GatewayDaemon::~GatewayDaemon() = default;
 
@@ -341,9 +342,7 @@
   }
   backends_.expire_idle(now);
   fleet_.sweep(now);
-  const std::size_t sharers =
-      std::max<std::size_t>(settings_.gateway_count, fleet_.gateway_count(now));
-  forwarder_.set_retry_reserve(settings_.retry_extra / static_cast<double>(sharers));
+  forwarder_.set_retry_allowance(fleet_.retry_allowance(now));
   measure_demand();
   log_.flush();
 }
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -56,7 +56,7 @@
   /// The configuration in force; null before the first.
   void set_routes(RouteTablePointer routes) { routes_ = std::move(routes); }
   /// This gateway's part of the retries that all may spend beyond their share of requests.
-  void set_retry_reserve(double retries) { retries_.set_reserve(retries); }
+  void set_retry_allowance(const RetryAllowance& allowance) { retries_.set_allowance(allowance); }
   /// New requests are refused from now on.
   void set_stopping() { stopping_ = true; }
 
--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/retry_budgets.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "gateway/retry_share.h"
 #include "routing/retry_budget.h"
 
 namespace pumicemast {
@@ -17,9 +18,9 @@
   RetryBudget& of(const std::string& service) {
     return by_service_.try_emplace(service, ratio_, reserve_).first->second;
   }
-  void set_reserve(double reserve) {
-    reserve_ = reserve;
-    for (auto& [service, budget] : by_service_) budget.set_reserve(reserve);
+  void set_allowance(const RetryAllowance& allowance) {
+    reserve_ = allowance.reserve;
+    for (auto& [service, budget] : by_service_) budget.set_reserve(reserve_);
   }
 
  private:
--- /dev/null
+++ b/src/gateway/retry_share.h
@@ -0,0 +1,50 @@
+/// Decides how many retries beyond its share of requests a gateway may save up.
+///
+/// A decision core: no I/O. All gateways together may save up `extra` for each service; how many
+/// they are, no gateway knows for certain.
+#pragma once
+
+#include <cstdint>
+
+#include "common/recent_maximum.h"
+#include "common/time.h"
+
+namespace pumicemast {
+
+struct RetryShareOptions {
+  double extra = 100;                ///< Retries for a service, of all gateways together.
+  std::uint64_t least_gateways = 1;  ///< That share `extra`.
+  std::uint64_t zones = 1;           ///< Of the whole deployment.
+  Duration window = seconds(10);     ///< In which `extra` may be spent once.
+};
+
+/// What a gateway's retry budgets may hold.
+struct RetryAllowance {
+  double reserve = 0;  ///< Retries that a service may save up.
+  bool full = false;   ///< Services may have the reserve without having earned it.
+
+  bool operator==(const RetryAllowance&) const = default;
+};
+
+class RetryShare {
+ public:
+  /// @param started  when this process began.
+  RetryShare(const RetryShareOptions& options, TimePoint started);
+
+  /// An agent knows so many gateways.
+  void on_gateways_told(std::uint64_t gateways, TimePoint now);
+  /// The zone with the most gateways has so many, as an agent tells.
+  void on_largest_zone_told(std::uint64_t gateways, TimePoint now);
+
+  /// The most gateways that an agent told of in the last minutes; 0 while none has told.
+  std::uint64_t told(TimePoint now) { return told_.value(now); }
+  RetryAllowance allowance(TimePoint now);
+
+ private:
+  RetryShareOptions options_;
+  TimePoint started_;
+  /// Gateways that a cut hides for a while still share the retries.
+  RecentMaximum told_;
+};
+
+}  // namespace pumicemast
