Show how a fleet of gateways repeats more than it may

Hypotheses, each with a test that fails: (1) a started process has its whole share of the reserve though the one before it has just spent it; (2) while no agent tells how many gateways there are, each of 40 takes a twelfth; (3) after a restart behind a cut each side shares the whole reserve among its own gateways.

--- /dev/null
+++ b/tests/support/retry_fleet.h
@@ -0,0 +1,195 @@
+/// Gateways that share the retries of one service, on virtual time: requests and failures,
+/// processes that end and begin, agents that tell how many gateways they know, zones cut off.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/retry_budgets.h"
+#include "gateway/retry_share.h"
+
+namespace pumicemast::tests {
+
+/// The span in which the fleet came closest to the bound of repeats, or was furthest beyond it.
+struct RepeatWindow {
+  double ends_s = 0;
+  int repeats = 0;
+  int requests = 0;
+  double allowed = 0;
+
+  bool within() const { return repeats <= allowed; }
+  std::string to_string() const {
+    return std::to_string(repeats) + " repeats in the 10 s to " + std::to_string(ends_s) +
+           " s, for " + std::to_string(requests) + " requests; allowed " + std::to_string(allowed);
+  }
+};
+
+class RetryFleet {
+ public:
+  static constexpr double kRatio = 0.2;
+  static constexpr double kRatioKept = 0.18;  ///< What each gateway earns, as the daemon sets it.
+  static constexpr double kExtra = 232;
+  static constexpr Duration kStep = milliseconds(50);
+  static constexpr int kStepsPerWindow = 200;  ///< 10 s.
+  static constexpr int kStepsPerSweep = 10;    ///< 500 ms.
+
+  /// @param per_zone  gateways in each zone.
+  RetryFleet(std::uint32_t seed, const std::vector<int>& per_zone) : random_(seed) {
+    zones_ = per_zone.size();
+    for (std::size_t zone = 0; zone < zones_; ++zone) add(zone, per_zone[zone]);
+  }
+
+  void add(std::size_t zone, int count) {
+    for (int number = 0; number < count; ++number) gateways_.push_back(begin(zone));
+    tell_all();
+  }
+  /// The process ends and another begins in its place, which knows nothing.
+  void restart(std::size_t gateway) {
+    gateways_[gateway] = begin(gateways_[gateway].zone);
+    tell_all();
+  }
+  void restart_all() {
+    for (Gateway& gateway : gateways_) gateway = begin(gateway.zone);
+    tell_all();
+  }
+  /// Agents on the other side of a cut are not heard.
+  void cut_off(std::size_t zone) { cut_off_.insert(zone); }
+  void lose_agents() { agents_ = false; }
+  /// @param share  of the attempts that fail from now on.
+  void fail(double share) { failing_ = share; }
+  /// @param rate  of each gateway.
+  void set_requests_per_s(double rate) { requests_per_s_ = rate; }
+
+  void run(Duration span) {
+    for (const TimePoint end = now_ + span; now_ < end; now_ += kStep) step();
+  }
+
+  std::size_t size() const { return gateways_.size(); }
+  int failures() const { return failures_; }
+  int repeats() const { return count(repeats_, 0, repeats_.size()); }
+
+  /// Every span of 10 s: the requests are those of the span, of the one before it, or of the one
+  /// half a span before it, whichever are most.
+  RepeatWindow worst_window() const {
+    RepeatWindow worst;
+    double worst_excess = -kExtra;
+    for (std::size_t end = 1; end <= repeats_.size(); ++end) {
+      const RepeatWindow window = window_to(end);
+      if (window.repeats - window.allowed <= worst_excess) continue;
+      worst_excess = window.repeats - window.allowed;
+      worst = window;
+    }
+    return worst;
+  }
+
+ private:
+  struct Gateway {
+    std::size_t zone;
+    RetryShare share;
+    RetryBudgets budgets;
+  };
+
+  Gateway begin(std::size_t zone) const {
+    RetryShareOptions options;
+    options.extra = kExtra;
+    options.least_gateways = 12;
+    options.zones = zones_;
+    Gateway gateway{zone, RetryShare(options, now_), RetryBudgets(kRatioKept, kExtra)};
+    gateway.budgets.set_allowance(gateway.share.allowance(now_));
+    return gateway;
+  }
+
+  bool reaches(std::size_t zone, std::size_t other) const {
+    return zone == other || (!cut_off_.contains(zone) && !cut_off_.contains(other));
+  }
+
+  void tell_all() {
+    if (!agents_) return;
+    for (Gateway& gateway : gateways_) tell(gateway);
+  }
+  /// What the agents on the gateway's side of a cut know.
+  void tell(Gateway& gateway) {
+    std::map<std::size_t, std::uint64_t> by_zone;
+    std::uint64_t known = 0;
+    for (const Gateway& other : gateways_) {
+      if (!reaches(gateway.zone, other.zone)) continue;
+      ++known;
+      ++by_zone[other.zone];
+    }
+    std::uint64_t largest = 0;
+    for (const auto& [zone, count] : by_zone) largest = std::max(largest, count);
+    gateway.share.on_gateways_told(known, now_);
+    gateway.share.on_largest_zone_told(largest, now_);
+    gateway.budgets.set_allowance(gateway.share.allowance(now_));
+  }
+
+  void step() {
+    requests_.push_back(0);
+    repeats_.push_back(0);
+    if (requests_.size() % kStepsPerSweep == 0) {
+      tell_all();
+      for (Gateway& gateway : gateways_)
+        gateway.budgets.set_allowance(gateway.share.allowance(now_));
+    }
+    for (Gateway& gateway : gateways_) {
+      if (chance(requests_per_s_ * to_seconds(kStep))) ask(gateway);
+    }
+  }
+
+  void ask(Gateway& gateway) {
+    RetryBudget& budget = gateway.budgets.of("service");
+    budget.on_first_attempt();
+    ++requests_.back();
+    if (!chance(failing_)) return;
+    ++failures_;
+    if (budget.try_spend()) ++repeats_.back();
+  }
+
+  bool chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+
+  /// @return the sum of the steps from `from` up to, but without, `to`.
+  static int count(const std::vector<int>& steps, std::size_t from, std::size_t to) {
+    int sum = 0;
+    for (std::size_t step = from; step < to; ++step) sum += steps[step];
+    return sum;
+  }
+
+  /// The window that ends so many steps before `end`.
+  int requests_before(std::size_t end, std::size_t back) const {
+    if (back >= end) return 0;
+    const std::size_t to = end - back;
+    return count(requests_, to - std::min<std::size_t>(to, kStepsPerWindow), to);
+  }
+
+  RepeatWindow window_to(std::size_t end) const {
+    const std::size_t from = end - std::min<std::size_t>(end, kStepsPerWindow);
+    RepeatWindow window;
+    window.ends_s = to_seconds(kStep * static_cast<std::int64_t>(end));
+    window.repeats = count(repeats_, from, end);
+    window.requests = std::max({requests_before(end, 0), requests_before(end, kStepsPerWindow / 2),
+                                requests_before(end, kStepsPerWindow)});
+    window.allowed = kRatio * window.requests + kExtra;
+    return window;
+  }
+
+  std::mt19937 random_;
+  TimePoint now_{seconds(1000)};
+  std::size_t zones_ = 0;
+  std::vector<Gateway> gateways_;
+  std::set<std::size_t> cut_off_;
+  bool agents_ = true;
+  double failing_ = 0;
+  double requests_per_s_ = 3;
+  int failures_ = 0;
+  std::vector<int> requests_;  ///< By steps.
+  std::vector<int> repeats_;   ///< By steps.
+};
+
+}  // namespace pumicemast::tests
