Let a started gateway earn its retries, and share the reserve with those it can't see

Cause, three of them, each enough by itself on 40 gateways: a process began with its whole share of the reserve, though the one before it might have spent the same share a moment ago; while no agent told how many gateways there are it took a twelfth of the reserve; after a restart behind a cut each side of the cut shared the whole reserve among its own gateways. Change: a service starts with one retry, which the first ones that are earned pay back, and may save up two. One budget window and 1 s after its start a gateway is granted the rest of its share, less one that is kept for the process after it. The reserve is shared by the most gateways that agents tell of, or by as many as there would be if every zone had as many as the largest that is known; agents tell that number with their reports, the settings name all zones. While nothing is known a service may save up two. A line at each change and three gauges tell gateways, reserve and balances. Ruled out by reading: an attempt that is sent elsewhere without spending has written no byte.

--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -38,6 +38,8 @@
   /// Until the engine leaves service to change weights, from the report on; if that is planned.
   std::optional<Duration> leaves_in;
   std::uint32_t gateways = 0;  ///< To which its agent reports.
+  /// Of these, those in the zone that has most.
+  std::uint32_t largest_zone_gateways = 0;
 };
 
 }  // namespace pumicemast
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -20,6 +20,8 @@
   RetryShareOptions options;
   options.extra = settings.retry_extra;
   options.least_gateways = settings.gateway_count;
+  options.zones = settings.zones;
+  options.window = settings.retry_window;
   return options;
 }
 
@@ -192,6 +194,7 @@
 void FleetState::on_engine_report(const Address& engine, const LoadReport& report) {
   pool_.on_report(engine, report, loop_now());
   retry_share_.on_gateways_told(report.gateways, loop_now());
+  retry_share_.on_largest_zone_told(report.largest_zone_gateways, loop_now());
   callbacks_.on_report();
 }
 
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -40,6 +40,8 @@
   void set_demand(double requests_per_s) { links_.set_demand(requests_per_s); }
   /// Forgets back ends that are gone, counts the gateways. Call now and then.
   void sweep(TimePoint now);
+  /// Gateways that are thought to share the retries; 0 while nothing is known.
+  std::uint64_t retry_sharers(TimePoint now) { return retry_share_.gateways(now); }
   /// What this gateway's retry budgets may hold, by the gateways that are known.
   RetryAllowance retry_allowance(TimePoint now) { return retry_share_.allowance(now); }
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -342,11 +342,20 @@
   }
   backends_.expire_idle(now);
   fleet_.sweep(now);
-  forwarder_.set_retry_allowance(fleet_.retry_allowance(now));
+  update_retry_allowance(now);
   measure_demand();
   log_.flush();
 }
 
+void GatewayDaemon::update_retry_allowance(TimePoint now) {
+  const RetryAllowance allowance = fleet_.retry_allowance(now);
+  if (allowance == forwarder_.retries().allowance()) return;
+  forwarder_.set_retry_allowance(allowance);
+  log_.line("retries", "retries gateways=" + std::to_string(fleet_.retry_sharers(now)) +
+                           " reserve=" + std::to_string(allowance.reserve) +
+                           " full=" + (allowance.full ? "yes" : "no"));
+}
+
 void GatewayDaemon::measure_demand() {
   const std::uint64_t attempts = forwarder_.counters().engine_first_attempts;
   const double rate =
@@ -376,7 +385,9 @@
     figures.backends = fleet_.pool().size();
     figures.reporting_engines = fleet_.pool().reporting(loop_now());
     figures.configuration_version = fleet_.configuration_version();
+    figures.retry_gateways = fleet_.retry_sharers(loop_now());
     metrics_.update(forwarder_.counters(), figures);
+    metrics_.update(forwarder_.retries());
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
   return {kStatusNotFound, "text/plain", "not found"};
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -81,6 +81,7 @@
 
   void tick();
   void sweep();
+  void update_retry_allowance(TimePoint now);
   void measure_demand();
   void log_summaries();
   void step(const char* event);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -50,6 +50,14 @@
   set("pumicemast_gateway_reporting_engines", static_cast<double>(figures.reporting_engines));
   set("pumicemast_gateway_configuration_version",
       static_cast<double>(figures.configuration_version));
+  set("pumicemast_gateway_retry_gateways", static_cast<double>(figures.retry_gateways));
+}
+
+void GatewayMetrics::update(const RetryBudgets& retries) {
+  metrics_.gauge("pumicemast_gateway_retry_reserve", {}, retries.allowance().reserve);
+  for (const auto& [service, budget] : retries.by_service()) {
+    metrics_.gauge("pumicemast_gateway_retry_balance", {{"service", service}}, budget.balance());
+  }
 }
 
 }  // namespace pumicemast
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -14,12 +14,14 @@
   std::size_t backends = 0;
   std::size_t reporting_engines = 0;
   std::uint64_t configuration_version = 0;
+  std::uint64_t retry_gateways = 0;  ///< Thought to share the retries; 0 while nothing is known.
 };
 
 class GatewayMetrics {
  public:
   void observe(const RequestSummary& summary);
   void update(const ForwarderCounters& counters, const GatewayFigures& figures);
+  void update(const RetryBudgets& retries);
   std::string serialize() const { return metrics_.serialize(); }
   Metrics& registry() { return metrics_; }
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,12 +1,31 @@
 #include "gateway/gateway_settings.h"
 
+#include <algorithm>
+#include <set>
+#include <sstream>
+
 namespace pumicemast {
 
+namespace {
+
+/// @param names  separated by `;`; when there is none, the gateway's own zone is the only one.
+std::uint32_t count_zones(const std::string& names) {
+  std::istringstream stream(names);
+  std::set<std::string> zones;
+  for (std::string name; std::getline(stream, name, ';');) {
+    if (!name.empty()) zones.insert(name);
+  }
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(zones.size()));
+}
+
+}  // namespace
+
 GatewaySettings GatewaySettings::read(Settings& settings) {
   constexpr Range kDurationMs{10, 86400000};
   GatewaySettings result;
   result.name = settings.required_string("process", "name");
   result.zone = settings.required_string("process", "zone");
+  result.zones = count_zones(settings.string_or("process", "zones", ""));
   result.charts = settings.required_string("process", "charts");
   result.stop_grace = settings.milliseconds_or("process", "stop_grace_ms", 8000, kDurationMs);
   result.callers_listen = settings.required_address("listen", "callers");
@@ -24,6 +43,7 @@
   result.retry_extra = settings.number_or("retry", "extra", 100, 0, 1e9);
   result.gateway_count =
       static_cast<std::uint32_t>(settings.integer_or("retry", "gateway_count", 12, {1, 100000}));
+  result.retry_window = settings.milliseconds_or("retry", "window_ms", 10000, kDurationMs);
   result.decision_log = settings.choice("log", "decisions", {"failures", "all", "none"});
   return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -14,6 +14,7 @@
 
   std::string name;
   std::string zone;
+  std::uint32_t zones = 1;  ///< Of the whole deployment.
   std::string charts;
   Address callers_listen;
   Address ready_listen;
@@ -29,9 +30,10 @@
   /// What operators allow: requests on older weights may begin for so long after a naming.
   Duration start_bound = seconds(8);
   double retry_ratio = 0.2;
-  double retry_extra = 100;          ///< Of all gateways together.
-  std::uint32_t gateway_count = 12;  ///< Gateways that share `retry_extra`, at most.
-  std::string decision_log;          ///< "none", "failures" or "all".
+  double retry_extra = 100;             ///< Of all gateways together.
+  std::uint32_t gateway_count = 12;     ///< Gateways that share `retry_extra`, at least.
+  Duration retry_window = seconds(10);  ///< In which `retry_extra` may be spent once.
+  std::string decision_log;             ///< "none", "failures" or "all".
 
   /// Reads and checks everything; faults go to the settings' findings.
   static GatewaySettings read(Settings& settings);
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -57,6 +57,7 @@
   void set_routes(RouteTablePointer routes) { routes_ = std::move(routes); }
   /// This gateway's part of the retries that all may spend beyond their share of requests.
   void set_retry_allowance(const RetryAllowance& allowance) { retries_.set_allowance(allowance); }
+  const RetryBudgets& retries() const { return retries_; }
   /// New requests are refused from now on.
   void set_stopping() { stopping_ = true; }
 
--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/retry_budgets.h
@@ -1,6 +1,7 @@
 /// One retry budget a service, with the same bounds.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -12,20 +13,34 @@
 class RetryBudgets {
  public:
   /// @param ratio    retries that each first attempt earns.
-  /// @param reserve  retries a service may save up.
-  RetryBudgets(double ratio, double reserve) : ratio_(ratio), reserve_(reserve) {}
+  /// @param reserve  retries a service may save up; it has them from the start.
+  RetryBudgets(double ratio, double reserve) : ratio_(ratio), allowance_{reserve, 0, true} {}
 
   RetryBudget& of(const std::string& service) {
-    return by_service_.try_emplace(service, ratio_, reserve_).first->second;
+    if (allowance_.full) {
+      return by_service_.try_emplace(service, ratio_, allowance_.reserve).first->second;
+    }
+    return by_service_.try_emplace(service, ratio_, allowance_.reserve, allowance_.advance)
+        .first->second;
   }
+  /// When services may be full for the first time, they are granted what they could not save up
+  /// until then: what they could, they may have spent in the same window.
   void set_allowance(const RetryAllowance& allowance) {
-    reserve_ = allowance.reserve;
-    for (auto& [service, budget] : by_service_) budget.set_reserve(reserve_);
+    const bool may_be_full_now = allowance.full && !allowance_.full;
+    const double granted =
+        may_be_full_now ? std::max(0.0, allowance.reserve - allowance_.reserve) : 0;
+    allowance_ = allowance;
+    for (auto& [service, budget] : by_service_) {
+      budget.set_reserve(allowance.reserve);
+      budget.grant(granted);
+    }
   }
+  const RetryAllowance& allowance() const { return allowance_; }
+  const std::map<std::string, RetryBudget>& by_service() const { return by_service_; }
 
  private:
   double ratio_;
-  double reserve_;
+  RetryAllowance allowance_;
   std::map<std::string, RetryBudget> by_service_;
 };
 
--- a/src/gateway/retry_share.h
+++ b/src/gateway/retry_share.h
@@ -2,6 +2,10 @@
 ///
 /// A decision core: no I/O. All gateways together may save up `extra` for each service; how many
 /// they are, no gateway knows for certain.
+///
+/// Invariant: as long as no more gateways run than are thought to, and each starts at most once in
+/// a window, all of them together spend at most `extra` retries in it that they have not earned in
+/// it. One that starts more often spends its advance each time, and pays it back while it runs.
 #pragma once
 
 #include <cstdint>
@@ -21,6 +25,7 @@
 /// What a gateway's retry budgets may hold.
 struct RetryAllowance {
   double reserve = 0;  ///< Retries that a service may save up.
+  double advance = 0;  ///< Retries that a service has from the start, and pays back.
   bool full = false;   ///< Services may have the reserve without having earned it.
 
   bool operator==(const RetryAllowance&) const = default;
@@ -38,6 +43,8 @@
 
   /// The most gateways that an agent told of in the last minutes; 0 while none has told.
   std::uint64_t told(TimePoint now) { return told_.value(now); }
+  /// Gateways that are thought to share the retries; 0 while nothing is known.
+  std::uint64_t gateways(TimePoint now);
   RetryAllowance allowance(TimePoint now);
 
  private:
@@ -45,6 +52,7 @@
   TimePoint started_;
   /// Gateways that a cut hides for a while still share the retries.
   RecentMaximum told_;
+  RecentMaximum largest_zone_;
 };
 
 }  // namespace pumicemast
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -1,6 +1,7 @@
 #include "host/host_daemon.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "common/log.h"
 
@@ -268,6 +269,15 @@
   return report;
 }
 
+std::uint32_t HostDaemon::largest_zone_gateways() const {
+  std::map<std::string_view, std::uint32_t> by_zone;
+  std::uint32_t largest = 0;
+  for (const auto& [peer, subscriber] : subscribers_) {
+    largest = std::max(largest, ++by_zone[subscriber.zone]);
+  }
+  return largest;
+}
+
 wire::EngineReportT HostDaemon::encode(const LoadReport& report) const {
   wire::EngineReportT message;
   message.engine = settings_.engine.to_string();
@@ -278,6 +288,7 @@
   message.weight_version = report.weight_version;
   message.pace = static_cast<float>(report.pace);
   message.gateways = static_cast<std::uint32_t>(subscribers_.size());
+  message.largest_zone_gateways = largest_zone_gateways();
   if (report.leaves_in) {
     message.leaves_in_ms = static_cast<std::int32_t>(to_milliseconds(*report.leaves_in));
   }
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -67,6 +67,7 @@
   void on_load(const LoadReport& report);
   /// The engine's load, with what the stagers are about to do.
   LoadReport current_load(TimePoint now);
+  std::uint32_t largest_zone_gateways() const;
   wire::EngineReportT encode(const LoadReport& report) const;
   void send_report(bool forced);
   void tell_gateways();
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -123,6 +123,7 @@
 [process]
 name=gateway
 zone=z1
+zones=z1;z2;z3;
 charts={ROOT}/charts
 stop_grace_ms=6000
 [listen]
@@ -487,6 +488,12 @@
             return b"pumicemast_gateway_requests_total" in answer.body
         await self.platform.wait(counted)
 
+    async def test_zones_without_a_known_gateway_share_the_retries(self):
+        async def three_sharers():
+            answer = await self.platform.call("GET", "/metrics", port=self.platform.metrics_port)
+            return b"pumicemast_gateway_retry_gateways 3" in answer.body
+        await self.platform.wait(three_sharers, limit=5)
+
 
 if __name__ == "__main__":
     unittest.main(argv=[sys.argv[0], *sys.argv[2:]], verbosity=2)
--- a/tests/support/retry_fleet.h
+++ b/tests/support/retry_fleet.h
@@ -59,7 +59,9 @@
   }
   /// Agents on the other side of a cut are not heard.
   void cut_off(std::size_t zone) { cut_off_.insert(zone); }
+  void heal() { cut_off_.clear(); }
   void lose_agents() { agents_ = false; }
+  void bring_agents_back() { agents_ = true; }
   /// @param share  of the attempts that fail from now on.
   void fail(double share) { failing_ = share; }
   /// @param rate  of each gateway.
