--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -30,7 +30,6 @@
   ForwarderOptions options;
   options.seed = stable_hash(settings.name);
   options.retry_ratio = settings.retry_ratio * kRatioMargin;
-  options.retry_reserve = settings.retry_extra / settings.gateway_count;
   return options;
 }
 
@@ -54,7 +53,9 @@
       forwarder_(fleet_.pool(), fleet_.targets(), forwarder_options(settings_)),
       backends_(*this),
       status_server_([this](const std::string& path) { return status(path); }),
-      metrics_server_([this](const std::string& path) { return status(path); }) {}
+      metrics_server_([this](const std::string& path) { return status(path); }) {
+  forwarder_.set_retry_allowance(fleet_.retry_allowance(loop_now()));
+}
 
 GatewayDaemon::~GatewayDaemon() = default;
 
@@ -341,13 +342,20 @@
   }
   backends_.expire_idle(now);
   fleet_.sweep(now);
-  const std::size_t sharers =
-      std::max<std::size_t>(settings_.gateway_count, fleet_.gateway_count(now));
-  forwarder_.set_retry_reserve(settings_.retry_extra / static_cast<double>(sharers));
+  update_retry_allowance(now);
   measure_demand();
   log_.flush();
 }
 
+void GatewayDaemon::update_retry_allowance(TimePoint now) {
+  const RetryAllowance allowance = fleet_.retry_allowance(now);
+  if (allowance == forwarder_.retries().allowance()) return;
+  forwarder_.set_retry_allowance(allowance);
+  log_.line("retries", "retries gateways=" + std::to_string(fleet_.retry_sharers(now)) +
+                           " reserve=" + std::to_string(allowance.reserve) +
+                           " full=" + (allowance.full ? "yes" : "no"));
+}
+
 void GatewayDaemon::measure_demand() {
   const std::uint64_t attempts = forwarder_.counters().engine_first_attempts;
   const double rate =
@@ -378,7 +386,9 @@
     figures.reporting_engines = fleet_.pool().reporting(loop_now());
     figures.configuration_version = fleet_.configuration_version();
     figures.bytes_queued_to_gateways = fleet_.bytes_queued_to_gateways();
+    figures.retry_gateways = fleet_.retry_sharers(loop_now());
     metrics_.update(forwarder_.counters(), figures);
+    metrics_.update(forwarder_.retries());
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
   return {kStatusNotFound, "text/plain", "not found"};
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -1,6 +1,7 @@
 #include "host/host_daemon.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "common/log.h"
 
@@ -16,6 +17,9 @@
 constexpr Duration kGatewayListInterval = milliseconds(300);
 constexpr Duration kSubscriptionLifetime = seconds(6);
 constexpr Duration kUnansweredLimit = seconds(2);
+/// A stopping agent waits so long for an order to be settled: the next process knows nothing of it,
+/// and would write over what it may still take. A few attempts of half a second each.
+constexpr Duration kSettleAtStop = seconds(2);
 constexpr std::uint32_t kLinesPerSecond = 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -73,8 +77,19 @@
 }
 
 void HostDaemon::terminate() {
-  // Nothing is kept here that others wait for: the engine serves on without its agent.
   LOG(INFO) << "host event=stop";
+  stop_requested_ = loop_now();
+  check_stopped(loop_now());
+}
+
+void HostDaemon::check_stopped(TimePoint now) {
+  if (!stop_requested_) return;
+  // Nothing else is kept here that others wait for: the engine serves on without its agent.
+  const bool settled = std::none_of(stagers_.begin(), stagers_.end(), [](const auto& entry) {
+    return entry.second->order_pending();
+  });
+  if (!settled && now - *stop_requested_ < kSettleAtStop) return;
+  LOG(INFO) << "host event=end order_settled=" << (settled ? "yes" : "no");
   flush_decision_log();
   loop_.quit();
 }
@@ -268,6 +283,15 @@
   return report;
 }
 
+std::uint32_t HostDaemon::largest_zone_gateways() const {
+  std::map<std::string_view, std::uint32_t> by_zone;
+  std::uint32_t largest = 0;
+  for (const auto& [peer, subscriber] : subscribers_) {
+    largest = std::max(largest, ++by_zone[subscriber.zone]);
+  }
+  return largest;
+}
+
 wire::EngineReportT HostDaemon::encode(const LoadReport& report) const {
   wire::EngineReportT message;
   message.engine = settings_.engine.to_string();
@@ -278,6 +302,7 @@
   message.weight_version = report.weight_version;
   message.pace = static_cast<float>(report.pace);
   message.gateways = static_cast<std::uint32_t>(subscribers_.size());
+  message.largest_zone_gateways = largest_zone_gateways();
   if (report.leaves_in) {
     message.leaves_in_ms = static_cast<std::int32_t>(to_milliseconds(*report.leaves_in));
   }
@@ -333,6 +358,7 @@
     stager->on_tick();
     moving = moving || stager->moving();
   }
+  check_stopped(loop_now());
   tick_timer_.start_once(moving ? kTickInterval : kIdleTickInterval, [this] { tick(); });
 }
 
