Show three ways in which an unanswered order ends too early or never (known red)

What it shows: an order to start that begins nothing (its engine was changing over by an order of an earlier agent) is never settled, so that the engine takes no later version. Of two orders without an answer that state different counts only the last is remembered: a report settles the first, which may still be carried out. A report that fails to come reads as an engine that serves nothing and counts no orders: an order is given at once, and states the count 0. The scripted engine declines orders while it changes over, and can fall silent in reports alone. Seen: 'run_until([&] { return engine_->serving() == kSecond; })' false after 10 s; 'orders.pending()' false; orders given while the engine was silent, expected 1, actual 2.

--- /dev/null
+++ b/tests/host/unanswered_order_test.cpp
@@ -0,0 +1,131 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "host/model_stager.h"
+#include "host/start_orders.h"
+#include "support/charts.h"
+#include "support/scripted_engine.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr ChunkIndex kChunks = 12;
+constexpr std::uint64_t kFirst = 8;
+constexpr std::uint64_t kSecond = 9;
+
+}  // namespace
+
+/// How an order without an answer ends: too early, it lets the next version be written over what
+/// the engine may still take; never, it keeps the engine from every later version.
+///
+/// Seen by reading: an order that only an agent started anew gave, to an engine that was changing
+/// over by an earlier order, begins nothing, so that no count tells of it. And an engine whose
+/// report fails to come is noted with a count of 0, which an order then states.
+class UnansweredOrderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UnansweredOrderTest);
+  CPPUNIT_TEST(an_order_that_had_nothing_to_do_is_settled_when_the_engine_serves);
+  CPPUNIT_TEST(an_order_stating_another_count_settles_no_earlier_one);
+  CPPUNIT_TEST(an_engine_that_does_not_report_gets_no_order);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    settings_ = {};
+    settings_.name = "agent";
+    settings_.internal_address = {"127.0.0.1", 1};
+    settings_.changeover = seconds(1);
+    engine_ = std::make_unique<tests::ScriptedEngine>();
+    origin_ = std::make_unique<tests::ScriptedOrigin>(kChunks);
+    origin_->set_newest(kFirst);
+    metrics_ = std::make_unique<Metrics>();
+    links_ = std::make_unique<PeerLinks>(
+        "agent", *metrics_,
+        PeerLinks::Callbacks{[](PeerId, const wire::Frame&) {}, [](PeerId) {}, [](PeerId) {}});
+    stager_ = std::make_unique<ModelStager>(
+        "m", settings_, tests::charts().staging, *engine_, *origin_, *links_, *metrics_,
+        ModelStager::Callbacks{[] {}, [this] { return prompts_wait_; },
+                               [](const std::string&, const std::string&) {}});
+  }
+
+  void tearDown() override { stager_.reset(); }
+
+  /// The agent was started anew while its engine took version 8; its own order got no answer.
+  void an_order_that_had_nothing_to_do_is_settled_when_the_engine_serves() {
+    engine_->change_over_since_before(kFirst, kChunks);
+    engine_->leave_unanswered(1000);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->late_orders() > 0; }));
+    engine_->end_changeover();
+    CPPUNIT_ASSERT(run_until([&] { return stager_->serving(); }));
+    engine_->leave_unanswered(0);
+    name_second();
+    CPPUNIT_ASSERT(run_until([&] { return engine_->serving() == kSecond; }));
+  }
+
+  void an_order_stating_another_count_settles_no_earlier_one() {
+    StartOrders orders;
+    orders.on_sent(4);
+    orders.on_outcome(StartOutcome::unknown);
+    orders.on_sent(0);
+    orders.on_outcome(StartOutcome::unknown);
+    orders.on_report(4);  // The first may still be carried out.
+    CPPUNIT_ASSERT(orders.pending());
+    CPPUNIT_ASSERT(!orders.carried_out());
+    orders.on_report(5);
+    CPPUNIT_ASSERT(!orders.pending());
+    CPPUNIT_ASSERT(orders.carried_out());
+  }
+
+  /// The order would state a count that the engine does not have, and would not wait for requests
+  /// to begin: an engine that says nothing looks like one that serves nothing.
+  void an_engine_that_does_not_report_gets_no_order() {
+    CPPUNIT_ASSERT(run_until([&] { return stager_->serving(); }));
+    prompts_wait_ = true;
+    name_second();
+    CPPUNIT_ASSERT(run_until([&] { return stager_->starting(); }));
+    const std::size_t before = engine_->orders();
+    engine_->set_reporting(false);
+    run_for(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(before, engine_->orders());
+    engine_->set_reporting(true);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->serving() == kSecond; }));
+  }
+
+ private:
+  void name_second() {
+    origin_->set_newest(kSecond);
+    stager_->on_named(kSecond);
+  }
+
+  void step() {
+    g_main_context_iteration(nullptr, FALSE);
+    engine_->deliver();
+    origin_->deliver();
+    stager_->on_load(engine_->report());
+    stager_->on_tick();
+    g_usleep(1000);
+  }
+
+  void run_for(Duration duration) {
+    const TimePoint end = loop_now() + duration;
+    while (loop_now() < end) step();
+  }
+
+  template <class Condition>
+  bool run_until(Condition condition) {
+    constexpr Duration kGenerous = seconds(10);
+    const TimePoint end = loop_now() + kGenerous;
+    while (!condition() && loop_now() < end) step();
+    return condition();
+  }
+
+  HostSettings settings_;
+  bool prompts_wait_ = false;
+  std::unique_ptr<tests::ScriptedEngine> engine_;
+  std::unique_ptr<tests::ScriptedOrigin> origin_;
+  std::unique_ptr<Metrics> metrics_;
+  std::unique_ptr<PeerLinks> links_;
+  std::unique_ptr<ModelStager> stager_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnansweredOrderTest);
+
+}  // namespace pumicemast
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -58,16 +58,31 @@
   }
   /// A chunk that lies there turns bad.
   void spoil(ChunkIndex chunk) { staged_.at(chunk) += " spoilt"; }
+  /// All of `version` lies there, and the engine is taking it by an order of an earlier agent.
+  void change_over_since_before(std::uint64_t version, ChunkIndex chunk_count) {
+    for (ChunkIndex chunk = 0; chunk < chunk_count; ++chunk) {
+      staged_[chunk] = chunk_of(version, chunk);
+    }
+    take({"", version, sequence_});
+    changing_over_ = true;
+  }
+  void end_changeover() { changing_over_ = false; }
+  /// Without reports the engine looks as if it had gone; all else is answered.
+  void set_reporting(bool reporting) { reporting_ = reporting; }
   void deliver() { answers_.deliver(); }
   LoadReport report() const {
     LoadReport report;
+    if (!reporting_) return report;
     report.alive = true;
-    report.weight_version = serving_;
+    report.busy = changing_over_;
+    report.weight_version = changing_over_ ? 0 : serving_;
     report.order_sequence = sequence_;
     return report;
   }
   const std::vector<Taken>& taken() const { return taken_; }
   std::size_t late_orders() const { return late_.size(); }
+  /// Orders that were given, answered or not.
+  std::size_t orders() const { return orders_; }
   std::uint64_t serving() const { return serving_; }
   /// Whether all that lies in the staging memory is of `version`.
   bool holds(std::uint64_t version, ChunkIndex chunk_count) const {
@@ -98,6 +113,7 @@
     answers_.add([callback] { callback(true); });
   }
   void start_serving(const StartOrder& order, std::function<void(StartOutcome)> callback) override {
+    ++orders_;
     if (unanswered_left_ > 0) {
       --unanswered_left_;
       late_.push_back(order);
@@ -112,7 +128,7 @@
  private:
   /// @return whether the order was begun: not if its count is out of date.
   bool take(const StartOrder& order) {
-    if (order.expected_sequence != sequence_) return false;
+    if (order.expected_sequence != sequence_ || changing_over_) return false;
     ++sequence_;
     taken_.push_back({order.version, staged_});
     serving_ = order.version;
@@ -123,7 +139,10 @@
   std::map<ChunkIndex, std::string> staged_;
   std::size_t unanswered_left_ = 0;
   std::deque<StartOrder> late_;
+  std::size_t orders_ = 0;
   std::uint64_t sequence_ = 0;
+  bool changing_over_ = false;
+  bool reporting_ = true;
   std::vector<Taken> taken_;
   std::uint64_t serving_ = 0;
 };
