Settle each unanswered order by its own count, or when the engine serves what it names

Cause: an order that finds nothing to do raises no count, so that no report settled it. One count was kept for all orders without an answer. A report that did not come replaced the last one, with no weights and a count of 0, and an order was given on it. Change: the counts of all orders without an answer are kept; a report settles those that state another one, and an engine that serves the version settles all that name it. No order is given while the engine does not report. An order counts as begun only if the count rose by one from what it stated. Ruled out: taking an order for void when its engine stops answering (it may be slow only).

--- a/src/host/engine_stager.cpp
+++ b/src/host/engine_stager.cpp
@@ -102,6 +102,8 @@
 }
 
 void EngineStager::advance_start(TimePoint now) {
+  // An engine that says nothing must not be taken for one that serves nothing.
+  if (!load_.alive) return;
   if (!ordered_) {
     const bool serves_nothing = load_.weight_version == 0;
     if (has_settled(now - turn_came_at_, callbacks_.prompts_wait(), serves_nothing)) {
@@ -109,7 +111,7 @@
     }
     return;
   }
-  if (orders_.under_way() || !load_.alive) return;
+  if (orders_.under_way()) return;
   const Duration since_order = now - ordered_at_;
   const bool again = orders_.unanswered() || orders_.overtaken(load_.order_sequence);
   if (again && since_order >= kOrderRetry) {
@@ -227,7 +229,9 @@
 void EngineStager::on_load(const LoadReport& report) {
   load_ = report;
   if (!report.alive || source_ == nullptr) return;
-  if (orders_.on_report(report.order_sequence)) {
+  const bool settled = orders_.on_report(report.order_sequence);
+  const bool nothing_to_do = serves_source() && orders_.on_served();
+  if (settled || nothing_to_do) {
     callbacks_.on_line(
         "start", "start model=" + model_ + " version=" + std::to_string(source_->version()) +
                      " sequence=" + std::to_string(report.order_sequence) +
--- a/src/host/start_orders.h
+++ b/src/host/start_orders.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 
 #include "host/engine_control.h"
 
@@ -26,11 +27,11 @@
     last_outcome_ = outcome;
     switch (outcome) {
       case StartOutcome::unknown:
-        unanswered_ = stated_;
+        unanswered_.insert(stated_);
         break;
       case StartOutcome::begun:            // The engine's count has risen.
-      case StartOutcome::already_serving:  // It would find nothing to do.
-        settle(true);
+      case StartOutcome::already_serving:  // Earlier ones would find nothing to do.
+        settle_all();
         break;
       case StartOutcome::refused:
         break;  // Earlier ones may still be carried out.
@@ -39,10 +40,20 @@
   /// The engine answered, and counts `sequence` orders since it was started.
   /// @return whether this settled an order without an answer.
   bool on_report(std::uint64_t sequence) {
-    if (!unanswered_ || sequence == *unanswered_) return false;
-    // A higher count: it was carried out. A lower one: the engine was started anew, and its
-    // connections ended with it.
-    settle(sequence > *unanswered_);
+    if (unanswered_.empty()) return false;
+    // A higher count: one was carried out. A lower one: the engine was started anew, and its
+    // connections ended with it. An order that states what the engine counts may still come.
+    const bool begun = sequence > 0 && unanswered_.contains(sequence - 1);
+    const bool settled =
+        std::erase_if(unanswered_, [&](std::uint64_t stated) { return stated != sequence; }) > 0;
+    if (settled) carried_out_ = begun;
+    return settled;
+  }
+  /// The engine serves what the orders name: any that comes later finds nothing to do.
+  /// @return whether this settled an order without an answer.
+  bool on_served() {
+    if (unanswered_.empty()) return false;
+    settle_all();
     return true;
   }
   /// Orders for another version follow.
@@ -53,9 +64,9 @@
   }
 
   /// An order may still be carried out.
-  bool pending() const { return under_way_ || unanswered_.has_value(); }
+  bool pending() const { return under_way_ || !unanswered_.empty(); }
   bool under_way() const { return under_way_; }
-  bool unanswered() const { return !under_way_ && unanswered_.has_value(); }
+  bool unanswered() const { return !under_way_ && !unanswered_.empty(); }
   /// The last order was declined because the engine's count was another than it stated.
   bool overtaken(std::uint64_t sequence) const {
     return !under_way_ && last_outcome_ == StartOutcome::refused && sequence != stated_;
@@ -66,15 +77,15 @@
   std::uint32_t attempts() const { return attempts_; }
 
  private:
-  void settle(bool carried_out) {
-    unanswered_.reset();
-    carried_out_ = carried_out;
+  void settle_all() {
+    unanswered_.clear();
+    carried_out_ = true;
   }
 
   std::uint64_t stated_ = 0;
   bool under_way_ = false;
-  /// The count that an order without an answer stated.
-  std::optional<std::uint64_t> unanswered_;
+  /// The counts that orders without an answer stated.
+  std::set<std::uint64_t> unanswered_;
   std::optional<StartOutcome> last_outcome_;
   bool carried_out_ = false;
   std::uint32_t attempts_ = 0;
