--- a/tests/host/unanswered_order_test.cpp
+++ b/tests/host/unanswered_order_test.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(an_order_that_had_nothing_to_do_is_settled_when_the_engine_serves);
   CPPUNIT_TEST(an_order_stating_another_count_settles_no_earlier_one);
   CPPUNIT_TEST(an_engine_that_does_not_report_gets_no_order);
+  CPPUNIT_TEST(an_order_without_an_answer_is_given_again_soon);
+  CPPUNIT_TEST(the_engine_stays_out_of_service_also_while_chunks_are_read_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +91,25 @@
     CPPUNIT_ASSERT(run_until([&] { return engine_->serving() == kSecond; }));
   }
 
+  /// Each millisecond until then the engine serves nobody.
+  void an_order_without_an_answer_is_given_again_soon() {
+    engine_->leave_unanswered(1);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->late_orders() == 1; }));
+    run_for(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(kFirst, engine_->serving());
+  }
+
+  /// What was read back too long ago is read again before the next order.
+  void the_engine_stays_out_of_service_also_while_chunks_are_read_again() {
+    engine_->leave_unanswered(1000);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->late_orders() > 0; }));
+    const TimePoint end = loop_now() + milliseconds(3500);
+    while (loop_now() < end) {
+      step();
+      CPPUNIT_ASSERT(stager_->starting());
+    }
+  }
+
  private:
   void name_second() {
     origin_->set_newest(kSecond);
--- a/tests/platform/runner_control_test.cpp
+++ b/tests/platform/runner_control_test.cpp
@@ -13,6 +13,7 @@
 class RunnerControlTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RunnerControlTest);
   CPPUNIT_TEST(orders_for_two_models_are_both_answered);
+  CPPUNIT_TEST(an_order_states_the_count_that_the_runner_reported);
   CPPUNIT_TEST_SUITE_END();
 
   ScriptedServer server_;
@@ -37,6 +38,25 @@
     CPPUNIT_ASSERT(outcomes[0] == StartOutcome::begun);
     CPPUNIT_ASSERT(outcomes[1] == StartOutcome::refused);
   }
+
+  /// Without it a late order would be carried out whatever came after it.
+  void an_order_states_the_count_that_the_runner_reported() {
+    std::optional<LoadReport> report;
+    runner_.read_load([&](const LoadReport& load) { report = load; });
+    run_until([&] { return server_.try_accept(); });
+    run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    server_.take_request_target();
+    const std::string body = R"({"models":[],"busy":false,"seq":7})";
+    server_.say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body);
+    run_until([&] { return report.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, report->order_sequence);
+
+    runner_.start_serving({"a", 2, report->order_sequence}, [](StartOutcome) {});
+    run_until([&] { return server_.try_accept(); });
+    run_until([&] { return server_.try_read_request("}"); });
+    CPPUNIT_ASSERT(server_.received().find(R"("expectedRev":7)") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunnerControlTest);
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -55,6 +55,8 @@
     received_.clear();
     return target;
   }
+  /// What has come and was not taken yet.
+  const std::string& received() const { return received_; }
   /// Unread bytes would turn an orderly end into a reset.
   void read_request() {
     std::string received;
