Test that connections which go silent are noticed

Users saw news of configurations and weights come up to 8.7 s late, and requests that can't be repeated fail, after open connections had gone silent without a reset while new ones worked. Hypothesis: only unacknowledged bytes end a connection here. A watch whose call was acknowledged, and a kept connection that rests, have none, so that the end of the call's time, or a lost request, is the first that shows it. The tests lose packets by a socket filter on the other side's socket, which acknowledges nothing, keep-alive probes included.

--- a/tests/http1/connections_test.cpp
+++ b/tests/http1/connections_test.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "http1/client_connection.h"
+#include "http1/http_fetcher.h"
 #include "support/scripted_server.h"
 
 namespace pumicemast {
@@ -41,6 +42,9 @@
   CPPUNIT_TEST(a_late_answer_to_an_older_request_is_dropped);
   CPPUNIT_TEST(bytes_on_an_idle_connection_end_it);
   CPPUNIT_TEST(an_answer_with_bytes_after_it_is_whole_but_ends_the_connection);
+  CPPUNIT_TEST(a_resting_connection_that_goes_silent_ends);
+  CPPUNIT_TEST(a_call_that_waits_on_a_silent_connection_ends_before_its_time);
+  CPPUNIT_TEST(an_accepted_connection_is_probed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -109,7 +113,49 @@
     CPPUNIT_ASSERT(!connection_->reusable());
   }
 
+  // Requests that can't be repeated were lost on kept connections that had gone silent without a
+  // reset: nothing was sent on them while they rested, so that nothing stayed unacknowledged.
+  void a_resting_connection_that_goes_silent_ends() {
+    begin("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    run_until([&] { return recorder_.over(); });
+    CPPUNIT_ASSERT(connection_->reusable());
+    server_.go_silent();
+    run_until([&] { return recorder_.idle_ended; });
+    CPPUNIT_ASSERT(!connection_->reusable());
+  }
+
+  // News came late: the call that waited for it had been acknowledged before its connection went
+  // silent, and only the end of the call's time showed it.
+  void a_call_that_waits_on_a_silent_connection_ends_before_its_time() {
+    HttpFetcher fetcher(server_.address());
+    std::optional<FetchResult> result;
+    FetchRequest request;
+    request.target = "/objects";
+    request.timeout = seconds(9);
+    fetcher.fetch(request, [&](const FetchResult& told) { result = told; });
+    run_until([&] { return server_.try_accept(); });
+    run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    server_.go_silent();
+    run_until([&] { return result.has_value(); });
+    CPPUNIT_ASSERT(!result->answered());
+  }
+
+  // A caller that vanished without a word held its request's place until the route's time ended.
+  void an_accepted_connection_is_probed() {
+    const int accepted = socket(AF_INET, SOCK_STREAM, 0);
+    TcpStream stream(accepted, observer_);
+    int probed = 0;
+    socklen_t size = sizeof(probed);
+    CPPUNIT_ASSERT_EQUAL(0, getsockopt(accepted, SOL_SOCKET, SO_KEEPALIVE, &probed, &size));
+    CPPUNIT_ASSERT_EQUAL(1, probed);
+  }
+
  private:
+  class Silent : public StreamObserver {
+    void on_stream_data(std::string_view) override {}
+    void on_stream_end(StreamEnd) override {}
+  };
+
   void begin(const std::string& answer) {
     connection_ = std::make_unique<ClientConnection>(server_.address(), seconds(1), recorder_);
     connection_->send_request("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false, recorder_);
@@ -120,6 +166,7 @@
   }
 
   ScriptedServer server_;
+  Silent observer_;
   Recorder recorder_;
   std::unique_ptr<ClientConnection> connection_;
 };
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -5,9 +5,12 @@
 """
 
 import asyncio
+import ctypes
 import hashlib
 import json
 import random
+import socket
+import struct
 from urllib.parse import parse_qs, urlsplit
 
 CHUNKS = 8
@@ -15,6 +18,17 @@
 LAYERS = 4
 
 
+SO_ATTACH_FILTER = 26  # Of Linux; Python has no name for it.
+BPF_RETURN = 0x06
+
+
+def drop_what_arrives(open_socket):
+    """Loses all further packets to the socket: not one is acknowledged, as behind a cut."""
+    program = ctypes.create_string_buffer(struct.pack("HBBI", BPF_RETURN, 0, 0, 0))
+    open_socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                           struct.pack("HL", 1, ctypes.addressof(program)))
+
+
 async def read_message(reader):
     """Reads one request: (method, target, headers, body), or None at the end."""
     head = b""
@@ -50,6 +64,7 @@
         self.host = host
         self.writers = set()
         self.silent = False
+        self.silenced = set()  # Open connections that neither hear nor say anything any more.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -60,6 +75,12 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence(self, writers):
+        """These open connections go silent for good, without a reset; new ones work."""
+        for writer in writers:
+            drop_what_arrives(writer.get_extra_info("socket"))
+        self.silenced |= set(writers)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -91,6 +112,8 @@
         self.mute = False  # No call is answered any more, also those that wait.
         self.sent = []  # Kind of each object that an answer carried.
         self.held = set()  # Kinds of which no call is answered until they are taken out.
+        self.calls = []  # Kind of each call, in order.
+        self.kind_of = {}  # Kind of the last call on each connection.
         self.on_page = None  # Called with the names of a page that was just read.
 
     def put(self, kind, name, spec):
@@ -106,7 +129,14 @@
         self.history.append((self.revision, kind, {"object": item, "gone": True}))
         self.changed.set()
 
+    def silence_kind(self, kind):
+        """The open connections on which this kind is followed go silent."""
+        self.silence([w for w in self.writers if self.kind_of.get(w) == kind])
+
     async def handle(self, writer, method, target, headers, body):
+        kind_called = urlsplit(target).path.split("/")[2]
+        self.calls.append(kind_called)
+        self.kind_of[writer] = kind_called
         if self.down:
             answer(writer, 503)
             return
@@ -136,6 +166,8 @@
     async def watch(self, writer, kind, since, wait_ms):
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
+            if writer in self.silenced:
+                await asyncio.Event().wait()
             events = [e for r, k, e in self.history if r > since and k == kind]
             left = deadline - asyncio.get_running_loop().time()
             if events or left <= 0:
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -268,6 +269,45 @@
         platform.store.mute = False
         await platform.wait(lambda: self.in_force("new"), limit=3)
 
+    def gateway_log(self):
+        return (Path(self.folder.name) / "gateway.log").read_text()
+
+    # Engines worked on old weights for seconds after new ones were named: the connection of one
+    # watch had gone silent while new connections worked, and nothing but the end of the call's
+    # time (8.7 s) showed it.
+    async def test_a_versions_watch_that_alone_goes_silent_is_noticed_soon(self):
+        store = self.platform.store
+        await asyncio.sleep(1)
+        store.silence_kind("versions")
+        store.calls.clear()
+        await asyncio.sleep(0.2)
+        store.put("versions", "m", {"model": "m", "version": 2})
+        await self.platform.wait(lambda: "weights model=m version=2" in self.gateway_log(), 4)
+        # The two agents read old lists, every 2 s; the rest are the gateway's, which are priced.
+        self.assertLessEqual(store.calls.count("versions"), 2 * 3 + 3)
+
+    # New routes answered 404 for seconds: the same, with the watch of the configuration.
+    async def test_a_configuration_watch_that_alone_goes_silent_is_noticed_soon(self):
+        platform = self.platform
+        await asyncio.sleep(1)
+        platform.store.silence_kind("config")
+        await asyncio.sleep(0.2)
+        platform.configure(2, extra=[platform.route("/new/", "safe", "plain", 1)])
+        await platform.wait(lambda: self.in_force("new"), limit=4)
+
+    # Requests that can't be repeated failed: they were sent on a kept connection that had gone
+    # silent while it rested, and so looked sent.
+    async def test_a_kept_connection_that_goes_silent_takes_no_request(self):
+        platform = self.platform
+        for _ in range(6):
+            self.assertEqual(200, (await platform.call("GET", "/read/1")).status)
+        for runner in platform.plain:
+            self.assertTrue(runner.writers)
+            runner.silence(runner.writers)
+        await asyncio.sleep(2.5)
+        for _ in range(4):
+            self.assertEqual(200, (await platform.call("POST", "/write/1")).status)
+
     async def test_an_unsafe_request_whose_answer_is_lost_runs_once(self):
         for runner in self.platform.plain:
             runner.mode = "lost"
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -3,9 +3,11 @@
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <functional>
 #include <string>
 
@@ -73,6 +75,13 @@
   bool try_say(const std::string& text) {
     return send(accepted_, text.data(), text.size(), MSG_NOSIGNAL) > 0;
   }
+  /// Loses all that arrives from now on: nothing is acknowledged, as behind a cut.
+  void go_silent() {
+    std::array<sock_filter, 1> program{{BPF_STMT(BPF_RET | BPF_K, 0)}};
+    const sock_fprog filter{program.size(), program.data()};
+    CPPUNIT_ASSERT_EQUAL(
+        0, setsockopt(accepted_, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)));
+  }
   void end() {
     close(accepted_);
     accepted_ = -1;
