Test that links to other processes are probed and bounded

Hypothesis: a link between gateways and agents over which nothing has to be sent may be silent unnoticed, and what is told to a peer that can't be reached, or does not read, gathers without bound. Seen: SO_KEEPALIVE 0 at both ends; all of 5,000 messages that waited for a connection were sent; more than 5 MB waited for a peer that does not read.

--- /dev/null
+++ b/tests/transport/peer_links_test.cpp
@@ -0,0 +1,94 @@
+#include "transport/peer_links.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "common/hash.h"
+#include "support/scripted_server.h"
+
+namespace pumicemast {
+namespace {
+
+using tests::run_until;
+using tests::ScriptedServer;
+
+constexpr PeerId kPeer = 7;
+
+wire::ChunkRequestT numbered(std::uint32_t number) {
+  wire::ChunkRequestT message;
+  message.digest = "d";
+  message.chunk = number;
+  return message;
+}
+
+}  // namespace
+
+/// Real sockets; every wait is for a condition.
+class PeerLinksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerLinksTest);
+  CPPUNIT_TEST(what_waits_for_a_connection_is_bounded);
+  CPPUNIT_TEST(a_peer_that_does_not_read_is_given_up);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // While machines could not reach each other, whatever was to be told to them gathered for each
+  // of up to a hundred peers, and all of it came, long untrue, when a connection was made.
+  void what_waits_for_a_connection_is_bounded() {
+    constexpr std::uint32_t kMessages = 5000;
+    constexpr std::size_t kMostWaiting = 256;
+    const Address address = free_address();
+    std::vector<std::uint32_t> received;
+    PeerLinks other("other", metrics_,
+                    {[&](PeerId, const wire::Frame& frame) {
+                       const auto* message = frame.body_as_ChunkRequest();
+                       if (message != nullptr) received.push_back(message->chunk());
+                     },
+                     [](PeerId) {}, [](PeerId) {}});
+    const bool listens = handle_error(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(other.listen(address));
+          return true;
+        },
+        [](const Error&) { return false; });
+    CPPUNIT_ASSERT(listens);
+    links_.set_address(kPeer, address);
+    for (std::uint32_t number = 1; number <= kMessages; ++number) {
+      links_.send(kPeer, numbered(number));
+    }
+    run_until([&] { return !received.empty() && received.back() == kMessages; });
+    CPPUNIT_ASSERT(received.size() <= kMostWaiting);
+  }
+
+  // The same with a peer that takes the connection and stands still.
+  void a_peer_that_does_not_read_is_given_up() {
+    constexpr std::size_t kChunkBytes = 32U << 10U;
+    constexpr std::size_t kMostQueued = 5U << 20U;
+    ScriptedServer peer;
+    links_.set_address(kPeer, peer.address());
+    links_.send(kPeer, numbered(0));
+    run_until([&] { return links_.connected(kPeer); });
+    wire::ChunkDataT chunk;
+    chunk.digest = "d";
+    chunk.bytes.resize(kChunkBytes);
+    for (int count = 0; count < 1000; ++count) {
+      links_.send(kPeer, chunk);
+      CPPUNIT_ASSERT(links_.queued_bytes(kPeer) <= kMostQueued);
+    }
+    run_until([&] { return lost_ == 1; });
+  }
+
+ private:
+  static Address free_address() {
+    const ScriptedServer gone;
+    return gone.address();
+  }
+
+  Metrics metrics_;
+  int lost_ = 0;
+  PeerLinks links_{"self",
+                   metrics_,
+                   {[](PeerId, const wire::Frame&) {}, [this](PeerId) { ++lost_; }, [](PeerId) {}}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
+
+}  // namespace pumicemast
--- a/tests/transport/wire_connection_test.cpp
+++ b/tests/transport/wire_connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -35,11 +36,13 @@
   CPPUNIT_TEST_SUITE(WireConnectionTest);
   CPPUNIT_TEST(a_connection_held_back_by_another_stays_open);
   CPPUNIT_TEST(what_was_sent_before_closing_arrives);
+  CPPUNIT_TEST(both_ends_of_a_connection_probe_it);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
-    const Address address{"127.0.0.1", free_port()};
+    port_ = free_port();
+    const Address address{"127.0.0.1", port_};
     listener_ = handle_error(
         [&]() -> leaf::result<std::unique_ptr<WireListener>> {
           return WireListener::listen(address, [this](std::unique_ptr<WireConnection> incoming) {
@@ -102,12 +105,51 @@
     CPPUNIT_ASSERT_EQUAL(std::string("end of stream"), reason);
   }
 
+  // A link over which nothing has to be sent went silent, and stayed the one that was used.
+  void both_ends_of_a_connection_probe_it() {
+    const std::vector<int> descriptors = connected_descriptors();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, descriptors.size());
+    for (const int descriptor : descriptors) {
+      CPPUNIT_ASSERT_EQUAL(1, option(descriptor, SOL_SOCKET, SO_KEEPALIVE));
+      CPPUNIT_ASSERT(option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE) <= 4);
+      CPPUNIT_ASSERT_EQUAL(1, option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL));
+    }
+  }
+
  private:
+  static int option(int descriptor, int level, int name) {
+    int value = -1;
+    socklen_t size = sizeof(value);
+    CPPUNIT_ASSERT_EQUAL(0, getsockopt(descriptor, level, name, &value, &size));
+    return value;
+  }
+
+  /// Of both ends of the fixture's connections.
+  std::vector<int> connected_descriptors() const {
+    constexpr int kSearched = 1024;
+    std::vector<int> result;
+    for (int descriptor = 0; descriptor < kSearched; ++descriptor) {
+      const bool either_end =
+          port_of(descriptor, &getsockname) == port_ || port_of(descriptor, &getpeername) == port_;
+      if (either_end && port_of(descriptor, &getpeername) != 0) result.push_back(descriptor);
+    }
+    return result;
+  }
+
+  /// 0 where the descriptor has no such end.
+  static std::uint16_t port_of(int descriptor, decltype(&getsockname) name_of) {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    const int status = name_of(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return status == 0 ? ntohs(address.sin_port) : std::uint16_t{0};
+  }
+
   template <class Condition>
   static void run_until(Condition condition) {
     while (!condition()) g_main_context_iteration(nullptr, TRUE);
   }
 
+  std::uint16_t port_ = 0;
   std::unique_ptr<WireListener> listener_;
   std::vector<std::unique_ptr<WireConnection>> servers_;
   std::vector<std::unique_ptr<WireConnection>> clients_;
