Probe links that rest and bound what waits for a peer

Cause: nothing ended a link over which nothing is sent, and PeerLinks kept all that was told to a peer while connecting (up to 3 s) or while it did not read. Change: links are probed after 4 s of rest: what matters is sent twice a second, which needs no probe, and probes every second on all links of 40 gateways and 64 agents would be over 0.5 MB a second. While connecting the newest 256 messages are kept; a connection in which 4 MB (gateways) or 8 MB (agents) wait is ended, and made anew when there is something to tell. Both are counted. The test sets the limit, which it could not do before; its bound is the same.

--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -10,6 +10,9 @@
 
 constexpr Duration kTickInterval = milliseconds(500);
 constexpr Duration kUnansweredLimit = seconds(2);
+/// In one connection. A peer that reads leaves a few messages; the largest, a configuration, is
+/// about 50 KB.
+constexpr std::size_t kQueueLimitBytes = 4U << 20U;
 /// Gateways that each one tells regularly: news reaches all in a few steps.
 constexpr std::size_t kFanOut = 3;
 /// Further gateways, drawn by lot, that hear of a change at once: with all of them the messages
@@ -45,6 +48,7 @@
       role_(peer_id(own_address_)),
       random_(static_cast<std::minstd_rand::result_type>(peer_id(own_address_))) {
   links_.set_unanswered_limit(kUnansweredLimit);
+  links_.set_queue_limit(kQueueLimitBytes);
   for (const Address& seed : seeds) note_gateway(seed.to_string(), "");
 }
 
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kGatewayListInterval = milliseconds(300);
 constexpr Duration kSubscriptionLifetime = seconds(6);
 constexpr Duration kUnansweredLimit = seconds(2);
+/// In one connection: twice what uploads may leave there. A peer that reads leaves a few chunks.
+constexpr std::size_t kQueueLimitBytes = 8U << 20U;
 constexpr std::uint32_t kLinesPerSecond = 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -47,6 +49,7 @@
         return StatusAnswer{kStatusOk, kMetricsContentType, metrics_.serialize()};
       }) {
   links_.set_unanswered_limit(kUnansweredLimit);
+  links_.set_queue_limit(kQueueLimitBytes);
 }
 
 HostDaemon::~HostDaemon() = default;
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr Duration kConnectTimeout = seconds(3);
+/// Messages that wait for one connection to be made: what an agent or a gateway says to one peer
+/// in more than the 3 s that this may take. Later ones say what is true by then.
+constexpr std::size_t kMostWaiting = 256;
 
 }  // namespace
 
@@ -52,6 +55,21 @@
   return &link;
 }
 
+void PeerLinks::wait_for_connection(Link& link, WaitingMessage message) {
+  if (link.waiting.size() >= kMostWaiting) {
+    link.waiting.pop_front();
+    metrics_.count("pumicemast_agent_peer_messages_dropped_total");
+  }
+  link.waiting.push_back(std::move(message));
+}
+
+bool PeerLinks::has_room(WireConnection& connection) {
+  if (queue_limit_bytes_ == 0 || connection.queued_bytes() < queue_limit_bytes_) return true;
+  if (connection.is_open()) metrics_.count("pumicemast_agent_peer_unread_total");
+  connection.close("the peer does not read");
+  return false;
+}
+
 void PeerLinks::on_connected(PeerId peer, std::unique_ptr<WireConnection> connection) {
   const auto found = links_.find(peer);
   if (found == links_.end()) return;
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -1,11 +1,11 @@
 /// Connections between processes that know each other by name, opened when first needed.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "common/event_loop.h"
 #include "common/metrics.h"
@@ -28,20 +28,25 @@
 
   /// Bytes that a peer does not acknowledge for so long end the connection. Set before use.
   void set_unanswered_limit(Duration limit) { unanswered_limit_ = limit; }
+  /// A connection in which so many bytes wait is ended; zero for no limit. Set before use.
+  void set_queue_limit(std::size_t bytes) { queue_limit_bytes_ = bytes; }
   /// Listens for others.
   leaf::result<void> listen(const Address& address);
   /// Where to reach a peer. The latest address wins.
   void set_address(PeerId peer, const Address& address) { addresses_[peer] = address; }
 
-  /// Sends now, or as soon as a connection is made. A peer without an address is dropped.
+  /// Sends now, or as soon as a connection is made. A peer without an address is dropped. So are
+  /// the oldest messages where too many wait for a connection, and a connection whose peer reads
+  /// too little.
   template <class Table>
   void send(PeerId peer, const Table& message) {
     Link* link = ensure_link(peer);
     if (link == nullptr) return;
     if (link->connection) {
-      link->connection->send(message);
+      if (has_room(*link->connection)) link->connection->send(message);
     } else {
-      link->waiting.push_back([message](WireConnection& connection) { connection.send(message); });
+      wait_for_connection(*link,
+                          [message](WireConnection& connection) { connection.send(message); });
     }
   }
   std::size_t queued_bytes(PeerId peer) const;
@@ -51,10 +56,14 @@
   std::size_t size() const { return links_.size(); }
 
  private:
+  using WaitingMessage = std::function<void(WireConnection&)>;
   struct Link {
     std::unique_ptr<WireConnection> connection;  ///< Null while connecting.
-    std::vector<std::function<void(WireConnection&)>> waiting;
+    std::deque<WaitingMessage> waiting;
   };
+  void wait_for_connection(Link& link, WaitingMessage message);
+  /// Ends a connection in which more waits than a peer that reads can leave there.
+  bool has_room(WireConnection& connection);
   Link* ensure_link(PeerId peer);
   void on_connected(PeerId peer, std::unique_ptr<WireConnection> connection);
   void on_incoming(std::unique_ptr<WireConnection> connection);
@@ -73,6 +82,7 @@
   std::map<const WireConnection*, PeerId> extra_peers_;
   bool reading_ = true;
   Duration unanswered_limit_ = Duration::zero();
+  std::size_t queue_limit_bytes_ = 0;
 };
 
 }  // namespace pumicemast
--- a/src/transport/wire_connection.cpp
+++ b/src/transport/wire_connection.cpp
@@ -5,6 +5,8 @@
 
 #include <array>
 
+#include "transport/silence_limits.h"
+
 namespace pumicemast {
 namespace {
 
@@ -19,6 +21,7 @@
       socket_(g_socket_connection_get_socket(connection_.get())) {
   g_socket_set_blocking(socket_, FALSE);
   g_socket_set_option(socket_, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  probe_when_resting(g_socket_get_fd(socket_), kLinkProbeRest);
 }
 
 WireConnection::~WireConnection() {
@@ -47,8 +50,7 @@
 
 void WireConnection::set_unanswered_limit(Duration limit) {
   if (limit <= Duration::zero() || !open_) return;
-  g_socket_set_option(socket_, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                      static_cast<gint>(to_milliseconds(limit)), nullptr);
+  limit_unacknowledged(g_socket_get_fd(socket_), limit);
 }
 
 void WireConnection::on_readable() {
--- a/tests/transport/peer_links_test.cpp
+++ b/tests/transport/peer_links_test.cpp
@@ -64,6 +64,7 @@
     constexpr std::size_t kMostQueued = 5U << 20U;
     ScriptedServer peer;
     links_.set_address(kPeer, peer.address());
+    links_.set_queue_limit(kMostQueued - kChunkBytes * 2);
     links_.send(kPeer, numbered(0));
     run_until([&] { return links_.connected(kPeer); });
     wire::ChunkDataT chunk;
