Test that a version named during a loss of the store is not taken as new

Users saw requests begin on old weights after the time that is allowed. Hypothesis: what the first answer after a loss tells is taken as named at that moment, though it may have been named at any time during the loss. Seen: assumed=no, age 0, for a version named 5 s before the store came back.

--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -309,6 +309,20 @@
         for _ in range(4):
             self.assertEqual(200, (await platform.call("POST", "/write/1")).status)
 
+    # Requests began on old weights after the time that is allowed: a version that the first
+    # answer after a loss told was taken as named at that moment, and not during the loss.
+    async def test_a_version_named_while_the_store_was_lost_is_not_taken_as_new(self):
+        platform = self.platform
+        await asyncio.sleep(1)
+        platform.store.mute = True
+        await asyncio.sleep(0.5)
+        platform.store.put("versions", "m", {"model": "m", "version": 2})
+        await asyncio.sleep(5)
+        platform.store.mute = False
+        told = re.compile(r"weights model=m version=2 age_ms=\d+ assumed=(\w+)")
+        await platform.wait(lambda: told.search(self.gateway_log()), 12)
+        self.assertEqual("yes", told.search(self.gateway_log()).group(1))
+
     async def test_an_unsafe_request_whose_answer_is_lost_runs_once(self):
         for runner in self.platform.plain:
             runner.mode = "lost"
