Take a version found after a loss as named by when it may have been

Cause: the first answer after a failed watch was told as news seen at that moment. A version named during the loss, or while a silent connection was not yet noticed, bound later by that time than operators allow. FleetState takes the version as named then, as an assumption, which a known time from another gateway replaces. Assumed namings are passed on as such: a gateway that can't reach the store would otherwise not hear of them. Cost, and its bound: engines may be asked to change over sooner than needed, but never with less than 3 s of notice (changeover - 3 s is the greatest age that is assumed), and never for what an unbroken watch told. The test of namings that are passed on now demands the assumed one as well, marked as such; before, it demanded that it be left out.

--- a/src/fleet/feeds.h
+++ b/src/fleet/feeds.h
@@ -24,9 +24,9 @@
                                std::uint64_t revision) = 0;
   virtual void on_backend(const BackendRecord& record) = 0;
   virtual void on_backend_gone(const std::string& id, std::uint64_t revision) = 0;
-  /// @param seen_change  the naming itself was seen; otherwise it may be some time ago.
+  /// @param oldest  the naming is at most so long ago; zero when it was seen as it happened.
   virtual void on_weights_named(const std::string& model, std::uint64_t version,
-                                bool seen_change) = 0;
+                                Duration oldest) = 0;
   /// The list of back ends can be read again, or can't; told before what was read.
   virtual void on_list_reachable(bool reachable) = 0;
   /// The platform's store answers, or has ceased to.
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -217,6 +217,7 @@
     named->model = weights.model;
     named->version = weights.version;
     named->age_ms = static_cast<std::uint32_t>(to_milliseconds(weights.age));
+    named->assumed = weights.assumed;
     message.weights.push_back(std::move(named));
   }
   links_.send(peer, message);
@@ -301,8 +302,8 @@
   }
   if (digest.weights() != nullptr) {
     for (const auto* named : *digest.weights()) {
-      knowledge.weights.push_back(
-          {named->model()->str(), named->version(), milliseconds(named->age_ms())});
+      knowledge.weights.push_back({named->model()->str(), named->version(),
+                                   milliseconds(named->age_ms()), named->assumed()});
     }
   }
   catch_up_.on_heard(peer, knowledge.configuration_version, near(peer), loop_now());
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -6,8 +6,6 @@
 namespace pumicemast {
 namespace {
 
-/// A version that was named before this process looked is taken to bind so soon.
-constexpr Duration kAssumedTimeToChangeover = milliseconds(3000);
 /// For longer than regions usually lose each other.
 constexpr Duration kGatewaysRemembered = seconds(600);
 
@@ -43,7 +41,6 @@
     : feed_(feed),
       log_(log),
       callbacks_(std::move(callbacks)),
-      changeover_(settings.changeover),
       pool_(pool_options(settings)),
       targets_(settings.changeover),
       links_(settings.internal_address, settings.zone, settings.seeds, metrics, *this),
@@ -58,7 +55,6 @@
 }
 
 void FleetState::set_changeover(Duration changeover, Duration start_bound) {
-  changeover_ = changeover;
   targets_.set_changeover(changeover);
   targets_.set_start_bound(start_bound);
 }
@@ -140,11 +136,9 @@
 }
 
 void FleetState::on_weights_named(const std::string& model, std::uint64_t version,
-                                  bool seen_change) {
-  // A version found in a list may be about to bind: others that saw it named know better.
-  const Duration assumed_age = std::max(Duration::zero(), changeover_ - kAssumedTimeToChangeover);
-  const TimePoint now = loop_now();
-  note_weights(model, version, seen_change ? now : now - assumed_age, !seen_change);
+                                  Duration oldest) {
+  const bool seen = oldest == Duration::zero();
+  note_weights(model, version, targets_.assumed_naming(oldest, loop_now()), !seen);
 }
 
 void FleetState::note_weights(const std::string& model, std::uint64_t version, TimePoint named_at,
@@ -201,7 +195,7 @@
     pool_.on_leaving(left.id, left.revision);
   }
   for (const NamedWeights& weights : knowledge.weights) {
-    note_weights(weights.model, weights.version, loop_now() - weights.age, false);
+    note_weights(weights.model, weights.version, loop_now() - weights.age, weights.assumed);
   }
 }
 
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -55,7 +55,7 @@
   void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
   void on_backend(const BackendRecord& record) override;
   void on_backend_gone(const std::string& id, std::uint64_t revision) override;
-  void on_weights_named(const std::string& model, std::uint64_t version, bool seen_change) override;
+  void on_weights_named(const std::string& model, std::uint64_t version, Duration oldest) override;
   void on_list_reachable(bool reachable) override;
   void on_store_reachable(bool reachable) override;
   // FleetLinksListener
@@ -78,7 +78,6 @@
   FleetFeed& feed_;
   GatewayLog& log_;
   Callbacks callbacks_;
-  Duration changeover_;
   BackendPool pool_;
   WeightTargets targets_;
   FleetLinks links_;
--- a/src/gateway/weight_targets.cpp
+++ b/src/gateway/weight_targets.cpp
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace pumicemast {
+namespace {
+
+/// A version that was found late binds no sooner than this. Bringing it to the back ends takes
+/// as long on the usual deployments; binding at once would leave no room at all meanwhile.
+constexpr Duration kShortestNotice = milliseconds(3000);
+
+}  // namespace
 
 bool WeightTargets::on_named(const std::string& model, std::uint64_t version, TimePoint named_at,
                              bool assumed) {
@@ -21,6 +28,11 @@
   return true;
 }
 
+TimePoint WeightTargets::assumed_naming(Duration oldest, TimePoint now) const {
+  const Duration oldest_allowed = std::max(Duration::zero(), changeover_ - kShortestNotice);
+  return now - std::min(oldest, oldest_allowed);
+}
+
 Duration WeightTargets::age(const std::string& model, TimePoint now) const {
   const auto found = targets_.find(model);
   if (found == targets_.end()) return Duration::zero();
@@ -33,8 +45,8 @@
   for (const auto& [model, target] : targets_) {
     const std::uint64_t lowest = lowest_allowed(model, now);
     for (const auto& [version, naming] : target.namings) {
-      if (version < lowest || naming.assumed) continue;
-      result.push_back({model, version, now - naming.at});
+      if (version < lowest) continue;
+      result.push_back({model, version, now - naming.at, naming.assumed});
     }
   }
   return result;
--- a/src/gateway/weight_targets.h
+++ b/src/gateway/weight_targets.h
@@ -18,6 +18,7 @@
   std::string model;
   std::uint64_t version = 0;
   Duration age = Duration::zero();
+  bool assumed = false;  ///< The age is a guess, on the safe side.
 };
 
 class WeightTargets {
@@ -35,9 +36,13 @@
   /// @return whether the version is the newest, and new here.
   bool on_named(const std::string& model, std::uint64_t version, TimePoint named_at,
                 bool assumed = false);
+  /// When a version is taken to be named that was found now and named at most `oldest` ago: as
+  /// early as can be, because requests must not begin on older ones beyond their time; but not so
+  /// early that back ends have no time to change over (kShortestNotice).
+  TimePoint assumed_naming(Duration oldest, TimePoint now) const;
   /// How long ago the newest version was named; zero when there is none.
   Duration age(const std::string& model, TimePoint now) const;
-  /// All namings at known times that still matter: by model, then by version.
+  /// All namings that still matter, to pass on: by model, then by version.
   std::vector<NamedWeights> known_namings(TimePoint now) const;
   /// The lowest version on which a request for `model` may start now; 0 for any.
   std::uint64_t lowest_allowed(const std::string& model, TimePoint now) const;
--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -54,7 +54,9 @@
   }
   timeout_.start_once(request.timeout, [this] {
     drop_connection();
-    finish({});
+    FetchResult result;
+    result.timed_out = true;
+    finish(std::move(result));
   });
   connection_->send_request(encode(request, address_), request.method == "HEAD", *this);
 }
--- a/src/http1/http_fetcher.h
+++ b/src/http1/http_fetcher.h
@@ -25,6 +25,7 @@
 struct FetchResult {
   int status = 0;  ///< 0: no whole answer; the request may have been carried out.
   std::string body;
+  bool timed_out = false;  ///< Its time ended; the connection may have been lost long before.
   bool answered() const { return status != 0; }
 };
 
--- a/tests/gateway/gateway_cores_test.cpp
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(an_unfinished_event_is_kept_apart);
   CPPUNIT_TEST(weight_targets_never_go_back);
   CPPUNIT_TEST(each_named_version_has_its_own_changeover);
+  CPPUNIT_TEST(a_version_found_late_binds_by_when_it_may_have_been_named);
   CPPUNIT_TEST(a_known_time_of_naming_replaces_an_assumed_one);
   CPPUNIT_TEST(a_version_heard_of_after_the_next_one_binds_all_the_same);
   CPPUNIT_TEST(namings_that_still_matter_are_passed_on);
@@ -110,13 +111,29 @@
     targets.on_named("m", 5, now - seconds(1), true);
     const std::vector<NamedWeights> namings = targets.known_namings(now);
     // Version 3 binds already, so that 2 no longer matters; when 5 was named is not known.
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, namings.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, namings.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, namings[2].version);
+    CPPUNIT_ASSERT(!namings[0].assumed && !namings[1].assumed && namings[2].assumed);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, namings[0].version);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, namings[1].version);
     CPPUNIT_ASSERT(namings[1].age == seconds(3));
     CPPUNIT_ASSERT_EQUAL(std::string("m"), namings[1].model);
   }
 
+  // Requests began on old weights beyond their time: the first answer after a lost watch told of a
+  // version that had been named during the loss, and it was taken as new.
+  void a_version_found_late_binds_by_when_it_may_have_been_named() {
+    WeightTargets targets(seconds(7));
+    const TimePoint now(seconds(100));
+    CPPUNIT_ASSERT(targets.assumed_naming(Duration::zero(), now) == now);
+    CPPUNIT_ASSERT(targets.assumed_naming(milliseconds(3300), now) == now - milliseconds(3300));
+    // Back ends have 3 s to change over, however long ago the version may have been named.
+    CPPUNIT_ASSERT(targets.assumed_naming(seconds(60), now) == now - seconds(4));
+    CPPUNIT_ASSERT(targets.assumed_naming(Duration::max(), now) == now - seconds(4));
+    targets.set_changeover(seconds(2));
+    CPPUNIT_ASSERT(targets.assumed_naming(seconds(60), now) == now);
+  }
+
   void a_known_time_of_naming_replaces_an_assumed_one() {
     WeightTargets targets(seconds(7));
     const TimePoint now(seconds(100));
