Tell agents of namings again where their link was lost

Cause: the word of a naming goes to each agent once. On a link that has gone silent, or that is being made anew, it is lost, and the agent waits for its own reading of the store, every 2 s and seconds old. Change: after a link to an agent was lost, the next subscription is followed by the namings that still matter. A link that stands gets nothing more.

--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -38,12 +38,7 @@
       listener_(listener),
       links_(own_address_.to_string(), metrics,
              {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
-              [this](PeerId peer) {
-                const auto engine = engine_of_agent_.find(peer);
-                if (engine != engine_of_agent_.end())
-                  listener_.on_engine_agent_lost(engine->second);
-              },
-              [](PeerId) {}}),
+              [this](PeerId peer) { on_agent_lost(peer); }, [](PeerId) {}}),
       catch_up_(peer_id(own_address_)),
       role_(peer_id(own_address_)),
       random_(static_cast<std::minstd_rand::result_type>(peer_id(own_address_))) {
@@ -119,6 +114,22 @@
   agents_ = std::move(agents);
 }
 
+void FleetLinks::on_agent_lost(PeerId peer) {
+  const auto engine = engine_of_agent_.find(peer);
+  if (engine == engine_of_agent_.end()) return;
+  agents_to_tell_again_.insert(peer);
+  listener_.on_engine_agent_lost(engine->second);
+}
+
+void FleetLinks::tell_weights_again(PeerId agent) {
+  for (const NamedWeights& weights : listener_.own_knowledge().weights) {
+    wire::WeightsNamedT message;
+    message.model = weights.model;
+    message.version = weights.version;
+    links_.send(agent, message);
+  }
+}
+
 void FleetLinks::subscribe(const Address& agent) {
   wire::ReportSubscriptionT message;
   message.gateway = own_address_.to_string();
@@ -142,7 +153,10 @@
 }
 
 void FleetLinks::tick() {
-  for (const auto& [peer, agent] : agents_) subscribe(agent);
+  for (const auto& [peer, agent] : agents_) {
+    subscribe(agent);
+    if (agents_to_tell_again_.erase(peer) > 0) tell_weights_again(peer);
+  }
   if (tick_count_++ % kDescriptionTicks == 0) tell_descriptions();
   for (const PeerId peer : regular_gateways()) send_digest(peer);
 }
--- a/src/gateway/fleet_links.h
+++ b/src/gateway/fleet_links.h
@@ -82,6 +82,9 @@
   bool near(PeerId gateway) const;
   /// Those that this one tells regularly.
   std::set<PeerId> regular_gateways() const;
+  void on_agent_lost(PeerId peer);
+  /// What was told on a link that was lost may not have arrived.
+  void tell_weights_again(PeerId agent);
   void subscribe(const Address& agent);
   void tell_descriptions();
   void send_digest(PeerId peer);
@@ -102,6 +105,7 @@
   PeerLinks links_;
   std::map<PeerId, Address> agents_;
   std::map<PeerId, Address> engine_of_agent_;
+  std::set<PeerId> agents_to_tell_again_;  ///< Their links were lost since they were told.
   std::map<PeerId, Gateway> gateways_;
   std::map<Address, wire::EngineDescriptionT> descriptions_;
   ConfigurationCatchUp catch_up_;
