Test that a peer which connects anew is answered on its new connection

Hypothesis: who notices first that a link is silent connects anew and asks; the other side goes on writing to the old connection until it notices as well, up to 2 s after its own first message (5 s if it has none). Seen: the answer does not come over the new connection within 5 s. Two that connect at once keep both connections, which the second test pins.

--- a/tests/transport/peer_links_test.cpp
+++ b/tests/transport/peer_links_test.cpp
@@ -12,6 +12,8 @@
 using tests::ScriptedServer;
 
 constexpr PeerId kPeer = 7;
+constexpr const char* kPeerName = "peer";
+const PeerId kNamedPeer = stable_hash(std::string_view(kPeerName));
 
 wire::ChunkRequestT numbered(std::uint32_t number) {
   wire::ChunkRequestT message;
@@ -27,6 +29,8 @@
   CPPUNIT_TEST_SUITE(PeerLinksTest);
   CPPUNIT_TEST(what_waits_for_a_connection_is_bounded);
   CPPUNIT_TEST(a_peer_that_does_not_read_is_given_up);
+  CPPUNIT_TEST(a_peer_that_connects_anew_is_answered_there);
+  CPPUNIT_TEST(two_that_connect_at_once_keep_what_they_said);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,7 +81,71 @@
     run_until([&] { return lost_ == 1; });
   }
 
+  // Answers were lost for seconds more: who had noticed that its link was silent connected anew
+  // and asked, and was answered over the old connection.
+  void a_peer_that_connects_anew_is_answered_there() {
+    const Address address = free_address();
+    listen(address);
+    auto old_connection = connect(address);
+    run_until([&] { return links_.connected(kNamedPeer); });
+    pass(kLongerThanConnecting);
+    CPPUNIT_ASSERT_EQUAL(0, lost_);
+    auto new_connection = connect(address);
+    std::uint32_t answered = 0;
+    new_connection->start(
+        {[&](const wire::Frame& frame) { answered = frame.body_as_ChunkRequest()->chunk(); },
+         [](const std::string&) {},
+         {}});
+    run_until([&] { return asked_ == 2; });
+    links_.send(kNamedPeer, numbered(7));
+    run_until([&] { return answered == 7; });
+    CPPUNIT_ASSERT_EQUAL(1, lost_);  // What was on its way is to be asked for again.
+    CPPUNIT_ASSERT(links_.connected(kNamedPeer));
+  }
+
+  void two_that_connect_at_once_keep_what_they_said() {
+    const Address address = free_address();
+    listen(address);
+    auto first = connect(address);
+    auto second = connect(address);
+    run_until([&] { return asked_ == 2; });
+    pass(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(0, lost_);
+    CPPUNIT_ASSERT(first->is_open() && second->is_open());
+  }
+
  private:
+  static constexpr Duration kLongerThanConnecting = milliseconds(3200);
+
+  void listen(const Address& address) {
+    const bool listens = handle_error(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(links_.listen(address));
+          return true;
+        },
+        [](const Error&) { return false; });
+    CPPUNIT_ASSERT(listens);
+  }
+
+  /// A connection that says who it is, and asks for something.
+  static std::unique_ptr<WireConnection> connect(const Address& address) {
+    std::unique_ptr<WireConnection> result;
+    connect_wire(address, seconds(1), [&](std::unique_ptr<WireConnection> connection) {
+      result = std::move(connection);
+    });
+    run_until([&] { return result != nullptr; });
+    wire::PeerHelloT hello;
+    hello.machine = kPeerName;
+    result->send(hello);
+    result->send(numbered(1));
+    return result;
+  }
+
+  static void pass(Duration duration) {
+    const TimePoint end = loop_now() + duration;
+    run_until([&] { return loop_now() >= end; });
+  }
+
   static Address free_address() {
     const ScriptedServer gone;
     return gone.address();
@@ -85,9 +153,11 @@
 
   Metrics metrics_;
   int lost_ = 0;
+  int asked_ = 0;
   PeerLinks links_{"self",
                    metrics_,
-                   {[](PeerId, const wire::Frame&) {}, [this](PeerId) { ++lost_; }, [](PeerId) {}}};
+                   {[this](PeerId, const wire::Frame&) { ++asked_; }, [this](PeerId) { ++lost_; },
+                    [](PeerId) {}}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
