Answer a peer on the connection that it made anew

Cause: a second connection from a known peer was read only. Who noticed first that a link had gone silent connected anew and asked, and was answered over the old one: lost, until this side noticed as well. The peer is told lost, so that what was on its way is asked for again. Two that connect at once keep both, as before.

--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -106,13 +106,40 @@
     attach(peer, *second);
     return;
   }
+  attach(peer, *connection);
+  use_for_sending(link, std::move(connection));
+}
+
+void PeerLinks::use_for_sending(Link& link, std::unique_ptr<WireConnection> connection) {
   link.connection = std::move(connection);
-  attach(peer, *link.connection);
+  link.connected_at = loop_now();
   const auto waiting = std::move(link.waiting);
   link.waiting.clear();
   for (const auto& send_waiting : waiting) send_waiting(*link.connection);
 }
 
+void PeerLinks::on_hello(PeerId peer, WireConnection* incoming) {
+  extra_peers_[incoming] = peer;
+  Link& link = links_[peer];
+  // Both may have connected at once: then each writes to its own, and reads both.
+  const bool at_once = link.connection && loop_now() - link.connected_at <= kConnectTimeout;
+  if (at_once) return;
+  std::unique_ptr<WireConnection> older = std::move(link.connection);
+  use_for_sending(link, std::move(extra_.at(incoming)));
+  extra_.erase(incoming);
+  if (older) give_up(peer, std::move(older));
+}
+
+void PeerLinks::give_up(PeerId peer, std::unique_ptr<WireConnection> older) {
+  // Who had a connection would not have made another: the older one is lost to the peer, although
+  // it may only be silent here. Kept until its end is reported.
+  WireConnection* connection = older.get();
+  extra_peers_[connection] = peer;
+  extra_[connection] = std::move(older);
+  connection->close("the peer connected anew");
+  callbacks_.on_lost(peer);
+}
+
 void PeerLinks::on_incoming(std::unique_ptr<WireConnection> connection) {
   WireConnection* pointer = connection.get();
   extra_[pointer] = std::move(connection);
@@ -128,16 +155,7 @@
                       pointer->close("no hello");
                       return;
                     }
-                    const PeerId peer = stable_hash(hello->machine()->string_view());
-                    extra_peers_[pointer] = peer;
-                    // Use it for sending too, unless a connection is there already.
-                    Link& link = links_[peer];
-                    if (link.connection) return;
-                    link.connection = std::move(extra_.at(pointer));
-                    extra_.erase(pointer);
-                    const auto waiting = std::move(link.waiting);
-                    link.waiting.clear();
-                    for (const auto& send_waiting : waiting) send_waiting(*pointer);
+                    on_hello(stable_hash(hello->machine()->string_view()), pointer);
                   },
                   [this, pointer](const std::string& reason) {
                     const auto known = extra_peers_.find(pointer);
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -18,7 +18,8 @@
  public:
   struct Callbacks {
     std::function<void(PeerId, const wire::Frame&)> on_frame;
-    /// Every connection to the peer is gone.
+    /// Every connection to the peer is gone, or was until it connected anew: what was on its way
+    /// may be lost.
     std::function<void(PeerId)> on_lost;
     /// All queued bytes to the peer were handed to the system.
     std::function<void(PeerId)> on_drained;
@@ -60,6 +61,7 @@
   struct Link {
     std::unique_ptr<WireConnection> connection;  ///< Null while connecting.
     std::deque<WaitingMessage> waiting;
+    TimePoint connected_at{};
   };
   void wait_for_connection(Link& link, WaitingMessage message);
   /// Ends a connection in which more waits than a peer that reads can leave there.
@@ -69,6 +71,9 @@
   void on_incoming(std::unique_ptr<WireConnection> connection);
   void adopt(PeerId peer, std::unique_ptr<WireConnection> connection);
   void attach(PeerId peer, WireConnection& connection);
+  void use_for_sending(Link& link, std::unique_ptr<WireConnection> connection);
+  void on_hello(PeerId peer, WireConnection* incoming);
+  void give_up(PeerId peer, std::unique_ptr<WireConnection> older);
   void on_closed(PeerId peer, const WireConnection* connection, const std::string& reason);
 
   std::string machine_;
