--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -10,6 +10,9 @@
 
 constexpr Duration kTickInterval = milliseconds(500);
 constexpr Duration kUnansweredLimit = seconds(2);
+/// In one connection. A peer that reads leaves a few messages; the largest, a configuration, is
+/// about 50 KB.
+constexpr std::size_t kQueueLimitBytes = 4U << 20U;
 /// Gateways that each one tells regularly: news reaches all in a few steps.
 constexpr std::size_t kFanOut = 3;
 /// Further gateways, drawn by lot, that hear of a change at once: with all of them the messages
@@ -36,17 +39,13 @@
       listener_(listener),
       links_(own_address_.to_string(), metrics,
              {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
-              [this](PeerId peer) {
-                const auto engine = engine_of_agent_.find(peer);
-                if (engine != engine_of_agent_.end())
-                  listener_.on_engine_agent_lost(engine->second);
-              },
-              [](PeerId) {}}),
+              [this](PeerId peer) { on_agent_lost(peer); }, [](PeerId) {}}),
       catch_up_(peer_id(own_address_)),
       download_(peer_id(own_address_)),
       role_(peer_id(own_address_)),
       random_(static_cast<std::minstd_rand::result_type>(peer_id(own_address_))) {
   links_.set_unanswered_limit(kUnansweredLimit);
+  links_.set_queue_limit(kQueueLimitBytes);
   for (const Address& seed : seeds) note_gateway(seed.to_string(), "");
 }
 
@@ -117,6 +116,22 @@
   agents_ = std::move(agents);
 }
 
+void FleetLinks::on_agent_lost(PeerId peer) {
+  const auto engine = engine_of_agent_.find(peer);
+  if (engine == engine_of_agent_.end()) return;
+  agents_to_tell_again_.insert(peer);
+  listener_.on_engine_agent_lost(engine->second);
+}
+
+void FleetLinks::tell_weights_again(PeerId agent) {
+  for (const NamedWeights& weights : listener_.own_knowledge().weights) {
+    wire::WeightsNamedT message;
+    message.model = weights.model;
+    message.version = weights.version;
+    links_.send(agent, message);
+  }
+}
+
 void FleetLinks::subscribe(const Address& agent) {
   wire::ReportSubscriptionT message;
   message.gateway = own_address_.to_string();
@@ -140,7 +155,10 @@
 }
 
 void FleetLinks::tick() {
-  for (const auto& [peer, agent] : agents_) subscribe(agent);
+  for (const auto& [peer, agent] : agents_) {
+    subscribe(agent);
+    if (agents_to_tell_again_.erase(peer) > 0) tell_weights_again(peer);
+  }
   if (tick_count_++ % kDescriptionTicks == 0) tell_descriptions();
   for (const PeerId peer : regular_gateways()) send_digest(peer);
 }
@@ -228,6 +246,7 @@
     named->model = weights.model;
     named->version = weights.version;
     named->age_ms = static_cast<std::uint32_t>(to_milliseconds(weights.age));
+    named->assumed = weights.assumed;
     message.weights.push_back(std::move(named));
   }
   links_.send(peer, message);
@@ -362,8 +381,8 @@
   }
   if (digest.weights() != nullptr) {
     for (const auto* named : *digest.weights()) {
-      knowledge.weights.push_back(
-          {named->model()->str(), named->version(), milliseconds(named->age_ms())});
+      knowledge.weights.push_back({named->model()->str(), named->version(),
+                                   milliseconds(named->age_ms()), named->assumed()});
     }
   }
   catch_up_.on_heard(peer, knowledge.configuration_version, near(peer), loop_now());
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -58,7 +58,7 @@
   void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
   void on_backend(const BackendRecord& record) override;
   void on_backend_gone(const std::string& id, std::uint64_t revision) override;
-  void on_weights_named(const std::string& model, std::uint64_t version, bool seen_change) override;
+  void on_weights_named(const std::string& model, std::uint64_t version, Duration oldest) override;
   void on_list_reachable(bool reachable) override;
   void on_store_reachable(bool reachable) override;
   // FleetLinksListener
@@ -81,7 +81,6 @@
   GatewayLog& log_;
   Metrics& metrics_;
   Callbacks callbacks_;
-  Duration changeover_;
   BackendPool pool_;
   WeightTargets targets_;
   FleetLinks links_;
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -20,6 +20,8 @@
 /// A stopping agent waits so long for an order to be settled: the next process knows nothing of it,
 /// and would write over what it may still take. A few attempts of half a second each.
 constexpr Duration kSettleAtStop = seconds(2);
+/// In one connection: twice what uploads may leave there. A peer that reads leaves a few chunks.
+constexpr std::size_t kQueueLimitBytes = 8U << 20U;
 constexpr std::uint32_t kLinesPerSecond = 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -51,6 +53,7 @@
         return StatusAnswer{kStatusOk, kMetricsContentType, metrics_.serialize()};
       }) {
   links_.set_unanswered_limit(kUnansweredLimit);
+  links_.set_queue_limit(kQueueLimitBytes);
 }
 
 HostDaemon::~HostDaemon() = default;
--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -1,9 +1,10 @@
 #include "http1/http_fetcher.h"
 
+#include "transport/silence_limits.h"
+
 namespace pumicemast {
 namespace {
 
-constexpr Duration kUnansweredLimit = seconds(2);
 
 std::string encode(const FetchRequest& request, const Address& address) {
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -50,7 +51,7 @@
   result_ = {};
   if (connection_ && !connection_->reusable()) drop_connection();
   if (!connection_) {
-    connection_ = std::make_unique<ClientConnection>(address_, kUnansweredLimit, *this);
+    connection_ = std::make_unique<ClientConnection>(address_, kPromptSilenceLimit, *this);
   }
   limit(request.timeout);
   connection_->send_request(encode(request, address_), request.method == "HEAD", *this);
@@ -59,7 +60,9 @@
 void HttpFetcher::limit(Duration duration) {
   timeout_.start_once(duration, [this] {
     drop_connection();
-    finish({});
+    FetchResult result;
+    result.timed_out = true;
+    finish(std::move(result));
   });
 }
 
