Let the stand-in refuse orders that expect another sequence number

Cause: the stand-in ignored expectedRev, so no test with real processes could tell an order that fits from one that must be refused with 409. Change: seq rises with each order taken; an order whose expectedRev differs is answered 409. Reports, orders and staging can be played in another way.

--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -213,6 +213,7 @@
         self.version = version
         self.staged = {n: piece(version, n) for n in range(CHUNKS)} if version else {}
         self.orders = []
+        self.seq = 0  # Orders taken in this incarnation.
         self.taken = []  # What lay there when an order was taken.
         self.requests = []  # Headers of what it ran.
         self.mode = "whole"
@@ -228,13 +229,9 @@
         url = urlsplit(target)
         query = parse_qs(url.query)
         if url.path == "/report":
-            layers = {"from": 0, "targetVersion": LAYERS, "version": self.version}
-            models = [{"name": self.model, "version": self.version, "adapters": []}]
-            answer(writer, 200, {"models": models if self.version else [],
-                                 "layers": layers if self.version else None, "busy": False,
-                                 "seq": len(self.orders), "queued": 0, "running": 0, "pace": 1.0})
+            await self.answer_report(writer)
         elif url.path.startswith("/stage-put/"):
-            self.staged[int(query["num"][0])] = body
+            self.stage(int(query["num"][0]), body)
             answer(writer, 200)
         elif url.path.startswith("/stage-get/"):
             if "num" not in query:
@@ -243,15 +240,40 @@
                 held = self.staged.get(int(query["num"][0]))
                 answer(writer, 404 if held is None else 200, held or b"")
         elif url.path == "/order":
-            order = json.loads(body)
-            self.orders.append(order)
-            self.taken.append(dict(self.staged))
-            self.version = order["version"]
-            answer(writer, 202)
+            await self.answer_order(writer, json.loads(body))
         else:
             await self.run(writer, method, target, headers)
 
+    def report(self):
+        layers = {"from": 0, "targetVersion": LAYERS, "version": self.version}
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return {"models": models if self.version else [],
+                "layers": layers if self.version else None, "busy": False,
+                "seq": self.seq, "queued": 0, "running": 0, "pace": 1.0}
+
+    def expects_another_seq(self, order):
+        return order.get("expectedRev", self.seq) != self.seq
+
+    def take(self, order):
+        """Takes what lies there; returns the status of the answer."""
+        if self.expects_another_seq(order):
+            return 409
+        self.seq += 1
+        self.orders.append(order)
+        self.taken.append(dict(self.staged))
+        self.version = order["version"]
+        return 202
+
     # What others that play a runner may do in their own way.
+    async def answer_report(self, writer):
+        answer(writer, 200, self.report())
+
+    async def answer_order(self, writer, order):
+        answer(writer, self.take(order))
+
+    def stage(self, number, data):
+        self.staged[number] = data
+
     def on_begun(self, headers):
         """A request begins to run."""
 
