Play late orders, crashes with kept staging, silent connections and bad chunks

Cause: the soak missed that an engine may carry out an order that it never answered: its engines took every order at once, answered each and switched in the middle of answers; none ever ended; nothing compared what an order took with what it named; versions were named one at a time. Change: engines are played as the protocol has it. Orders are taken 0 to 6 s late without an answer, lost or answered late while one version is named after another; engines crash and come back with what was staged; staged chunks turn bad; open connections go silent; all gateways or agents are killed. One module a job.

--- /dev/null
+++ b/tests/soak/soak_engine.py
@@ -0,0 +1,188 @@
+"""Back ends of the soak: they tell the checks what they see, and engines can be troubled.
+
+An engine is played as the protocol has it: an order takes what lies in the one staging place at that
+moment, ends what runs first, and takes nothing new until it serves the new weights.
+"""
+
+import asyncio
+import time
+
+from platform_standin import Runner, answer, piece
+
+CHANGEOVER_S = 0.1  # As `warmS` in the stand-in's configuration.
+LATEST_ORDER_S = 6.0  # An order without an answer was seen to be taken 2 to 6 s later.
+SLOWEST_ANSWER_S = 2.0  # Twice as long as the agent waits for an answer to an order.
+TIMELINE_EVENTS = 400  # Ten versions' chunks and orders.
+
+
+class SoakRunner(Runner):
+    """Puts the request's id into what it answers, and tells the checks when each request begins."""
+
+    def __init__(self, checks, service, *arguments):
+        super().__init__(*arguments)
+        self.checks = checks
+        self.service = service
+        self.draining_since = None
+        self.down = False
+
+    async def start_anew(self):
+        """Another incarnation at the same address."""
+        self.identity += "x"
+
+    async def run(self, writer, method, target, headers):
+        self.checks.on_arrival(self.service, headers.get("x-pumicemast-request-id", ""))
+        await super().run(writer, method, target, headers)
+
+    def on_begun(self, headers):
+        self.checks.on_run(self, headers.get("x-pumicemast-request-id", ""))
+
+    def plain_body(self, headers):
+        return headers.get("x-pumicemast-request-id", "").encode()
+
+    def event(self, headers, number):
+        identity = headers.get("x-pumicemast-request-id", "")
+        return f"id: {number}\ndata: {identity} {number}\n\n".encode()
+
+
+class SoakEngine(SoakRunner):
+    """An engine with weights, one staging place and a sequence of orders."""
+
+    def __init__(self, checks, random, *arguments):
+        super().__init__(checks, "engines", *arguments)
+        self.random = random
+        self.name = self.identity
+        self.life = 1
+        self.running = 0
+        self.busy = False
+        self.wrong_chunks = {}  # Of the weights that it serves: chunk and what is wrong with it.
+        self.turned_bad = {}  # Chunk that turned bad where it lies, and when.
+        self.order_trouble = None
+        self.report_delay = 0.0
+        self.timeline = []
+        self.work = set()  # Orders on their way, and a changeover.
+
+    def note(self, text):
+        self.timeline.append((time.monotonic(), text))
+        del self.timeline[:-TIMELINE_EVENTS]
+
+    def spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.work.add(task)
+        task.add_done_callback(self.work.discard)
+
+    # ---- staging ----
+
+    def stage(self, number, data):
+        super().stage(number, data)
+        self.turned_bad.pop(number, None)
+        versions = [version for version in sorted(self.checks.named_at)
+                    if data == piece(version, number)]
+        self.note(f"chunk {number} written, of version {versions or 'none'}")
+
+    def spoil(self, number):
+        """A chunk turns bad where it lies."""
+        if number in self.staged:
+            self.staged[number] = b"x" + self.staged[number][:-1]
+            self.turned_bad[number] = time.monotonic()
+            self.note(f"chunk {number} turned bad")
+
+    # ---- orders ----
+
+    def take(self, order):
+        if self.expects_another_seq(order) or self.busy:
+            return 409
+        if order["version"] == self.version:
+            return 200
+        self.seq += 1
+        self.orders.append(order)
+        self.busy = True
+        wrong = self.checks.wrong_chunks(order["version"], self.staged, self.turned_bad)
+        self.spawn(self.change_over(order["version"], wrong))
+        return 202
+
+    def take_and_note(self, order, how):
+        status = self.take(order)
+        self.note(f"order to start version {order['version']}, expectedRev "
+                  f"{order.get('expectedRev')}, {how}: {status}, seq {self.seq}")
+        return status
+
+    async def change_over(self, version, wrong):
+        while self.running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(CHANGEOVER_S)
+        self.version, self.wrong_chunks, self.busy = version, wrong, False
+        self.note(f"serves version {version}, wrong chunks {wrong}")
+
+    async def take_later(self, order, delay):
+        await asyncio.sleep(delay)
+        self.take_and_note(order, f"{delay:.2f} s late, not answered")
+
+    async def answer_order(self, writer, order):
+        trouble = self.order_trouble
+        if trouble is None:
+            answer(writer, self.take_and_note(order, "answered"))
+            return
+        if trouble == "answered late":
+            status = self.take_and_note(order, "answered late")
+            await asyncio.sleep(self.random.uniform(0, SLOWEST_ANSWER_S))
+            answer(writer, status)
+            return
+        if trouble == "lost":
+            self.note(f"order to start version {order['version']} lost")
+        else:
+            self.spawn(self.take_later(order, self.random.uniform(0, LATEST_ORDER_S)))
+        await asyncio.Event().wait()  # This connection says nothing further.
+
+    async def answer_report(self, writer):
+        report = self.report()
+        await asyncio.sleep(self.report_delay)
+        answer(writer, 200, report)
+
+    def report(self):
+        return {**super().report(), "busy": self.busy, "running": self.running}
+
+    # ---- requests ----
+
+    async def run(self, writer, method, target, headers):
+        wanted = int(headers.get("x-pumicemast-expect-version", 0))
+        if self.version == 0 or wanted not in (0, self.version):
+            self.refuse(writer, headers, 421)
+        elif self.busy:
+            self.refuse(writer, headers, 503)
+        else:
+            await self.run_counted(writer, method, target, headers)
+
+    def refuse(self, writer, headers, status):
+        self.checks.on_arrival(self.service, headers.get("x-pumicemast-request-id", ""))
+        answer(writer, status, b"", self.head(headers, {"X-Pumicemast-Not-Executed": 1}.items()))
+
+    async def run_counted(self, writer, method, target, headers):
+        life = self.life
+        self.running += 1
+        try:
+            await super().run(writer, method, target, headers)
+        finally:
+            if life == self.life:
+                self.running -= 1
+
+    # ---- lives ----
+
+    async def start_anew(self):
+        await self.crash()
+        await self.come_back()
+
+    async def crash(self):
+        """Ends it with all that was under way; what was staged stays."""
+        self.note("crashed")
+        self.life += 1
+        for task in list(self.work):
+            task.cancel()
+        await self.stop()
+
+    async def come_back(self):
+        """Another incarnation: no layers, no orders taken."""
+        self.identity = f"{self.name}-{self.life}"
+        self.version, self.seq, self.running, self.busy = 0, 0, 0, False
+        self.wrong_chunks = {}
+        await self.start()
+        self.note(f"came back as {self.identity}, chunks staged {sorted(self.staged)}")
--- /dev/null
+++ b/tests/soak/soak_faults.py
@@ -0,0 +1,232 @@
+"""What happens to the fleet: faults, and planned work."""
+
+import asyncio
+import signal
+import time
+
+import silent_sockets
+from soak_checks import DEADLINE_S, DRAIN_BOUND_S
+
+FAULTS = ["store_trouble", "runner_link", "freeze", "kill", "kill_group", "silent_links"]
+ENGINE_FAULTS = ["runner_trouble", "late_orders", "late_orders", "engine_crash", "bad_chunks",
+                 "slow_reports"]
+PLANNED = ["drain", "new_configurations", "new_weights", "weights_in_succession", "planned_stop"]
+
+
+class Faults:
+    """Each is a coroutine that ends what it began. All draws come from the run's one generator."""
+
+    def __init__(self, platform, checks, random):
+        self.platform, self.checks, self.random = platform, checks, random
+        self.tasks = []
+        self.played = {}
+
+    def play(self, name, length):
+        self.played[name] = self.played.get(name, 0) + 1
+        if name in FAULTS:
+            self.checks.disturb(length)
+        elif name in ENGINE_FAULTS:
+            self.checks.disturb_engines(length)
+        task = asyncio.create_task(getattr(self, name)(length))
+        self.tasks.append(task)
+        return task
+
+    def play_any(self):
+        name = self.random.choice(FAULTS + ENGINE_FAULTS + PLANNED)
+        return self.play(name, self.random.uniform(0.3, 3.0))
+
+    def any_runner(self):
+        return self.random.choice(self.platform.plain + self.platform.engines)
+
+    # ---- links and the store ----
+
+    async def link_trouble(self, proxy, length):
+        kind = self.random.choice(["delay", "hold", "up", "down", "reset"])
+        if kind == "delay":
+            proxy.delay = self.random.uniform(0.02, 0.4)
+        elif kind == "hold":
+            proxy.hold("up", "down")
+        elif kind == "reset":
+            proxy.refusing = True
+            proxy.reset()
+        else:
+            proxy.hold(kind)
+        await asyncio.sleep(length)
+        if self.random.random() < 0.5:
+            proxy.reset()
+        proxy.heal()
+
+    async def store_trouble(self, length):
+        store = self.platform.store
+        kind = self.random.choice(["down", "mute", "link", "link"])
+        if kind == "link":
+            await self.link_trouble(self.platform.store_proxy, length)
+            return
+        setattr(store, kind, True)
+        await asyncio.sleep(length)
+        setattr(store, kind, False)
+
+    async def runner_link(self, length):
+        await self.link_trouble(self.random.choice(list(self.platform.proxies.values())), length)
+
+    async def silent_links(self, length):
+        """Open connections say nothing more; what was sent on them may wait for its deadline."""
+        self.checks.disturb(DEADLINE_S)
+        where = self.random.choice(["store", "runner", "internal", "internal"])
+        if where == "store":
+            self.platform.store_proxy.silence()
+        elif where == "runner":
+            self.random.choice(list(self.platform.proxies.values())).silence()
+        else:
+            self.silence_internal()
+
+    def silence_internal(self):
+        """Between a process of the system and all others."""
+        live = [process for group in (self.platform.gateways, self.platform.hosts)
+                for _, process in sorted(group.items()) if process.poll() is None]
+        if not live:
+            return
+        process = self.random.choice(live)
+        others = [other for other in live if other is not process]
+        silenced = silent_sockets.silence(process, others, self.platform.internal)
+        self.played["internal connections silenced"] = \
+            self.played.get("internal connections silenced", 0) + silenced
+
+    # ---- back ends ----
+
+    async def runner_trouble(self, length):
+        runner = self.any_runner()
+        runner.mode = self.random.choice(["shed", "lost", "break"])
+        await asyncio.sleep(length)
+        runner.mode = "whole"
+
+    async def late_orders(self, length):
+        """Orders are taken late, or never, while one version is named after another."""
+        engines = self.random.sample(self.platform.engines, self.random.choice([1, 2, 3]))
+        for engine in engines:
+            engine.order_trouble = self.random.choice(["late", "late", "lost", "answered late"])
+        self.platform.name_weights()
+        for _ in range(self.random.choice([1, 2])):
+            await asyncio.sleep(self.random.uniform(0.5, 3.0))
+            self.platform.name_weights()
+        await asyncio.sleep(length)
+        for engine in engines:
+            engine.order_trouble = None
+
+    async def engine_crash(self, length):
+        """Often while a version is on its way; staged chunks are kept."""
+        engine = self.random.choice(self.platform.engines)
+        if engine.draining_since or engine.down:
+            return
+        engine.down = True
+        if self.random.random() < 0.5:
+            self.platform.name_weights()
+            await asyncio.sleep(self.random.uniform(0, 1.5))
+        self.checks.disturb_engines(length)
+        old = engine.identity
+        await engine.crash()
+        await asyncio.sleep(length / 2)
+        await engine.come_back()
+        self.platform.register(engine, engine.service)
+        self.checks.disturb_engines(0)
+        engine.down = False
+        await asyncio.sleep(self.random.uniform(0, length / 2))
+        self.platform.unregister(old)
+
+    async def bad_chunks(self, length):
+        engine = self.random.choice(self.platform.engines)
+        for _ in range(self.random.choice([1, 3])):
+            engine.spoil(self.random.randrange(len(engine.staged)))
+            await asyncio.sleep(length / 3)
+
+    async def slow_reports(self, length):
+        engine = self.random.choice(self.platform.engines)
+        engine.report_delay = self.random.uniform(0.1, 1.5)
+        await asyncio.sleep(length)
+        engine.report_delay = 0.0
+
+    # ---- processes ----
+
+    def group(self):
+        return self.random.choice([self.platform.gateways, self.platform.hosts])
+
+    def starter(self, group, key, process):
+        start = self.platform.start_gateway if group is self.platform.gateways \
+            else self.platform.start_host
+
+        def start_again():
+            # Two faults may have ended the same process: it is started once.
+            if group[key] is process:
+                start(key)
+        return start_again
+
+    def any_process(self):
+        group = self.group()
+        key = self.random.choice(sorted(group))
+        return group[key], self.starter(group, key, group[key])
+
+    async def freeze(self, length):
+        process, _ = self.any_process()
+        if process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(length)
+            process.send_signal(signal.SIGCONT)
+
+    async def end_process(self, process, start_again, number, length):
+        if process.poll() is not None:
+            return
+        process.send_signal(number)
+        while process.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(length / 4)
+        start_again()
+
+    async def kill(self, length):
+        await self.end_process(*self.any_process(), signal.SIGKILL, length)
+        self.checks.disturb(1.0)
+
+    async def kill_group(self, length):
+        """All gateways or all agents, at once or in turn."""
+        group = self.group()
+        gap = self.random.choice([0.0, 0.0, length / len(group)])
+        ends = []
+        for key in sorted(group):
+            process = group[key]
+            ends.append(asyncio.create_task(self.end_process(
+                process, self.starter(group, key, process), signal.SIGKILL, length)))
+            self.checks.disturb(1.0)
+            await asyncio.sleep(gap)
+        await asyncio.gather(*ends)
+        self.checks.disturb(1.0)
+
+    # ---- planned work ----
+
+    async def planned_stop(self, length):
+        await self.end_process(*self.any_process(), signal.SIGTERM, length)
+
+    async def drain(self, length):
+        runner = self.any_runner()
+        if runner.draining_since or runner.down:
+            return
+        self.platform.register(runner, runner.service, state="draining")
+        runner.draining_since = time.monotonic()
+        await asyncio.sleep(DRAIN_BOUND_S + length)
+        self.platform.unregister(runner.identity)
+        await asyncio.sleep(0.5)
+        await runner.start_anew()
+        runner.draining_since = None
+        self.platform.register(runner, runner.service)
+
+    async def new_configurations(self, length):
+        for _ in range(self.random.choice([1, 1, 20])):
+            self.platform.add_route()
+            await asyncio.sleep(0.08)
+
+    async def new_weights(self, length):
+        self.platform.name_weights()
+        await asyncio.sleep(length)
+
+    async def weights_in_succession(self, length):
+        for _ in range(self.random.choice([2, 3])):
+            self.platform.name_weights()
+            await asyncio.sleep(self.random.uniform(0.5, 5.0))
--- /dev/null
+++ b/tests/soak/soak_fleet.py
@@ -0,0 +1,143 @@
+"""The soak's fleet: three gateways, three agents, the store and all back ends behind proxies."""
+
+import asyncio
+import signal
+import time
+
+import platform_test
+from loopback_proxy import LoopbackProxy
+from platform_standin import Origin, Store
+from soak_checks import DEADLINE_S, RETRY_EXTRA, RETRY_RATIO, START_BOUND_S
+from soak_engine import SoakEngine, SoakRunner
+
+GATEWAYS = ["127.0.0.21", "127.0.0.22", "127.0.0.23"]
+ENGINES = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+
+
+class SoakPlatform(platform_test.Platform):
+    """The processes, and the outside that they meet."""
+
+    def __init__(self, folder, checks, random):
+        super().__init__(folder)
+        self.checks, self.random = checks, random
+        self.version = 1
+        self.routes = []
+        self.gateways = {}
+        self.hosts = {}
+
+    async def start(self):
+        self.store, self.origin = Store(), Origin()
+        self.plain = [SoakRunner(self.checks, "plain", f"p{n}") for n in (1, 2)]
+        self.engines = [SoakEngine(self.checks, self.random, f"e{n}", host, "m", 1)
+                        for n, host in enumerate(ENGINES, 1)]
+        for server in [self.store, self.origin, *self.plain, *self.engines]:
+            await server.start()
+        self.store_proxy = await self.proxy("127.0.0.1", self.store)
+        self.proxies = {runner: await self.proxy(runner.host, runner)
+                        for runner in self.plain + self.engines}
+        self.internal = platform_test.free_port()
+        self.ports = {host: [platform_test.free_port() for _ in range(3)] for host in GATEWAYS}
+        self.configure(self.version)
+        for runner in self.plain + self.engines:
+            self.register(runner, runner.service)
+        self.store.put("versions", "m", {"model": "m", "version": 1})
+        for index in range(len(ENGINES)):
+            self.start_host(index)
+        for host in GATEWAYS:
+            self.start_gateway(host)
+        for host in GATEWAYS:
+            await self.wait(lambda host=host: self.serves(host))
+
+    @staticmethod
+    async def proxy(host, server):
+        proxy = LoopbackProxy(host, server.host, server.port)
+        await proxy.start()
+        return proxy
+
+    def register(self, runner, service, state="ready"):
+        self.store.put("servers", runner.identity, {
+            "service": service, "address": f"{runner.host}:{self.proxies[runner].port}", "zone": "z1",
+            "slots": 4, "state": state, "models": [], "layers": None})
+
+    def unregister(self, identity):
+        if identity in self.store.objects["servers"]:
+            self.store.delete("servers", identity)
+
+    def start_host(self, index):
+        runner = self.engines[index]
+        real, store = runner.port, self.store
+        # The agent takes the engine and the store where the proxies are.
+        runner.port, self.store = self.proxies[runner].port, self.store_proxy
+        self.hosts[index] = self.run_host(index, runner)
+        runner.port, self.store = real, store
+
+    def start_gateway(self, host):
+        callers, ready, metrics = self.ports[host]
+        self.gateways[host] = self.launch(f"gateway-{host}", "pumicemast-gateway", f"""
+[process]
+name=gateway-{host}
+zone=z1
+charts={platform_test.ROOT}/charts
+stop_grace_ms=6000
+[listen]
+callers={host}:{callers}
+ready={host}:{ready}
+metrics={host}:{metrics}
+internal={host}:{self.internal}
+[weights]
+changeover_ms={int(START_BOUND_S * 1000)}
+changeover_margin_ms=500
+[retry]
+ratio={RETRY_RATIO}
+extra={RETRY_EXTRA}
+gateway_count={len(GATEWAYS) + 2}
+[log]
+decisions=failures
+[platform]
+store=127.0.0.1:{self.store_proxy.port}
+""")
+        self.checks.lives[host] = self.checks.lives.get(host, 0) + 1
+
+    def launch(self, name, program, settings, stdout=None):
+        """Later lives of a process add to its log."""
+        output = stdout or open(self.folder / f"{name}.log", "ab")
+        return super().launch(name, program, settings, output)
+
+    async def call_gateway(self, host, method, target, identity, port=0):
+        reader, writer = await asyncio.open_connection(host, self.ports[host][port])
+        fields = {"Host": "api.example", "X-Api-Key": "key", "X-Pumicemast-Request-Id": identity,
+                  "X-Pumicemast-Deadline-Ms": str(int(DEADLINE_S * 1000)), "X-Pumicemast-Model": "m",
+                  "X-Pumicemast-Token-Usage": "100,50", "Content-Length": "0"}
+        lines = [f"{method} {target} HTTP/1.1"] + [f"{n}: {v}" for n, v in fields.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        try:
+            return await self.read_answer(reader, None)
+        finally:
+            writer.close()
+
+    async def serves(self, host):
+        try:
+            ready = await self.call_gateway(host, "GET", "/ready", "r", port=1)
+            chat = await self.call_gateway(host, "POST", "/chat/1", f"warm-up-{time.monotonic()}")
+            return ready.status == 200 and chat.status == 200
+        except (OSError, IndexError):
+            return False
+
+    def add_route(self):
+        self.version += 1
+        self.routes = (self.routes + [self.route(f"/v{self.version}/", "safe", "plain", 1)])[-40:]
+        self.configure(self.version, extra=self.routes)
+
+    def name_weights(self):
+        version = self.origin.newest + 1
+        self.origin.newest = version
+        self.checks.named_at[version] = time.monotonic()
+        self.store.put("versions", "m", {"model": "m", "version": version})
+
+    async def stop(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+        for proxy in [self.store_proxy, *self.proxies.values()]:
+            await proxy.stop()
+        await super().stop()
