--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -6,7 +6,6 @@
 namespace pumicemast {
 namespace {
 
-
 BackendPoolOptions pool_options(const GatewaySettings& settings) {
   BackendPoolOptions options;
   options.zone = settings.zone;
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -43,7 +43,7 @@
   std::uint64_t budget_exhausted = 0;
   std::uint64_t taken_back = 0;
   std::uint64_t begun_late = 0;  ///< First tokens from weights that may start nothing any more.
-  std::uint64_t yielded = 0;  ///< Refused as returning callers, under overload.
+  std::uint64_t yielded = 0;     ///< Refused as returning callers, under overload.
   std::uint64_t finished = 0;
   std::uint64_t refused = 0;
   std::uint64_t aborted = 0;
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -69,14 +69,14 @@
   std::set<std::string> tried;
   std::uint32_t sends = 0;
   std::uint32_t unsent_failures = 0;
+  std::uint32_t taken_back = 0;  ///< Attempts that would have begun on forbidden weights.
   bool may_have_run = false;
   bool answer_begun = false;
   bool stream_begun = false;  ///< The answer begun is an event stream.
+  bool begun_late = false;    ///< It began on weights that no request may begin on any more.
   std::uint64_t answer_version = 0;
   std::uint64_t last_version = 0;
   Duration naming_age = Duration::zero();  ///< Of the newest weights, at the last sending.
-  std::uint32_t taken_back = 0;
-  bool begun_late = false;
   /// Whether another run does no harm.
   bool repeatable() const;
   /// What became of it.
--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -5,7 +5,6 @@
 namespace pumicemast {
 namespace {
 
-
 std::string encode(const FetchRequest& request, const Address& address) {
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
   append_field(text, "Host", address.to_string());
