--- a/tests/transport/peer_links_test.cpp
+++ b/tests/transport/peer_links_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(a_peer_that_does_not_read_is_given_up);
   CPPUNIT_TEST(a_peer_that_connects_anew_is_answered_there);
   CPPUNIT_TEST(two_that_connect_at_once_keep_what_they_said);
+  CPPUNIT_TEST(a_peer_is_answered_on_its_second_connection_once_the_first_ends);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +115,27 @@
     CPPUNIT_ASSERT(first->is_open() && second->is_open());
   }
 
+  // A gateway that had been started anew heard of no engine for 25 s, until its end: its first
+  // connection to an agent went silent within seconds and it connected again. The agent read the
+  // second connection and wrote to the first; when that ended it wrote to none, as it knows no
+  // address of gateways. All three agents told nothing, while they took what the gateway asked.
+  void a_peer_is_answered_on_its_second_connection_once_the_first_ends() {
+    const Address address = free_address();
+    listen(address);
+    auto first = connect(address);
+    auto second = connect(address);
+    std::uint32_t answered = 0;
+    second->start(
+        {[&](const wire::Frame& frame) { answered = frame.body_as_ChunkRequest()->chunk(); },
+         [](const std::string&) {},
+         {}});
+    run_until([&] { return asked_ == 2; });
+    first->close("silent");
+    run_until([&] { return lost_ == 1; });
+    links_.send(kNamedPeer, numbered(7));
+    run_until([&] { return answered == 7; });
+  }
+
  private:
   static constexpr Duration kLongerThanConnecting = milliseconds(3200);
 
