Write to a peer's second connection once the first has ended

Cause: of two connections of a peer one is written to, the other read. When the first ended the link was forgotten with it, and what was to be sent needed an address; agents know none of gateways. The gateway's requests went on to arrive over the second connection, unanswered. Most likely where a connection goes silent within 3 s of a start, before which a newer one does not replace it. Change: when the connection that is written to ends, another open one of the peer takes its place; the peer is told lost all the same, so that what was on its way is asked for again.

--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -1,5 +1,7 @@
 #include "transport/peer_links.h"
 
+#include <algorithm>
+
 #include "common/hash.h"
 
 namespace pumicemast {
@@ -180,7 +182,21 @@
   const auto found = links_.find(peer);
   if (found == links_.end() || found->second.connection.get() != connection) return;
   links_.erase(found);
+  use_second_connection(peer);
   callbacks_.on_lost(peer);
 }
 
+void PeerLinks::use_second_connection(PeerId peer) {
+  // A peer without an address can't be connected to: without its other connection it would be read
+  // and never written to, for good.
+  const auto second = std::find_if(extra_.begin(), extra_.end(), [&](const auto& entry) {
+    const auto named = extra_peers_.find(entry.first);
+    return named != extra_peers_.end() && named->second == peer && entry.second->is_open();
+  });
+  if (second == extra_.end()) return;
+  std::unique_ptr<WireConnection> connection = std::move(second->second);
+  extra_.erase(second);
+  use_for_sending(links_[peer], std::move(connection));
+}
+
 }  // namespace pumicemast
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -74,6 +74,8 @@
   void use_for_sending(Link& link, std::unique_ptr<WireConnection> connection);
   void on_hello(PeerId peer, WireConnection* incoming);
   void give_up(PeerId peer, std::unique_ptr<WireConnection> older);
+  /// What was to be sent goes over another connection of the peer, if there is one.
+  void use_second_connection(PeerId peer);
   void on_closed(PeerId peer, const WireConnection* connection, const std::string& reason);
 
   std::string machine_;
