--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -240,9 +240,19 @@
             if result:
                 return
             if asyncio.get_running_loop().time() > end:
-                raise AssertionError(f"{condition} did not come true in {limit} s")
+                raise AssertionError(
+                    f"{condition} did not come true in {limit} s{self.ended_processes()}")
             await asyncio.sleep(0.05)
 
+    def ended_processes(self):
+        """What processes that ended by themselves said last."""
+        ended = [p for p in self.processes if p.poll() is not None]
+        logs = sorted(self.folder.glob("*.log"))
+        lines = [f"; {len(ended)} of {len(self.processes)} processes ended"]
+        if ended:
+            lines += [f"{log.name}: {log.read_text(errors='replace')[-600:]}" for log in logs]
+        return "\n".join(lines)
+
 
 WHOLE = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 11))
 
