--- /dev/null
+++ b/tests/support/staging_test.h
@@ -0,0 +1,88 @@
+/// A fixture with one agent's staging of a model, before an engine and an origin in memory.
+#pragma once
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+#include "host/model_stager.h"
+#include "support/charts.h"
+#include "support/scripted_engine.h"
+
+namespace pumicemast::tests {
+
+class StagingTest : public CppUnit::TestFixture {
+ public:
+  void setUp() override {
+    settings_ = {};
+    settings_.name = "agent";
+    settings_.internal_address = {"127.0.0.1", 1};
+    prompts_wait_ = false;
+    engine_ = std::make_unique<ScriptedEngine>();
+    origin_ = std::make_unique<ScriptedOrigin>(kChunks);
+    origin_->set_newest(kFirst);
+    metrics_ = std::make_unique<Metrics>();
+    links_ = std::make_unique<PeerLinks>(
+        "agent", *metrics_,
+        PeerLinks::Callbacks{[](PeerId, const wire::Frame&) {}, [](PeerId) {}, [](PeerId) {}});
+    stager_ = std::make_unique<ModelStager>(
+        "m", settings_, charts().staging, *engine_, *origin_, *links_, *metrics_,
+        ModelStager::Callbacks{[] {}, [this] { return prompts_wait_; },
+                               [](const std::string&, const std::string&) {}});
+  }
+
+  void tearDown() override { stager_.reset(); }
+
+ protected:
+  static constexpr ChunkIndex kChunks = 12;
+  /// The version that the origin has from the start.
+  static constexpr std::uint64_t kFirst = 8;
+  static constexpr std::uint64_t kSecond = 9;
+
+  void name_second() {
+    origin_->set_newest(kSecond);
+    stager_->on_named(kSecond);
+  }
+
+  /// One turn of the agent's loop.
+  void step() {
+    g_main_context_iteration(nullptr, FALSE);
+    engine_->deliver();
+    origin_->deliver();
+    stager_->on_load(engine_->report());
+    stager_->on_tick();
+    g_usleep(1000);
+  }
+
+  void run_for(Duration duration) {
+    const TimePoint end = loop_now() + duration;
+    while (loop_now() < end) step();
+  }
+
+  /// @return whether the condition came true, within a generous limit.
+  template <class Condition>
+  bool run_until(Condition condition) {
+    constexpr Duration kGenerous = seconds(20);
+    const TimePoint end = loop_now() + kGenerous;
+    while (!condition() && loop_now() < end) step();
+    return condition();
+  }
+
+  void assert_only_whole_versions_were_taken() const {
+    for (const auto& taken : engine_->taken()) {
+      CPPUNIT_ASSERT_MESSAGE("version " + std::to_string(taken.version) + " was taken in part",
+                             taken.whole(kChunks));
+    }
+  }
+
+  HostSettings settings_;
+  bool prompts_wait_ = false;  ///< Requests that gateways sent have not begun.
+  std::unique_ptr<ScriptedEngine> engine_;
+  std::unique_ptr<ScriptedOrigin> origin_;
+  std::unique_ptr<Metrics> metrics_;
+  std::unique_ptr<PeerLinks> links_;
+  std::unique_ptr<ModelStager> stager_;
+};
+
+}  // namespace pumicemast::tests
