Order again what an earlier agent may have ordered before writing over it

Cause: an agent that is killed while its order to start a version has no answer leaves the engine with an order that may be carried out seconds later. Change: a new agent reads what lies at the engine. Nothing is written before it is known whether a version lies there whole (a process writes over nothing that it has ordered, so only such a version can be ordered). A whole one is ordered again: its answer raises the engine's count of orders, which voids every older order. Ruled out: deciding by chunks that are already the newest version's. Also: reading that fails midway is begun again and no longer taken for an empty engine; two manifests asked for at once are both answered (the second call cut the first off without an answer, and nobody asked for that manifest again).

--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -31,7 +31,7 @@
 
 template <class Visit>
 void ModelStager::for_each_download(Visit visit) {
-  for (const DownloadPointer* download : {&current_, &next_, &previous_}) {
+  for (const DownloadPointer* download : {&current_, &next_, &previous_, &inherited_download_}) {
     if (*download) visit(**download);
   }
 }
@@ -60,8 +60,13 @@
                callbacks_.on_line},
       engine_stager_(model_, chart, engine, metrics,
                      {callbacks_.on_leaving, callbacks_.prompts_wait,
-                      [this](TimePoint now) { return plan_turn(now, now); }, callbacks_.on_line}),
+                      [this](TimePoint now) {
+                        return claim_ == EngineClaim::order_again ? now : plan_turn(now, now);
+                      },
+                      callbacks_.on_line}),
       began_(loop_now()),
+      inventory_(model_, engine),
+      inherited_(began_),
       current_(make_download(0, began_)) {}
 
 ModelStager::DownloadPointer ModelStager::make_download(std::uint64_t version, TimePoint named_at) {
@@ -73,7 +78,8 @@
 }
 
 bool ModelStager::moving() const {
-  return next_ || !current_->complete() || !engine_stager_.serving();
+  return next_ || !current_->complete() || !engine_stager_.serving() ||
+         claim_ != EngineClaim::released;
 }
 
 std::uint64_t ModelStager::newest() const {
@@ -130,12 +136,14 @@
   if (!current_->complete()) return !worth_finishing(now);
   // The next version would be written over what the engine may still take.
   if (engine_stager_.order_pending()) return false;
-  // Both are here: one changeover is enough.
-  return engine_stager_.has_taken() || next_->complete();
+  // Both are here: one changeover is enough, unless an earlier process may have ordered this one.
+  const bool may_be_passed_over = claim_ == EngineClaim::released && next_->complete();
+  return engine_stager_.has_taken() || may_be_passed_over;
 }
 
 void ModelStager::change_over_to_next() {
-  engine_stager_.set_source(nullptr);
+  // A version that is to be taken first stays the engine's source.
+  if (!inherited_download_) engine_stager_.set_source(nullptr);
   if (!current_->complete()) {
     current_->stop_fetching();
     context_.origin.cancel_chunks(model_, current_->version());
@@ -169,36 +177,8 @@
 
 // ---- what the engine already holds ----
 
-void ModelStager::read_engine() {
-  reading_engine_ = true;
-  engine_.list_staged(model_, [this](std::optional<std::vector<ChunkIndex>> chunks) {
-    read_next_staged(chunks.value_or(std::vector<ChunkIndex>{}), 0);
-  });
-}
-
-void ModelStager::read_next_staged(std::vector<ChunkIndex> chunks, std::size_t position) {
-  if (position >= chunks.size()) {
-    reading_engine_ = false;
-    engine_read_ = true;
-    return;
-  }
-  const ChunkIndex chunk = chunks[position];
-  engine_.read_staged(model_, chunk,
-                      [this, chunks = std::move(chunks), chunk,
-                       position](std::optional<std::string> bytes) mutable {
-                        if (bytes) note_found(chunk, std::move(*bytes));
-                        read_next_staged(std::move(chunks), position + 1);
-                      });
-}
-
-void ModelStager::note_found(ChunkIndex chunk, std::string bytes) {
-  const Sha256 hash = sha256(bytes);
-  engine_stager_.note_staged(chunk, hash);
-  found_at_engine_.emplace(hash, std::make_shared<const std::string>(std::move(bytes)));
-}
-
 VersionDownload::KnownBytes ModelStager::all_known_bytes() const {
-  VersionDownload::KnownBytes known = found_at_engine_;
+  VersionDownload::KnownBytes known = inventory_.bytes();
   for (const DownloadPointer* download : {&previous_, &current_}) {
     if (*download) known.merge((*download)->known_bytes());
   }
@@ -207,29 +187,103 @@
 
 void ModelStager::start_transfers(TimePoint now) {
   for_each_download([&](VersionDownload& download) {
-    if (!download.manifest() || download.transferring() || reading_engine_) return;
-    if (!engine_read_ && load_.alive) {
-      read_engine();  // A later tick goes on.
-      return;
-    }
-    // A silent engine may hold chunks; but others may need what this agent would fetch.
-    if (!engine_read_ && now - download.manifest_at() < kEnginePatience) return;
+    if (!download.manifest() || download.transferring()) return;
+    // What lies at the engine need not be fetched. But it may be silent, and others may need what
+    // this agent would fetch.
+    if (!inventory_.complete() && now - download.manifest_at() < kEnginePatience) return;
     download.begin_transfer(all_known_bytes());
   });
 }
 
+std::uint64_t ModelStager::serving_version() const { return load_.busy ? 0 : load_.weight_version; }
+
+void ModelStager::settle_inherited(TimePoint now) {
+  if (claim_ == EngineClaim::released) return;
+  if (claim_ == EngineClaim::order_again) {
+    if (engine_stager_.has_taken()) release_engine();
+    return;
+  }
+  if (!inventory_.complete()) {
+    if (load_.alive) inventory_.read();
+    return;
+  }
+  if (!current_->manifest()) return;
+  inherited_.on_read(inventory_.hashes());
+  inherited_.on_manifest(*current_->manifest());
+  seek_earlier_manifests(now);
+  const auto verdict = inherited_.decide(current_->version(), serving_version(), now);
+  if (verdict.kind == InheritedStagingVerdict::Kind::undecided) return;
+  for (ChunkIndex place = 0; place < inventory_.hashes().size(); ++place) {
+    const auto& hash = inventory_.hashes()[place];
+    if (hash) engine_stager_.note_staged(place, *hash);
+  }
+  if (verdict.kind == InheritedStagingVerdict::Kind::order_again) {
+    order_again(verdict.version);
+  } else {
+    release_engine();
+  }
+}
+
+void ModelStager::seek_earlier_manifests(TimePoint now) {
+  for (const std::uint64_t version :
+       inherited_.wanted_manifests(current_->version(), serving_version())) {
+    auto& seeker = earlier_manifests_[version];
+    if (seeker) continue;
+    seeker = std::make_unique<ManifestSeeker>(
+        model_, self_, context_.origin, context_.links,
+        [this](const WeightManifest& manifest, const char*) { note_earlier_manifest(manifest); });
+    seeker->set_peers(agents_);
+    seeker->begin(version, now);
+  }
+  for (const auto& [version, seeker] : earlier_manifests_) seeker->on_tick(now);
+}
+
+void ModelStager::note_earlier_manifest(const WeightManifest& manifest) {
+  const auto sought = earlier_manifests_.find(manifest.version);
+  if (sought == earlier_manifests_.end()) return;
+  sought->second->stop();
+  earlier_versions_[manifest.version] = manifest;
+  inherited_.on_manifest(manifest);
+}
+
+void ModelStager::order_again(std::uint64_t version) {
+  claim_ = EngineClaim::order_again;
+  callbacks_.on_line("staging", "staging model=" + model_ +
+                                    " event=inherited version=" + std::to_string(version) +
+                                    " serving=" + std::to_string(serving_version()));
+  if (version == current_->version()) return;
+  inherited_download_ = make_download(version, loop_now());
+  inherited_download_->take_manifest(earlier_versions_.at(version), "inherited");
+  inherited_download_->begin_transfer(inventory_.bytes());
+}
+
+void ModelStager::release_engine() {
+  claim_ = EngineClaim::released;
+  // Nobody needs what the question took any more.
+  earlier_manifests_.clear();
+  earlier_versions_.clear();
+  engine_stager_.set_source(engine_source());
+  inherited_download_.reset();
+}
+
+const VersionDownload* ModelStager::engine_source() const {
+  if (claim_ == EngineClaim::undecided) return nullptr;
+  const bool earlier_first = claim_ == EngineClaim::order_again && inherited_download_;
+  const VersionDownload* source = earlier_first ? inherited_download_.get() : current_.get();
+  return source->transferring() ? source : nullptr;
+}
+
 // ---- time and load ----
 
 void ModelStager::on_tick() {
   const TimePoint now = loop_now();
+  settle_inherited(now);
   begin_next(now);
   if (next_ && current_is_done_with(now)) change_over_to_next();
   start_transfers(now);
-  if (current_->transferring()) {
-    // Nobody needs the copies of what was found any more.
-    found_at_engine_.clear();
-    engine_stager_.set_source(current_.get());
-  }
+  const bool copies_needed = claim_ == EngineClaim::undecided || !current_->transferring();
+  if (!copies_needed) inventory_.drop_bytes();
+  engine_stager_.set_source(engine_source());
   for_each_download([&](VersionDownload& download) {
     const auto rank = static_cast<std::uint32_t>(turn_rank(self_, agents_, download.version()));
     // An engine that serves nothing goes first.
@@ -286,6 +340,7 @@
   for_each_download([&](VersionDownload& download) {
     download.take_manifest(ManifestSeeker::decode(document), "peer");
   });
+  note_earlier_manifest(ManifestSeeker::decode(document));
 }
 
 void ModelStager::on_frame(PeerId peer, const wire::Frame& frame) {
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "host/engine_stager.h"
+#include "host/inherited_staging.h"
+#include "host/staged_inventory.h"
 #include "host/version_download.h"
 
 namespace pumicemast {
@@ -69,10 +71,20 @@
   /// That the current version needs on one link.
   Duration copy_time() const;
   void start_transfers(TimePoint now);
-  void read_engine();
-  void read_next_staged(std::vector<ChunkIndex> chunks, std::size_t position);
-  void note_found(ChunkIndex chunk, std::string bytes);
   VersionDownload::KnownBytes all_known_bytes() const;
+  /// Finds out whether an earlier process may have ordered what lies at the engine, and has it
+  /// ordered again before anything is written.
+  void settle_inherited(TimePoint now);
+  void seek_earlier_manifests(TimePoint now);
+  void note_earlier_manifest(const WeightManifest& manifest);
+  /// The version that the engine serves and is not about to leave; 0 for none.
+  std::uint64_t serving_version() const;
+  /// `version`, which lies at the engine whole, is ordered first.
+  void order_again(std::uint64_t version);
+  /// What lies at the engine may be written over.
+  void release_engine();
+  /// The version that is brought to the engine now; null while nothing may be written.
+  const VersionDownload* engine_source() const;
   /// When the engine may leave service, if all of the version is ready at `ready_at`.
   TimePoint plan_turn(TimePoint ready_at, TimePoint now);
   void on_manifest_request(PeerId peer, const wire::ManifestRequest& request);
@@ -91,10 +103,19 @@
   TimePoint began_{};
   std::set<StagingPeer> peers_;
   std::vector<PeerId> agents_;  ///< Ids of `peers_`.
-  /// What lay at the engine when this process began.
-  VersionDownload::KnownBytes found_at_engine_;
-  bool engine_read_ = false;
-  bool reading_engine_ = false;
+  /// What lay at the engine when this process began, and what may be pending there since before.
+  StagedInventory inventory_;
+  InheritedStaging inherited_;
+  std::map<std::uint64_t, std::unique_ptr<ManifestSeeker>> earlier_manifests_;
+  std::map<std::uint64_t, WeightManifest> earlier_versions_;
+  enum class EngineClaim {
+    undecided,    ///< Nothing may be written.
+    order_again,  ///< A version that lies there whole is to be taken first.
+    released      ///< Nothing is pending but this process's own orders.
+  };
+  EngineClaim claim_ = EngineClaim::undecided;
+  /// The version to be taken first, where it is not the current one.
+  DownloadPointer inherited_download_;
   DownloadPointer previous_;  ///< Others may still want it.
   DownloadPointer current_;   ///< Brought to the engine; never null.
   DownloadPointer next_;      ///< Begun when the current one is complete.
--- a/tests/platform/origin_client_test.cpp
+++ b/tests/platform/origin_client_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(OriginClientTest);
   CPPUNIT_TEST(chunks_of_another_version_survive_a_cancellation);
   CPPUNIT_TEST(waiting_chunks_of_a_cancelled_version_are_not_asked_for);
+  CPPUNIT_TEST(manifests_asked_for_at_once_are_all_answered);
   CPPUNIT_TEST_SUITE_END();
 
   ScriptedServer server_;
@@ -60,6 +61,26 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, arrived_.size());
   }
+
+  /// A version named while the manifest of the one before was on its way cut that call off without
+  /// an answer: nobody asked for that manifest again.
+  void manifests_asked_for_at_once_are_all_answered() {
+    std::vector<std::uint64_t> answered;
+    for (const std::uint64_t version : {2, 3}) {
+      origin_.fetch_manifest("m", version, [&answered, version](std::optional<WeightManifest>) {
+        answered.push_back(version);
+      });
+    }
+    for (const char* target : {"/manifest/m?version=2", "/manifest/m?version=3"}) {
+      run_until([&] { return server_.try_accept(); });
+      run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+      CPPUNIT_ASSERT_EQUAL(std::string(target), server_.take_request_target());
+      server_.say("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+      server_.end();
+    }
+    run_until([&] { return answered.size() == 2; });
+    CPPUNIT_ASSERT((answered == std::vector<std::uint64_t>{2, 3}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginClientTest);
