Leave out entries that can't be used, each alone; know an engine's start by its own word

Cause: other writers may put anything into the list of runners, and a runner may start again under its id. A page that ended in an item without a name was read from the beginning for ever; one byte that is no UTF-8 cost the whole page; an entry with an unknown state, another type of number or no service was used as far as it could be read. Change: such an entry names no runner, is told once and costs itself alone. The start that a runner tells (Unix milliseconds) is read from entries and reports: orders without an answer are void once it differs; the count of orders alone may be the same again.

--- a/src/host/start_orders.h
+++ b/src/host/start_orders.h
@@ -38,9 +38,18 @@
     }
   }
   /// The engine answered, and counts `sequence` orders since it was started.
+  /// @param started_at_ms  when that was, by its own clock; 0 when it does not say.
   /// @return whether this settled an order without an answer.
-  bool on_report(std::uint64_t sequence) {
+  bool on_report(std::uint64_t sequence, std::int64_t started_at_ms = 0) {
+    const bool another_start = started_at_ms_ != 0 && started_at_ms != started_at_ms_;
+    started_at_ms_ = started_at_ms;
     if (unanswered_.empty()) return false;
+    if (another_start) {
+      // Its count may be the same again, but what was on its way ended with its connections.
+      unanswered_.clear();
+      carried_out_ = false;
+      return true;
+    }
     // A higher count: one was carried out. A lower one: the engine was started anew, and its
     // connections ended with it. An order that states what the engine counts may still come.
     const bool begun = sequence > 0 && unanswered_.contains(sequence - 1);
@@ -83,6 +92,7 @@
   }
 
   std::uint64_t stated_ = 0;
+  std::int64_t started_at_ms_ = 0;
   bool under_way_ = false;
   /// The counts that orders without an answer stated.
   std::set<std::uint64_t> unanswered_;
--- a/tests/host/start_orders_test.cpp
+++ b/tests/host/start_orders_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(a_declined_order_settles_no_earlier_one);
   CPPUNIT_TEST(the_count_of_the_engine_settles_an_order);
   CPPUNIT_TEST(an_engine_started_anew_has_taken_nothing);
+  CPPUNIT_TEST(an_engine_started_anew_is_known_by_its_start);
   CPPUNIT_TEST(an_order_with_an_old_count_is_known_as_overtaken);
   CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,20 @@
     CPPUNIT_ASSERT(!orders.carried_out());
   }
 
+  /// It was started anew between two reports, and another order brought it to the same count.
+  void an_engine_started_anew_is_known_by_its_start() {
+    StartOrders orders;
+    orders.on_report(1, 1000);
+    orders.on_sent(1);
+    orders.on_outcome(StartOutcome::unknown);
+    CPPUNIT_ASSERT(!orders.on_report(1, 1000));
+    CPPUNIT_ASSERT(orders.pending());
+    // Its clock may have been set back.
+    CPPUNIT_ASSERT(orders.on_report(1, 900));
+    CPPUNIT_ASSERT(!orders.pending());
+    CPPUNIT_ASSERT(!orders.carried_out());
+  }
+
   void an_order_with_an_old_count_is_known_as_overtaken() {
     StartOrders orders;
     orders.on_sent(4);
--- /dev/null
+++ b/tests/platform/store_list_test.cpp
@@ -0,0 +1,67 @@
+#include "platform/store_list.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/scripted_server.h"
+
+namespace pumicemast::platform {
+
+using tests::run_until;
+using tests::ScriptedServer;
+
+/// A page that ended in an item without a name was asked for from the beginning again, for ever.
+/// Real sockets; every wait is for a condition.
+class StoreListTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreListTest);
+  CPPUNIT_TEST(a_nameless_item_at_the_end_of_a_page_costs_itself_alone);
+  CPPUNIT_TEST(a_page_without_any_name_ends_the_reading);
+  CPPUNIT_TEST_SUITE_END();
+
+  ScriptedServer server_;
+  HttpFetcher fetcher_{server_.address()};
+  StoreList list_{fetcher_, "servers", seconds(2)};
+  bool answered_ = false;
+  std::optional<StoreListing> listing_;
+
+  void read() {
+    list_.read(false, [this](std::optional<StoreListing> listing) {
+      answered_ = true;
+      listing_ = std::move(listing);
+    });
+  }
+  std::string next_target() {
+    run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    return server_.take_request_target();
+  }
+  void answer(const std::string& body) {
+    server_.say("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+ public:
+  void a_nameless_item_at_the_end_of_a_page_costs_itself_alone() {
+    read();
+    run_until([&] { return server_.try_accept(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("/objects/servers"), next_target());
+    answer(R"({"items":[{"metadata":{"name":"a"},"spec":{}},{"spec":{}}],"more":true,"at":9})");
+    CPPUNIT_ASSERT_EQUAL(std::string("/objects/servers?afterRev=a"), next_target());
+    answer(R"({"items":[7,{"metadata":{"name":"b"},"spec":{}}],"more":false,"at":9})");
+    run_until([&] { return answered_; });
+    CPPUNIT_ASSERT(listing_.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, listing_->objects.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), listing_->objects[1].name);
+  }
+
+  void a_page_without_any_name_ends_the_reading() {
+    read();
+    run_until([&] { return server_.try_accept(); });
+    next_target();
+    answer(R"({"items":[{"spec":{}},null],"more":true,"at":9})");
+    run_until([&] { return answered_; });
+    CPPUNIT_ASSERT(!listing_.has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreListTest);
+
+}  // namespace pumicemast::platform
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(refuses_what_is_no_configuration);
   CPPUNIT_TEST(a_runner_serves_only_what_it_holds_whole);
   CPPUNIT_TEST(bad_documents_do_no_harm);
+  CPPUNIT_TEST(a_malformed_entry_names_no_runner);
+  CPPUNIT_TEST(unreadable_bytes_cost_no_more_than_what_they_are_in);
   CPPUNIT_TEST(values_of_other_types_do_no_harm);
   CPPUNIT_TEST_SUITE_END();
 
@@ -206,6 +208,52 @@
     CPPUNIT_ASSERT(!read_runner("i", json{{"address", "nowhere"}}, 0).has_value());
   }
 
+  /// Somebody else may write into the list of runners, too.
+  void a_malformed_entry_names_no_runner() {
+    const json good = {{"service", "s"},       {"address", "10.0.0.1:80"}, {"zone", "z"},
+                       {"slots", 8},           {"state", "ready"},         {"seq", 3},
+                       {"born", 1796000000000}};
+    const auto record = read_runner("i", good, 16);
+    CPPUNIT_ASSERT(record.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1796000000000}, record->started_at_ms);
+    CPPUNIT_ASSERT(!read_runner("", good, 16).has_value());
+    for (const char* key : {"service", "address", "zone", "slots", "state"}) {
+      json lacking = good;
+      lacking.erase(key);
+      CPPUNIT_ASSERT_MESSAGE(key, !read_runner("i", lacking, 16).has_value());
+      for (const json& bad : {json(), json(""), json(-1), json(0.5), json(true), json::array()}) {
+        json changed = good;
+        changed[key] = bad;
+        CPPUNIT_ASSERT_MESSAGE(key + bad.dump(), !read_runner("i", changed, 16).has_value());
+      }
+    }
+    for (const json& bad : {json("1796000000000"), json(0.5), json()}) {
+      json changed = good;
+      changed["born"] = bad;
+      CPPUNIT_ASSERT_MESSAGE(bad.dump(), !read_runner("i", changed, 16).has_value());
+    }
+    json unknown_state = good;
+    unknown_state["state"] = "resting";
+    CPPUNIT_ASSERT(!read_runner("i", unknown_state, 16).has_value());
+    json without_born = good;
+    without_born.erase("born");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, read_runner("i", without_born, 16)->started_at_ms);
+  }
+
+  /// One entry held a byte that is no UTF-8: the whole page was given up, with all runners in it.
+  void unreadable_bytes_cost_no_more_than_what_they_are_in() {
+    FetchResult result;
+    result.status = 200;
+    result.body =
+        "{\"items\":[{\"metadata\":{\"name\":\"a\"},\"spec\":\"\xff\xfe\x01\"},"
+        "{\"metadata\":{\"name\":\"b\"},\"spec\":{\"slots\":8}}]}";
+    const json body = parse_body(result);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list_of(body, "items").size());
+    CPPUNIT_ASSERT_EQUAL(8, body["items"][1]["spec"]["slots"].get<int>());
+    result.body = "{\"items\":[";
+    CPPUNIT_ASSERT(!parse_body(result).is_object());
+  }
+
  private:
   static std::string response(const std::string& status, const std::string& fields) {
     return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 0\r\n\r\n";
