Spread manifests by a few copies each; play an origin that is away on virtual time

Hypothesis: owners of regions and those who take over draw the same chunks again and again. Kept: a manifest goes from each agent to six others in place of from each that had it from the origin to all (3 KB to 298 took a second of its uplink); agents ask the origin for it one after the other (40 ms apart) and with a growing pause after failures; refused chunks are asked for again after 0.15 to 0.9 s in place of 0.3 s sharp. Their gain at the large size is not measured apart from the rest. Test: OriginOutageTest; the tuning of the swarm moved to host/download_tuning, which it uses.

--- /dev/null
+++ b/src/host/download_tuning.cpp
@@ -0,0 +1,61 @@
+#include "host/download_tuning.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+
+namespace pumicemast {
+namespace {
+
+constexpr Duration kAnnounceInterval = milliseconds(15);
+constexpr Duration kLagCheckInterval = milliseconds(100);
+/// An agent that is behind with its chunks, as after a restart, has more than one on the way.
+constexpr std::uint32_t kWidestOriginWindow = 2;
+/// Share of the origin's connections that chunks may take; manifests need some too.
+constexpr double kOriginConnectionShare = 0.9;
+constexpr Duration kOriginProbeInterval = milliseconds(500);
+constexpr Duration kSourcePause = milliseconds(200);
+/// After a refusal or a failure the origin is asked again after about so long: its connections are
+/// few, and who asks for one that there is not takes from its link too.
+constexpr Duration kOriginRetry = milliseconds(300);
+/// Not more: once the origin is back, the last of its chunks' owners to notice sets the pace.
+constexpr std::uint32_t kMostRetryDoublings = 1;
+
+std::uint32_t origin_window(std::uint32_t connections, std::size_t agents) {
+  const double share =
+      connections * kOriginConnectionShare / static_cast<double>(std::max<std::size_t>(1, agents));
+  return std::clamp(static_cast<std::uint32_t>(share), 1U, kWidestOriginWindow);
+}
+
+}  // namespace
+
+SwarmOptions download_options(PeerId self, std::uint64_t version, std::size_t agents,
+                              std::uint32_t origin_connections) {
+  SwarmOptions options;
+  options.self = self;
+  options.seed = stable_hash(self, version);
+  options.window = kChunkWindow;
+  options.upload_slots = kUploadSlots;
+  options.origin_window = origin_window(origin_connections, agents);
+  options.origin_probe_interval = kOriginProbeInterval;
+  options.source_pause = kSourcePause;
+  options.announce_interval = kAnnounceInterval;
+  options.initial_request_timeout = seconds(2);
+  // On a narrowed link what was asked for again elsewhere would come twice.
+  options.minimum_request_timeout = milliseconds(1500);
+  options.maximum_request_timeout = seconds(4);
+  options.origin_timeout = seconds(3);
+  options.takeover_interval = milliseconds(700);
+  options.lag_check_interval = kLagCheckInterval;
+  return options;
+}
+
+Duration origin_pause(PeerId self, std::uint32_t failures) {
+  const std::uint32_t doublings = std::min(failures > 0 ? failures - 1 : 0, kMostRetryDoublings);
+  const Duration pause = kOriginRetry * (1 << doublings);
+  const std::uint64_t own = stable_hash(self, std::uint64_t{failures});
+  const auto spread = static_cast<std::uint64_t>(pause.count());
+  return pause / 2 + Duration(static_cast<Duration::rep>(own % spread));
+}
+
+}  // namespace pumicemast
--- a/src/host/manifest_seeker.cpp
+++ b/src/host/manifest_seeker.cpp
@@ -8,8 +8,14 @@
 namespace {
 
 constexpr Duration kAskInterval = milliseconds(150);
-/// Most agents wait so long for a few that ask the origin.
+/// Most agents wait so long for a few that ask the origin, and one after the other from then on:
+/// all at once, 298 manifests took as long on its link as the weights.
 constexpr Duration kPatience = milliseconds(250);
+constexpr Duration kPatiencePerAgent = milliseconds(40);
+constexpr Duration kLongestPatience = seconds(3);
+/// After the origin failed it is asked again after so long; doubled with each failure in a row.
+constexpr Duration kFirstOriginPause = milliseconds(300);
+constexpr std::uint32_t kMostDoublings = 3;
 constexpr std::size_t kFirstAtOrigin = 2;
 constexpr std::size_t kPeersAsked = 2;
 constexpr std::size_t kHashBytes = sizeof(Sha256);
@@ -29,7 +35,8 @@
   ++generation_;
   seeking_ = true;
   origin_asked_ = false;
-  begun_ = now;
+  origin_failures_ = 0;
+  next_origin_ask_ = now + patience();
   next_ask_ = now;
   on_tick(now);
 }
@@ -38,8 +45,7 @@
   if (!seeking_ || now < next_ask_) return;
   next_ask_ = now + kAskInterval;
   ask_peers(now);
-  const bool patient = now - begun_ < kPatience && !asks_origin_first();
-  if (!patient && !origin_asked_) ask_origin();
+  if (now >= next_origin_ask_ && !origin_asked_) ask_origin();
 }
 
 void ManifestSeeker::ask_peers(TimePoint now) {
@@ -57,12 +63,13 @@
   }
 }
 
-bool ManifestSeeker::asks_origin_first() const {
+Duration ManifestSeeker::patience() const {
   const std::uint64_t own = stable_hash(self_, version_);
   const auto before = std::count_if(peers_.begin(), peers_.end(), [&](PeerId peer) {
     return peer != self_ && stable_hash(peer, version_) < own;
   });
-  return static_cast<std::size_t>(before) < kFirstAtOrigin;
+  if (static_cast<std::size_t>(before) < kFirstAtOrigin) return Duration::zero();
+  return std::min(kLongestPatience, kPatience + kPatiencePerAgent * before);
 }
 
 void ManifestSeeker::ask_origin() {
@@ -72,7 +79,13 @@
                           generation = generation_](std::optional<WeightManifest> manifest) {
     if (alive.expired() || generation != generation_) return;
     origin_asked_ = false;
-    if (manifest && seeking_) on_found_(std::move(*manifest), "origin");
+    if (manifest) {
+      if (seeking_) on_found_(std::move(*manifest), "origin");
+      return;
+    }
+    next_origin_ask_ =
+        loop_now() + kFirstOriginPause * (1 << std::min(origin_failures_, kMostDoublings));
+    ++origin_failures_;
   };
   origin_.fetch_manifest(model_, version_, on_answer);
 }
--- a/src/host/manifest_seeker.h
+++ b/src/host/manifest_seeker.h
@@ -1,7 +1,7 @@
 /// Finds out what the wanted version of a model consists of.
 ///
 /// Manifests come from other agents where they have them, so that the origin's narrow link
-/// sends few copies: two agents ask it at once, the others after a moment in vain.
+/// sends few copies: two agents ask it at once, the others one by one after a moment in vain.
 #pragma once
 
 #include <functional>
@@ -35,7 +35,8 @@
  private:
   void ask_peers(TimePoint now);
   void ask_origin();
-  bool asks_origin_first() const;
+  /// How long this agent waits for others before it asks the origin.
+  Duration patience() const;
 
   std::string model_;
   PeerId self_;
@@ -47,7 +48,8 @@
   std::uint64_t generation_ = 0;  ///< Answers to what was asked before are dropped.
   bool seeking_ = false;
   bool origin_asked_ = false;
-  TimePoint begun_{};
+  std::uint32_t origin_failures_ = 0;  ///< In a row.
+  TimePoint next_origin_ask_{};
   TimePoint next_ask_{};
   /// Answers of the origin that come after this object are dropped.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -4,6 +4,7 @@
 
 #include "common/event_loop.h"
 #include "common/hash.h"
+#include "host/download_tuning.h"
 #include "host/start_turns.h"
 
 namespace pumicemast {
@@ -23,9 +24,6 @@
 constexpr double kHopelessShare = 0.86;
 /// With so much of a version here the next one begins: links fall idle one by one.
 constexpr double kNearlyCompleteShare = 0.75;
-/// Chunks that may be asked for, and on their way to others, at once.
-constexpr std::uint32_t kChunkWindow = 10;
-constexpr std::uint32_t kUploadSlots = 6;
 
 }  // namespace
 
--- a/src/host/version_download.cpp
+++ b/src/host/version_download.cpp
@@ -4,52 +4,20 @@
 
 #include "common/event_loop.h"
 #include "common/hash.h"
+#include "host/download_tuning.h"
 #include "host/start_turns.h"
 
 namespace pumicemast {
 namespace {
 
-constexpr Duration kAnnounceInterval = milliseconds(15);
-constexpr Duration kLagCheckInterval = milliseconds(100);
-/// An agent that is behind with its chunks, as after a restart, has more than one on the way.
-constexpr std::uint32_t kWidestOriginWindow = 2;
-/// Share of the origin's connections that chunks may take; manifests need some too.
-constexpr double kOriginConnectionShare = 0.9;
-constexpr Duration kOriginProbeInterval = milliseconds(500);
-constexpr Duration kSourcePause = milliseconds(200);
-constexpr Duration kOriginRetry = milliseconds(300);
+/// Each agent passes a manifest on to so many others: together they tell nearly all of any number,
+/// and the rest ask. To all others one agent alone would send for a second.
+constexpr std::size_t kManifestFanOut = 6;
 /// Neighbours have told what they hold so long after a connection was begun.
 constexpr Duration kLateDrawDelay = milliseconds(80);
 /// With less of a version here, when it will be complete is a guess.
 constexpr double kForeseeableShare = 0.4;
 
-std::uint32_t origin_window(std::uint32_t connections, std::size_t agents) {
-  const double share =
-      connections * kOriginConnectionShare / static_cast<double>(std::max<std::size_t>(1, agents));
-  return std::clamp(static_cast<std::uint32_t>(share), 1U, kWidestOriginWindow);
-}
-
-SwarmOptions swarm_options(PeerId self, std::uint64_t version, std::size_t agents,
-                           const DownloadContext& context) {
-  SwarmOptions options;
-  options.self = self;
-  options.seed = stable_hash(self, version);
-  options.window = context.download_gauge.window(Duration::zero());
-  options.upload_slots = context.upload_gauge.window(Duration::zero());
-  options.origin_window = origin_window(context.origin.connection_limit(), agents);
-  options.origin_probe_interval = kOriginProbeInterval;
-  options.source_pause = kSourcePause;
-  options.announce_interval = kAnnounceInterval;
-  options.initial_request_timeout = seconds(2);
-  // On a narrowed link what was asked for again elsewhere would come twice.
-  options.minimum_request_timeout = milliseconds(1500);
-  options.maximum_request_timeout = seconds(4);
-  options.origin_timeout = seconds(3);
-  options.takeover_interval = milliseconds(700);
-  options.lag_check_interval = kLagCheckInterval;
-  return options;
-}
-
 }  // namespace
 
 PeerId staging_peer_id(const Address& address) { return stable_hash(address.to_string()); }
@@ -108,11 +76,20 @@
   context_.on_line("manifest", "manifest model=" + model_ + " version=" + std::to_string(version_) +
                                    " chunks=" + std::to_string(chunks_.size()) +
                                    " source=" + source);
-  if (std::string_view(source) != "origin") return;
+  pass_manifest_on();
+}
+
+void VersionDownload::pass_manifest_on() {
+  std::vector<PeerId> others;
   for (const StagingPeer& peer : peers_) {
     const PeerId id = staging_peer_id(peer.address);
-    if (id != self_) on_manifest_request(id);
+    if (id != self_) others.push_back(id);
   }
+  std::sort(others.begin(), others.end(), [this](PeerId left, PeerId right) {
+    return stable_hash(self_ ^ left, version_) < stable_hash(self_ ^ right, version_);
+  });
+  others.resize(std::min(others.size(), kManifestFanOut));
+  for (const PeerId other : others) on_manifest_request(other);
 }
 
 // ---- the swarm ----
@@ -131,7 +108,10 @@
                                    " of=" + std::to_string(chunks_.size()) +
                                    " peers=" + std::to_string(peers_.size()));
   transfer_begun_ = loop_now();
-  SwarmOptions options = swarm_options(self_, version_, peers_.size(), context_);
+  SwarmOptions options =
+      download_options(self_, version_, peers_.size(), context_.origin.connection_limit());
+  options.window = context_.download_gauge.window(Duration::zero());
+  options.upload_slots = context_.upload_gauge.window(Duration::zero());
   if (joins_late_) options.draw_delay = kLateDrawDelay;
   swarm_ = std::make_unique<Swarm>(options, std::move(have));
   SwarmActions actions;
@@ -212,20 +192,22 @@
 void VersionDownload::act(const RequestFromOrigin& action) {
   const ChunkIndex chunk = action.chunk;
   const std::weak_ptr<bool> alive = alive_;
-  context_.origin.fetch_chunk(model_, version_, chunk,
-                              [this, alive, chunk](std::optional<std::string> bytes) {
-                                if (alive.expired()) return;
-                                if (bytes) {
-                                  context_.metrics.count("pumicemast_host_origin_bytes_total", {},
-                                                         static_cast<double>(bytes->size()));
-                                  take_in(std::nullopt, chunk, std::move(*bytes));
-                                  return;
-                                }
-                                context_.metrics.count("pumicemast_host_origin_failures_total");
-                                SwarmActions actions;
-                                swarm_->on_origin_failed(chunk, kOriginRetry, loop_now(), actions);
-                                carry_out(actions);
-                              });
+  context_.origin.fetch_chunk(
+      model_, version_, chunk, [this, alive, chunk](std::optional<std::string> bytes) {
+        if (alive.expired()) return;
+        if (bytes) {
+          origin_failures_ = 0;
+          context_.metrics.count("pumicemast_host_origin_bytes_total", {},
+                                 static_cast<double>(bytes->size()));
+          take_in(std::nullopt, chunk, std::move(*bytes));
+          return;
+        }
+        context_.metrics.count("pumicemast_host_origin_failures_total");
+        SwarmActions actions;
+        swarm_->on_origin_failed(chunk, origin_pause(self_, ++origin_failures_), loop_now(),
+                                 actions);
+        carry_out(actions);
+      });
 }
 
 void VersionDownload::act(const SendChunk& action) {
--- a/src/host/version_download.h
+++ b/src/host/version_download.h
@@ -98,6 +98,7 @@
 
  private:
   std::string key() const;
+  void pass_manifest_on();
   void apply_membership();
   void on_join(PeerId peer, const wire::SwarmJoin& join);
   void on_chunk_data(PeerId peer, const wire::ChunkData& data);
@@ -134,6 +135,7 @@
   std::unique_ptr<Swarm> swarm_;
   TimePoint transfer_begun_{};
   std::map<PeerId, std::vector<std::uint8_t>> early_joins_;
+  std::uint32_t origin_failures_ = 0;  ///< In a row.
   std::uint32_t urgency_ = 0;
   std::uint32_t sharers_ = 1;
   ChunkUploads uploads_;
--- /dev/null
+++ b/tests/support/origin_outage_world.cpp
@@ -0,0 +1,277 @@
+#include "support/origin_outage_world.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+#include "host/download_tuning.h"
+
+namespace pumicemast::tests {
+namespace {
+
+constexpr Duration kStep = milliseconds(5);
+constexpr Duration kTick = milliseconds(20);
+constexpr Duration kDelay = milliseconds(3);
+/// Connections to machines that are gone are reset after this.
+constexpr Duration kLossNoticed = milliseconds(100);
+/// Agents hear of who came and went so often.
+constexpr Duration kListInterval = milliseconds(1600);
+/// An agent gives a call to the origin up after this.
+constexpr Duration kOriginCallLimit = milliseconds(2500);
+constexpr std::uint64_t kVersion = 2;
+
+}  // namespace
+
+OriginOutageWorld::OriginOutageWorld(const OriginOutageSettings& settings)
+    : settings_(settings), random_(settings.seed) {
+  for (std::uint32_t index = 0; index < settings_.agents; ++index) add_agent();
+}
+
+void OriginOutageWorld::add_agent() {
+  auto agent = std::make_unique<Agent>();
+  const std::size_t index = agents_.size();
+  agent->id = stable_hash(std::uint64_t{index}, std::uint64_t{settings_.seed});
+  agent->region = static_cast<std::uint32_t>(index % settings_.regions);
+  agent->swarm = std::make_unique<Swarm>(
+      download_options(agent->id, kVersion, settings_.agents, settings_.origin_connections),
+      ChunkSet(settings_.chunks));
+  by_id_[agent->id] = index;
+  agents_.push_back(std::move(agent));
+}
+
+void OriginOutageWorld::replace_agent(std::size_t index) {
+  agents_[index]->alive = false;
+  std::erase_if(calls_, [&](const OriginCall& call) { return call.agent == index; });
+  const PeerId lost = agents_[index]->id;
+  for (std::size_t other = 0; other < agents_.size(); ++other) {
+    at(now_ + kLossNoticed, [this, other, lost] {
+      with(other, [&](Agent& agent, SwarmActions& actions) {
+        agent.swarm->on_peer_lost(lost, now_, actions);
+      });
+    });
+  }
+  add_agent();
+  const std::size_t added = agents_.size() - 1;
+  agents_[added]->region = agents_[index]->region;
+  with(added, [&](Agent& agent, SwarmActions& actions) {
+    agent.swarm->on_membership(members(), now_, actions);
+  });
+}
+
+std::shared_ptr<const SwarmMembership> OriginOutageWorld::members() const {
+  std::vector<SwarmParticipant> participants;
+  for (const auto& agent : agents_) {
+    if (agent->alive) participants.push_back({agent->id, agent->region, agent->region});
+  }
+  return std::make_shared<SwarmMembership>(std::move(participants), kVersion, settings_.chunks);
+}
+
+bool OriginOutageWorld::origin_away() const {
+  return now_ >= start_ + settings_.away_from && now_ < start_ + settings_.away_until;
+}
+
+OriginOutageResult OriginOutageWorld::run() {
+  const auto spread_list = [this] {
+    const auto list = members();
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+      with(index, [&](Agent& agent, SwarmActions& actions) {
+        agent.swarm->on_membership(list, now_, actions);
+      });
+    }
+  };
+  for (TimePoint time = start_; time < start_ + settings_.longest_run; time += kListInterval) {
+    at(time, spread_list);
+  }
+  for (std::uint32_t count = 0; count < settings_.replaced; ++count) {
+    const TimePoint time = start_ + settings_.replaced_within * count / settings_.replaced;
+    at(time, [this] {
+      std::size_t victim = random_() % agents_.size();
+      while (!agents_[victim]->alive) victim = random_() % agents_.size();
+      replace_agent(victim);
+    });
+  }
+  const auto all_complete = [this] {
+    return std::all_of(agents_.begin(), agents_.end(),
+                       [](const auto& agent) { return !agent->alive || agent->complete_at; });
+  };
+  const TimePoint churn_ends = start_ + settings_.replaced_within;
+  TimePoint next_tick = start_;
+  while (now_ < start_ + settings_.longest_run && (now_ < churn_ends || !all_complete())) {
+    now_ += kStep;
+    while (!events_.empty() && events_.begin()->first <= now_) {
+      const auto event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+    }
+    step_origin();
+    step_uplinks();
+    if (now_ < next_tick) continue;
+    next_tick += kTick;
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+      with(index,
+           [&](Agent& agent, SwarmActions& actions) { agent.swarm->on_tick(now_, actions); });
+    }
+  }
+  for (const auto& agent : agents_) {
+    if (!agent->alive) continue;
+    if (!agent->complete_at) {
+      ++result_.incomplete;
+      continue;
+    }
+    const double complete_s = to_seconds(*agent->complete_at - start_);
+    const bool first = result_.first_complete_s == 0 || complete_s < result_.first_complete_s;
+    if (first) result_.first_complete_s = complete_s;
+    result_.last_complete_s = std::max(result_.last_complete_s, complete_s);
+  }
+  return result_;
+}
+
+void OriginOutageWorld::step_origin() {
+  if (origin_away()) {
+    const auto lost = std::move(calls_);
+    calls_.clear();
+    for (const OriginCall& call : lost) fail_origin(call.agent, call.chunk);
+    return;
+  }
+  if (calls_.empty()) return;
+  const double bytes = settings_.link_bytes_per_second * to_seconds(kStep);
+  const double share = bytes / static_cast<double>(calls_.size());
+  const double copy_bytes = settings_.chunk_bytes * settings_.chunks;
+  for (OriginCall& call : calls_) call.bytes_left -= share;
+  result_.origin_copies += bytes / copy_bytes;
+  std::vector<OriginCall> arrived;
+  std::vector<OriginCall> given_up;
+  for (const OriginCall& call : calls_) {
+    if (call.bytes_left <= 0) {
+      arrived.push_back(call);
+    } else if (now_ - call.begun >= kOriginCallLimit) {
+      given_up.push_back(call);
+    }
+  }
+  std::erase_if(calls_, [&](const OriginCall& call) {
+    return call.bytes_left <= 0 || now_ - call.begun >= kOriginCallLimit;
+  });
+  for (const OriginCall& call : arrived) {
+    with(call.agent, [&](Agent& agent, SwarmActions& actions) {
+      agent.origin_failures = 0;
+      agent.swarm->on_chunk(std::nullopt, call.chunk, ChunkArrival::verified, now_, actions);
+    });
+  }
+  for (const OriginCall& call : given_up) fail_origin(call.agent, call.chunk);
+}
+
+void OriginOutageWorld::step_uplinks() {
+  for (std::size_t index = 0; index < agents_.size(); ++index) {
+    Agent& agent = *agents_[index];
+    double bytes = settings_.link_bytes_per_second * to_seconds(kStep);
+    while (agent.alive && bytes > 0 && !agent.uplink.empty()) {
+      const double taken = std::min(bytes, agent.uplink_bytes_left);
+      bytes -= taken;
+      agent.uplink_bytes_left -= taken;
+      if (agent.uplink_bytes_left > 0) break;
+      const SendChunk sent = agent.uplink.front();
+      agent.uplink.pop_front();
+      agent.uplink_bytes_left = agent.uplink.empty() ? 0 : settings_.chunk_bytes;
+      const PeerId sender = agent.id;
+      tell(sent.peer, [this, sender, sent](Agent& receiver, SwarmActions& actions) {
+        receiver.swarm->on_chunk(sender, sent.chunk, ChunkArrival::verified, now_, actions);
+      });
+      at(now_ + 2 * kDelay, [this, index] {
+        with(index, [&](Agent& own, SwarmActions& actions) { own.swarm->on_sent(now_, actions); });
+      });
+    }
+  }
+}
+
+void OriginOutageWorld::with(std::size_t index,
+                             const std::function<void(Agent&, SwarmActions&)>& what) {
+  if (!agents_[index]->alive) return;
+  SwarmActions actions;
+  what(*agents_[index], actions);
+  carry_out(index, actions);
+}
+
+void OriginOutageWorld::tell(PeerId peer, std::function<void(Agent&, SwarmActions&)> what) {
+  const auto found = by_id_.find(peer);
+  if (found == by_id_.end()) return;
+  at(now_ + kDelay, [this, index = found->second, what = std::move(what)] { with(index, what); });
+}
+
+void OriginOutageWorld::carry_out(std::size_t index, const SwarmActions& actions) {
+  for (const SwarmAction& action : actions) {
+    std::visit([&](const auto& typed) { act(index, typed); }, action);
+  }
+}
+
+void OriginOutageWorld::fail_origin(std::size_t index, ChunkIndex chunk) {
+  at(now_ + 2 * kDelay, [this, index, chunk] {
+    with(index, [&](Agent& agent, SwarmActions& actions) {
+      const Duration pause = origin_pause(agent.id, ++agent.origin_failures);
+      agent.swarm->on_origin_failed(chunk, pause, now_, actions);
+    });
+  });
+}
+
+void OriginOutageWorld::act(std::size_t index, const RequestFromPeer& action) {
+  const PeerId asking = agents_[index]->id;
+  tell(action.peer, [this, asking, action](Agent& agent, SwarmActions& actions) {
+    agent.swarm->on_request(asking, action.chunk, action.progress, now_, actions);
+  });
+}
+
+void OriginOutageWorld::act(std::size_t index, const CancelFromPeer& action) {
+  const PeerId asking = agents_[index]->id;
+  tell(action.peer, [asking, action](Agent& agent, SwarmActions&) {
+    agent.swarm->on_cancel(asking, action.chunk);
+  });
+}
+
+void OriginOutageWorld::act(std::size_t index, const RequestFromOrigin& action) {
+  const bool refused = origin_away() || calls_.size() >= settings_.origin_connections;
+  if (refused) {
+    ++result_.refused_calls;
+    fail_origin(index, action.chunk);
+  } else {
+    calls_.push_back({index, action.chunk, settings_.chunk_bytes, now_});
+  }
+}
+
+void OriginOutageWorld::act(std::size_t index, const SendChunk& action) {
+  Agent& agent = *agents_[index];
+  if (agent.uplink.empty()) agent.uplink_bytes_left = settings_.chunk_bytes;
+  agent.uplink.push_back(action);
+}
+
+void OriginOutageWorld::act(std::size_t index, const RefuseChunk& action) {
+  const PeerId asked = agents_[index]->id;
+  tell(action.peer, [this, asked, action](Agent& agent, SwarmActions& actions) {
+    agent.swarm->on_refused(asked, action.chunk, now_, actions);
+  });
+}
+
+void OriginOutageWorld::act(std::size_t index, const AnnounceChunks& action) {
+  const PeerId holder = agents_[index]->id;
+  for (const PeerId peer : action.peers) {
+    tell(peer, [this, holder, chunks = action.chunks](Agent& agent, SwarmActions& actions) {
+      agent.swarm->on_peer_has(holder, chunks, now_, actions);
+    });
+  }
+}
+
+void OriginOutageWorld::act(std::size_t index, const JoinPeer& action) {
+  const PeerId joining = agents_[index]->id;
+  const ChunkSet held = agents_[index]->swarm->have();
+  tell(action.peer, [this, joining, held](Agent& agent, SwarmActions& actions) {
+    agent.swarm->on_peer_joined(joining, held, now_, actions);
+    const PeerId own = agent.id;
+    const ChunkSet own_held = agent.swarm->have();
+    tell(joining, [this, own, own_held](Agent& joined, SwarmActions& joined_actions) {
+      joined.swarm->on_peer_joined(own, own_held, now_, joined_actions);
+    });
+  });
+}
+
+void OriginOutageWorld::act(std::size_t index, const SwarmComplete&) {
+  agents_[index]->complete_at = now_;
+}
+
+}  // namespace pumicemast::tests
--- /dev/null
+++ b/tests/support/origin_outage_world.h
@@ -0,0 +1,100 @@
+/// Agents that bring one version from a narrow origin, on virtual time: the production swarm cores
+/// before an origin with few connections that is away for a while, as machines come and go.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "swarm/swarm.h"
+
+namespace pumicemast::tests {
+
+struct OriginOutageSettings {
+  std::uint32_t agents = 300;
+  std::uint32_t regions = 5;
+  ChunkIndex chunks = 96;
+  double chunk_bytes = 24576;
+  double link_bytes_per_second = 7.3e6 / 8;  ///< The origin's, and each agent's.
+  std::uint32_t origin_connections = 48;
+  Duration away_from = milliseconds(2500);
+  Duration away_until = milliseconds(8500);
+  /// So many of the agents are replaced one after the other in the first seconds.
+  std::uint32_t replaced = 94;
+  Duration replaced_within = milliseconds(4500);
+  Duration longest_run = seconds(60);
+  std::uint32_t seed = 1;
+};
+
+struct OriginOutageResult {
+  double origin_copies = 0;      ///< Whole copies that left the origin, wasted bytes included.
+  double first_complete_s = 0;   ///< After the naming; 0 when none was.
+  double last_complete_s = 0;    ///< Of those alive at the end.
+  std::uint32_t incomplete = 0;  ///< Of those alive at the end.
+  std::uint64_t refused_calls = 0;
+};
+
+class OriginOutageWorld {
+ public:
+  explicit OriginOutageWorld(const OriginOutageSettings& settings);
+  OriginOutageResult run();
+
+ private:
+  struct Agent {
+    PeerId id = 0;
+    std::uint32_t region = 0;
+    bool alive = true;
+    std::unique_ptr<Swarm> swarm;
+    std::deque<SendChunk> uplink;
+    double uplink_bytes_left = 0;  ///< Of the first of `uplink`.
+    std::uint32_t origin_failures = 0;
+    std::optional<TimePoint> complete_at;
+  };
+  struct OriginCall {
+    std::size_t agent = 0;
+    ChunkIndex chunk = 0;
+    double bytes_left = 0;
+    TimePoint begun{};
+  };
+
+  void add_agent();
+  void replace_agent(std::size_t index);
+  std::shared_ptr<const SwarmMembership> members() const;
+  bool origin_away() const;
+  void step_origin();
+  void step_uplinks();
+  void at(TimePoint time, std::function<void()> event) { events_.emplace(time, std::move(event)); }
+  /// Runs something on a living agent after the network's delay.
+  void tell(PeerId peer, std::function<void(Agent&, SwarmActions&)> what);
+  void with(std::size_t index, const std::function<void(Agent&, SwarmActions&)>& what);
+  void carry_out(std::size_t index, const SwarmActions& actions);
+  void fail_origin(std::size_t index, ChunkIndex chunk);
+
+  void act(std::size_t index, const RequestFromPeer& action);
+  void act(std::size_t index, const CancelFromPeer& action);
+  void act(std::size_t index, const RequestFromOrigin& action);
+  void act(std::size_t, const CancelFromOrigin&) {}
+  void act(std::size_t index, const SendChunk& action);
+  void act(std::size_t index, const RefuseChunk& action);
+  void act(std::size_t index, const AnnounceChunks& action);
+  void act(std::size_t index, const JoinPeer& action);
+  void act(std::size_t index, const SwarmComplete&);
+  void act(std::size_t, const PeerAvoided&) {}
+
+  OriginOutageSettings settings_;
+  std::minstd_rand random_;
+  TimePoint start_{seconds(1000)};
+  TimePoint now_ = start_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+  std::map<PeerId, std::size_t> by_id_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::vector<OriginCall> calls_;
+  OriginOutageResult result_;
+};
+
+}  // namespace pumicemast::tests
--- /dev/null
+++ b/tests/swarm/origin_outage_test.cpp
@@ -0,0 +1,63 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+#include "support/origin_outage_world.h"
+
+namespace pumicemast {
+namespace {
+
+using tests::OriginOutageResult;
+using tests::OriginOutageSettings;
+using tests::OriginOutageWorld;
+
+OriginOutageResult play(const OriginOutageSettings& settings) {
+  const OriginOutageResult result = OriginOutageWorld(settings).run();
+  std::cout << " agents=" << settings.agents << " seed=" << settings.seed
+            << " origin_copies=" << result.origin_copies << " first_s=" << result.first_complete_s
+            << " last_s=" << result.last_complete_s << " incomplete=" << result.incomplete
+            << " refused_calls=" << result.refused_calls << std::endl;
+  return result;
+}
+
+}  // namespace
+
+/// New weights, and no agent ever had a whole copy.
+///
+/// 126 engines were joined by 84, and 94 of them were replaced one after the other. Half way a
+/// version was named; 2.5 s later the origin was away for 6 s. All that its link carried afterwards
+/// it sent, 20 copies in 33 s, and not one became whole anywhere. What the agents decide was not
+/// the cause: here, where reports and lists take nothing from the links, the origin sends 1.8
+/// to 2.2 copies and the last agent has all 4 s after its return. These bounds keep it so.
+class OriginOutageTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OriginOutageTest);
+  CPPUNIT_TEST(a_calm_origin_sends_one_copy);
+  CPPUNIT_TEST(an_origin_that_was_away_sends_few_copies);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void a_calm_origin_sends_one_copy() {
+    OriginOutageSettings settings;
+    settings.away_from = settings.away_until = Duration::zero();
+    settings.replaced = 0;
+    const OriginOutageResult result = play(settings);
+    CPPUNIT_ASSERT_EQUAL(0U, result.incomplete);
+    CPPUNIT_ASSERT(result.origin_copies < 1.3);
+    CPPUNIT_ASSERT(result.last_complete_s < 6);
+  }
+
+  void an_origin_that_was_away_sends_few_copies() {
+    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+      OriginOutageSettings settings;
+      settings.seed = seed;
+      const OriginOutageResult result = play(settings);
+      CPPUNIT_ASSERT_EQUAL(0U, result.incomplete);
+      CPPUNIT_ASSERT(result.origin_copies < 2.5);
+      CPPUNIT_ASSERT(result.last_complete_s < 8.5 + 5);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OriginOutageTest);
+
+}  // namespace pumicemast
