Order again also what was the version to bring; never keep an engine from new weights for good

Read again as a newcomer: a version whose manifest was known because it had been the current one was looked up among earlier ones only (an exception would have ended the agent), and an engine that declines the order would have got nothing ever again. Both have a test; the order is given up once nothing older can still be carried out (15 s after the agent's start).

--- a/src/host/inherited_staging.cpp
+++ b/src/host/inherited_staging.cpp
@@ -52,8 +52,11 @@
   }
   // Chunks that are the newest version's prove nothing: an earlier one may share them.
   const bool of_no_version = wanted_manifests(newest, serving).empty();
-  const bool too_long_ago = now - began_ >= kLongestUnanswered;
-  return {of_no_version || too_long_ago ? Kind::free : Kind::undecided, 0};
+  return {of_no_version || too_long_ago(now) ? Kind::free : Kind::undecided, 0};
+}
+
+bool InheritedStaging::too_long_ago(TimePoint now) const {
+  return now - began_ >= kLongestUnanswered;
 }
 
 bool InheritedStaging::fills_all_places(std::size_t count) const {
--- a/src/host/inherited_staging.h
+++ b/src/host/inherited_staging.h
@@ -44,6 +44,8 @@
   /// @param serving  what the engine serves; 0 for nothing.
   std::vector<std::uint64_t> wanted_manifests(std::uint64_t newest, std::uint64_t serving) const;
   InheritedStagingVerdict decide(std::uint64_t newest, std::uint64_t serving, TimePoint now) const;
+  /// Whatever was ordered before this process began has been carried out, or never will be.
+  bool too_long_ago(TimePoint now) const;
 
  private:
   using Hashes = std::vector<Sha256>;
--- a/src/host/model_stager.cpp
+++ b/src/host/model_stager.cpp
@@ -198,7 +198,9 @@
 void ModelStager::settle_inherited(TimePoint now) {
   if (claim_ == EngineClaim::released) return;
   if (claim_ == EngineClaim::order_again) {
-    if (engine_stager_.has_taken()) release_engine();
+    // An engine that declines it must not be kept from new weights for good.
+    const bool declined = inherited_.too_long_ago(now) && !engine_stager_.order_pending();
+    if (engine_stager_.has_taken() || declined) release_engine();
     return;
   }
   if (!inventory_.complete()) {
@@ -207,7 +209,7 @@
   }
   if (!current_->manifest()) return;
   inherited_.on_read(inventory_.hashes());
-  inherited_.on_manifest(*current_->manifest());
+  note_manifest(*current_->manifest());
   seek_earlier_manifests(now);
   const auto verdict = inherited_.decide(current_->version(), serving_version(), now);
   if (verdict.kind == InheritedStagingVerdict::Kind::undecided) return;
@@ -240,7 +242,11 @@
   const auto sought = earlier_manifests_.find(manifest.version);
   if (sought == earlier_manifests_.end()) return;
   sought->second->stop();
-  earlier_versions_[manifest.version] = manifest;
+  note_manifest(manifest);
+}
+
+void ModelStager::note_manifest(const WeightManifest& manifest) {
+  known_manifests_[manifest.version] = manifest;
   inherited_.on_manifest(manifest);
 }
 
@@ -251,7 +257,7 @@
                                     " serving=" + std::to_string(serving_version()));
   if (version == current_->version()) return;
   inherited_download_ = make_download(version, loop_now());
-  inherited_download_->take_manifest(earlier_versions_.at(version), "inherited");
+  inherited_download_->take_manifest(known_manifests_.at(version), "inherited");
   inherited_download_->begin_transfer(inventory_.bytes());
 }
 
@@ -259,7 +265,7 @@
   claim_ = EngineClaim::released;
   // Nobody needs what the question took any more.
   earlier_manifests_.clear();
-  earlier_versions_.clear();
+  known_manifests_.clear();
   engine_stager_.set_source(engine_source());
   inherited_download_.reset();
 }
--- a/src/host/model_stager.h
+++ b/src/host/model_stager.h
@@ -77,6 +77,7 @@
   void settle_inherited(TimePoint now);
   void seek_earlier_manifests(TimePoint now);
   void note_earlier_manifest(const WeightManifest& manifest);
+  void note_manifest(const WeightManifest& manifest);
   /// The version that the engine serves and is not about to leave; 0 for none.
   std::uint64_t serving_version() const;
   /// `version`, which lies at the engine whole, is ordered first.
@@ -106,8 +107,9 @@
   /// What lay at the engine when this process began, and what may be pending there since before.
   StagedInventory inventory_;
   InheritedStaging inherited_;
-  std::map<std::uint64_t, std::unique_ptr<ManifestSeeker>> earlier_manifests_;
-  std::map<std::uint64_t, WeightManifest> earlier_versions_;
+  std::map<std::uint64_t, std::unique_ptr<ManifestSeeker>> earlier_manifests_;  ///< Sought.
+  /// By version; of all that may lie at the engine, until that is settled.
+  std::map<std::uint64_t, WeightManifest> known_manifests_;
   enum class EngineClaim {
     undecided,    ///< Nothing may be written.
     order_again,  ///< A version that lies there whole is to be taken first.
--- a/tests/host/unanswered_order_test.cpp
+++ b/tests/host/unanswered_order_test.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(an_order_without_an_answer_is_given_again_soon);
   CPPUNIT_TEST(the_engine_stays_out_of_service_also_while_chunks_are_read_again);
   CPPUNIT_TEST(an_agent_started_anew_leaves_what_its_predecessor_ordered);
+  CPPUNIT_TEST(a_version_named_before_the_engine_was_read_changes_nothing);
+  CPPUNIT_TEST(an_engine_that_declines_what_lies_there_gets_new_weights_all_the_same);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -90,6 +92,36 @@
     assert_only_whole_versions_were_taken();
   }
 
+  /// The engine said nothing at first. Meanwhile the version that lies there was the one to bring
+  /// to it, and then no longer.
+  void a_version_named_before_the_engine_was_read_changes_nothing() {
+    engine_->leave_unanswered(1);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->late_orders() == 1; }));
+    kill_agent();
+    engine_->set_reporting(false);
+    start_agent();
+    run_for(milliseconds(300));
+    name_second();
+    run_for(milliseconds(300));
+    engine_->set_reporting(true);
+    run_for(milliseconds(500));
+    engine_->carry_out_late_order();
+    CPPUNIT_ASSERT(run_until([&] { return engine_->serving() == kSecond; }));
+    assert_only_whole_versions_were_taken();
+  }
+
+  /// It would otherwise be kept from all weights for good.
+  void an_engine_that_declines_what_lies_there_gets_new_weights_all_the_same() {
+    engine_->leave_unanswered(1);
+    CPPUNIT_ASSERT(run_until([&] { return engine_->late_orders() == 1; }));
+    kill_agent();
+    engine_->decline(kFirst);
+    origin_->set_newest(kSecond);
+    start_agent();
+    CPPUNIT_ASSERT(run_until([&] { return engine_->serving() == kSecond; }));
+    assert_only_whole_versions_were_taken();
+  }
+
   /// What was read back too long ago is read again before the next order.
   void the_engine_stays_out_of_service_also_while_chunks_are_read_again() {
     engine_->leave_unanswered(1000);
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -59,6 +59,8 @@
     late_.pop_front();
     take(order);
   }
+  /// Orders for `version` are declined from now on.
+  void decline(std::uint64_t version) { declined_ = version; }
   /// A chunk that lies there turns bad.
   void spoil(ChunkIndex chunk) { staged_.at(chunk) += " spoilt"; }
   /// All of `version` lies there, and the engine is taking it by an order of an earlier agent.
@@ -134,6 +136,7 @@
   /// @return whether the order was begun: not if its count is out of date.
   bool take(const StartOrder& order) {
     if (order.expected_sequence != sequence_ || changing_over_) return false;
+    if (order.version == declined_) return false;
     ++sequence_;
     taken_.push_back({order.version, staged_});
     serving_ = order.version;
@@ -143,6 +146,7 @@
   PendingAnswers answers_;
   std::map<ChunkIndex, std::string> staged_;
   std::size_t unanswered_left_ = 0;
+  std::uint64_t declined_ = 0;
   std::deque<StartOrder> late_;
   std::size_t orders_ = 0;
   std::uint64_t sequence_ = 0;
