--- a/src/gateway/engine_subset.h
+++ b/src/gateway/engine_subset.h
@@ -2,8 +2,8 @@
 ///
 /// A pure function: no I/O. All of its own zone, and some of each other zone, for when its own has
 /// too few. Were every gateway told the load of every engine, messages would grow with the product
-/// of their numbers: 149 gateways before 120 engines filled a third of the links between regions
-/// with reports and subscriptions.
+/// of their numbers. With 149 gateways before 120 engines in five regions, 1.08 GB went between
+/// regions on a calm day of 48 s; with subsets and fleet/backend_list.h 0.27 GB (one play each).
 #pragma once
 
 #include <string>
@@ -21,8 +21,8 @@
 };
 
 struct EngineSubsetOptions {
-  /// Engines of each other zone. With 8 of them the fullest of 24 engines is chosen by 1.6 times as
-  /// many gateways as the mean, and of two zones that are lost the third still has that many.
+  /// Engines of each other zone: enough that no engine is left to few gateways by chance, and that
+  /// a gateway whose own zone is lost still chooses among several.
   std::size_t per_other_zone = 8;
 };
 
--- a/src/host/engine_list.h
+++ b/src/host/engine_list.h
@@ -2,8 +2,8 @@
 /// it.
 ///
 /// A decision core: no I/O. While a gateway of the zone reads the list, its agents leave the store
-/// alone: 120 agents that each read the whole list every two seconds took a fifth of what the links
-/// from the store's region carry.
+/// alone: with 60 KB a list, 120 agents that read it every two seconds ask 3 MB a second of links
+/// that carry 2.5 to 3 MB a second to each region.
 #pragma once
 
 #include <map>
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -271,8 +271,8 @@
   std::set<PeerId> all;
   for (const auto& [subscriber, details] : subscribers_) all.insert(subscriber);
   // Each zone has agents that tell its gateways: the same lists from all would be a flood. Who knew
-  // the others already is told of the new ones: with the whole list one more gateway cost each
-  // agent 0.4 s of its uplink, of 30 gateways in its zone and 149 in all.
+  // the others already is told of the new ones: the whole list of 149 gateways is 12 KB, and to
+  // each of 30 in the zone it takes 0.4 s of an uplink of 7.3 Mbit/s.
   for (const auto& [subscriber, details] : subscribers_) {
     if (!details.near) continue;
     send_gateway_list(subscriber, new_subscribers_.contains(subscriber) ? all : new_subscribers_);
