Let the test of a page without names fail for a second call

On the code before StoreList's mend its second case passed, because the call that was made again ran into its own time limit.

--- a/tests/platform/store_list_test.cpp
+++ b/tests/platform/store_list_test.cpp
@@ -59,6 +59,8 @@
     answer(R"({"items":[{"spec":{}},null],"more":true,"at":9})");
     run_until([&] { return answered_; });
     CPPUNIT_ASSERT(!listing_.has_value());
+    // The list was not asked for from the beginning again.
+    CPPUNIT_ASSERT(!server_.try_read_request("\r\n\r\n"));
   }
 };
 
