--- a/src/gateway/backend_connections.cpp
+++ b/src/gateway/backends/backend_connections.cpp
@@ -1,4 +1,4 @@
-#include "gateway/backend_connections.h"
+#include "gateway/backends/backend_connections.h"
 
 #include <algorithm>
 
--- a/src/gateway/backend_connections.h
+++ b/src/gateway/backends/backend_connections.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 #include "http1/client_connection.h"
 #include "http1/deferred_deleter.h"
 
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -1,4 +1,4 @@
-#include "gateway/backend_pool.h"
+#include "gateway/backends/backend_pool.h"
 
 #include <algorithm>
 
--- a/src/gateway/backend_probe.cpp
+++ b/src/gateway/backends/backend_probe.cpp
@@ -1,4 +1,4 @@
-#include "gateway/backend_probe.h"
+#include "gateway/backends/backend_probe.h"
 
 #include "http1/tcp_stream.h"
 
--- a/src/gateway/engine_subset.cpp
+++ b/src/gateway/backends/engine_subset.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engine_subset.h"
+#include "gateway/backends/engine_subset.h"
 
 #include <algorithm>
 #include <map>
--- a/src/gateway/weight_targets.cpp
+++ b/src/gateway/backends/weight_targets.cpp
@@ -1,4 +1,4 @@
-#include "gateway/weight_targets.h"
+#include "gateway/backends/weight_targets.h"
 
 #include <algorithm>
 
--- a/src/gateway/configuration_download.cpp
+++ b/src/gateway/configuration/configuration_download.cpp
@@ -1,4 +1,4 @@
-#include "gateway/configuration_download.h"
+#include "gateway/configuration/configuration_download.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/configuration_shelf.h
+++ b/src/gateway/configuration/configuration_shelf.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <utility>
 
-#include "gateway/configuration_download.h"
+#include "gateway/configuration/configuration_download.h"
 
 namespace pumicemast {
 
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "common/log_budget.h"
-#include "gateway/crash_witness.h"
-#include "gateway/request_session.h"
+#include "gateway/quarantine/crash_witness.h"
+#include "gateway/requests/request_session.h"
 
 namespace pumicemast {
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "common/metrics.h"
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast {
 
--- a/src/gateway/gateway_protocol.h
+++ b/src/gateway/gateway_protocol.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 #include "http1/http_message.h"
 
 namespace pumicemast {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -7,7 +7,7 @@
 
 #include "common/settings.h"
 #include "common/time.h"
-#include "gateway/request_fingerprint.h"
+#include "gateway/quarantine/request_fingerprint.h"
 
 namespace pumicemast {
 
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -1,10 +1,10 @@
-#include "gateway/fleet_links.h"
+#include "gateway/peers/fleet_links.h"
 
 #include <algorithm>
 #include <iterator>
 
 #include "common/hash.h"
-#include "gateway/crash_messages.h"
+#include "gateway/quarantine/crash_messages.h"
 #include "transport/backend_list_messages.h"
 
 namespace pumicemast {
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_state.h"
+#include "gateway/peers/fleet_state.h"
 
 #include "common/event_loop.h"
 #include "common/hash.h"
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -10,15 +10,15 @@
 #include <vector>
 
 #include "fleet/feeds.h"
-#include "gateway/backend_list_relay.h"
-#include "gateway/backend_pool.h"
-#include "gateway/fleet_links.h"
+#include "gateway/backends/backend_pool.h"
+#include "gateway/backends/weight_targets.h"
 #include "gateway/gateway_log.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/request_quarantine.h"
-#include "gateway/retry_share.h"
-#include "gateway/route_table.h"
-#include "gateway/weight_targets.h"
+#include "gateway/peers/backend_list_relay.h"
+#include "gateway/peers/fleet_links.h"
+#include "gateway/quarantine/request_quarantine.h"
+#include "gateway/requests/retry_share.h"
+#include "gateway/requests/route_table.h"
 
 namespace pumicemast {
 
--- a/src/gateway/crash_messages.cpp
+++ b/src/gateway/quarantine/crash_messages.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_messages.h"
+#include "gateway/quarantine/crash_messages.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/gateway/crash_messages.h
+++ b/src/gateway/quarantine/crash_messages.h
@@ -1,7 +1,7 @@
 /// What gateways tell each other of crashes, on the wire.
 #pragma once
 
-#include "gateway/crash_news.h"
+#include "gateway/quarantine/crash_news.h"
 #include "generated/wire_generated.h"
 
 namespace pumicemast {
--- a/src/gateway/crash_news.cpp
+++ b/src/gateway/quarantine/crash_news.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_news.h"
+#include "gateway/quarantine/crash_news.h"
 
 #include <algorithm>
 #include <map>
--- a/src/gateway/crash_news.h
+++ b/src/gateway/quarantine/crash_news.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "common/time.h"
-#include "gateway/request_fingerprint.h"
+#include "gateway/quarantine/request_fingerprint.h"
 #include "limits/token_bucket.h"
 
 namespace pumicemast {
--- a/src/gateway/crash_witness.cpp
+++ b/src/gateway/quarantine/crash_witness.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_witness.h"
+#include "gateway/quarantine/crash_witness.h"
 
 #include <algorithm>
 
--- a/src/gateway/crash_witness.h
+++ b/src/gateway/quarantine/crash_witness.h
@@ -13,7 +13,7 @@
 
 #include "common/time.h"
 #include "fleet/backend_record.h"
-#include "gateway/request_fingerprint.h"
+#include "gateway/quarantine/request_fingerprint.h"
 
 namespace pumicemast {
 
--- a/src/gateway/request_fingerprint.cpp
+++ b/src/gateway/quarantine/request_fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_fingerprint.h"
+#include "gateway/quarantine/request_fingerprint.h"
 
 #include <algorithm>
 #include <array>
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_quarantine.h"
+#include "gateway/quarantine/request_quarantine.h"
 
 #include <algorithm>
 
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/quarantine/request_quarantine.h
@@ -28,9 +28,9 @@
 
 #include "common/recent_set.h"
 #include "common/time.h"
-#include "gateway/crash_news.h"
-#include "gateway/crash_witness.h"
-#include "gateway/request_fingerprint.h"
+#include "gateway/quarantine/crash_news.h"
+#include "gateway/quarantine/crash_witness.h"
+#include "gateway/quarantine/request_fingerprint.h"
 
 namespace pumicemast {
 
--- a/src/gateway/answer_relay.cpp
+++ b/src/gateway/requests/answer_relay.cpp
@@ -1,4 +1,4 @@
-#include "gateway/answer_relay.h"
+#include "gateway/requests/answer_relay.h"
 
 #include <algorithm>
 
--- a/src/gateway/answer_relay.h
+++ b/src/gateway/requests/answer_relay.h
@@ -6,10 +6,10 @@
 
 #include <string_view>
 
-#include "gateway/backend_pool.h"
-#include "gateway/forwarder_actions.h"
-#include "gateway/forwarder_options.h"
-#include "gateway/request_session.h"
+#include "gateway/backends/backend_pool.h"
+#include "gateway/requests/forwarder_actions.h"
+#include "gateway/requests/forwarder_options.h"
+#include "gateway/requests/request_session.h"
 
 namespace pumicemast {
 
--- a/src/gateway/attempt_watch.cpp
+++ b/src/gateway/requests/attempt_watch.cpp
@@ -1,4 +1,4 @@
-#include "gateway/attempt_watch.h"
+#include "gateway/requests/attempt_watch.h"
 
 namespace pumicemast {
 namespace {
--- a/src/gateway/attempt_watch.h
+++ b/src/gateway/requests/attempt_watch.h
@@ -3,10 +3,10 @@
 /// A decision core: no I/O.
 #pragma once
 
-#include "gateway/backend_pool.h"
-#include "gateway/forwarder_options.h"
-#include "gateway/request_session.h"
-#include "gateway/weight_targets.h"
+#include "gateway/backends/backend_pool.h"
+#include "gateway/backends/weight_targets.h"
+#include "gateway/requests/forwarder_options.h"
+#include "gateway/requests/request_session.h"
 
 namespace pumicemast {
 
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/requests/event_splitter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/event_splitter.h"
+#include "gateway/requests/event_splitter.h"
 
 #include <algorithm>
 
--- a/src/gateway/request_authorizer.cpp
+++ b/src/gateway/requests/request_authorizer.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_authorizer.h"
+#include "gateway/requests/request_authorizer.h"
 
 namespace pumicemast {
 namespace {
--- a/src/gateway/request_authorizer.h
+++ b/src/gateway/requests/request_authorizer.h
@@ -7,8 +7,8 @@
 #include <random>
 #include <string>
 
-#include "gateway/forwarder_actions.h"
-#include "gateway/route_table.h"
+#include "gateway/requests/forwarder_actions.h"
+#include "gateway/requests/route_table.h"
 
 namespace pumicemast {
 
--- a/src/gateway/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/gateway/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -1,5 +1,5 @@
 // What becomes of requests as time passes: deadlines, attempts that are silent, late or unwanted.
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast {
 namespace {
--- a/src/gateway/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_planner.h"
+#include "gateway/requests/request_planner.h"
 
 #include <algorithm>
 
--- a/src/gateway/request_planner.h
+++ b/src/gateway/requests/request_planner.h
@@ -6,10 +6,10 @@
 #include <random>
 
 #include "admission/stated_times.h"
-#include "gateway/backend_pool.h"
-#include "gateway/forwarder_options.h"
-#include "gateway/request_session.h"
-#include "gateway/weight_targets.h"
+#include "gateway/backends/backend_pool.h"
+#include "gateway/backends/weight_targets.h"
+#include "gateway/requests/forwarder_options.h"
+#include "gateway/requests/request_session.h"
 
 namespace pumicemast {
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_session.h"
+#include "gateway/requests/request_session.h"
 
 namespace pumicemast {
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -7,9 +7,9 @@
 
 #include "common/time.h"
 #include "fleet/backend_record.h"
-#include "gateway/event_splitter.h"
-#include "gateway/forwarder_actions.h"
-#include "gateway/route_table.h"
+#include "gateway/requests/event_splitter.h"
+#include "gateway/requests/forwarder_actions.h"
+#include "gateway/requests/route_table.h"
 
 namespace pumicemast {
 
--- a/src/gateway/retry_budgets.h
+++ b/src/gateway/requests/retry_budgets.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "gateway/retry_share.h"
+#include "gateway/requests/retry_share.h"
 #include "routing/retry_budget.h"
 
 namespace pumicemast {
--- a/src/gateway/retry_share.cpp
+++ b/src/gateway/requests/retry_share.cpp
@@ -1,4 +1,4 @@
-#include "gateway/retry_share.h"
+#include "gateway/requests/retry_share.h"
 
 #include <algorithm>
 
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/requests/route_table.cpp
@@ -1,4 +1,4 @@
-#include "gateway/route_table.h"
+#include "gateway/requests/route_table.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/host/credit_dealer.cpp
+++ b/src/host/credits/credit_dealer.cpp
@@ -1,4 +1,4 @@
-#include "host/credit_dealer.h"
+#include "host/credits/credit_dealer.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/host/download_tuning.cpp
+++ b/src/host/download/download_tuning.cpp
@@ -1,4 +1,4 @@
-#include "host/download_tuning.h"
+#include "host/download/download_tuning.h"
 
 #include <algorithm>
 
--- a/src/host/manifest_seeker.cpp
+++ b/src/host/download/manifest_seeker.cpp
@@ -1,4 +1,4 @@
-#include "host/manifest_seeker.h"
+#include "host/download/manifest_seeker.h"
 
 #include <algorithm>
 
--- a/src/host/version_download.cpp
+++ b/src/host/download/version_download.cpp
@@ -1,11 +1,11 @@
-#include "host/version_download.h"
+#include "host/download/version_download.h"
 
 #include <algorithm>
 
 #include "common/event_loop.h"
 #include "common/hash.h"
-#include "host/download_tuning.h"
-#include "host/start_turns.h"
+#include "host/download/download_tuning.h"
+#include "host/staging/start_turns.h"
 
 namespace pumicemast {
 namespace {
--- a/src/host/version_download.h
+++ b/src/host/download/version_download.h
@@ -13,11 +13,11 @@
 #include <vector>
 
 #include "common/metrics.h"
-#include "host/chunk_uploads.h"
+#include "host/download/chunk_uploads.h"
+#include "host/download/link_gauge.h"
+#include "host/download/manifest_seeker.h"
 #include "host/engine_control.h"
 #include "host/host_settings.h"
-#include "host/link_gauge.h"
-#include "host/manifest_seeker.h"
 #include "swarm/swarm.h"
 #include "transfer/swarm_messages.h"
 #include "transfer/uplink_pacer.h"
--- a/src/host/engine_stager.cpp
+++ b/src/host/staging/engine_stager.cpp
@@ -1,9 +1,9 @@
-#include "host/engine_stager.h"
+#include "host/staging/engine_stager.h"
 
 #include <algorithm>
 #include <cassert>
 
-#include "host/settling.h"
+#include "host/staging/settling.h"
 
 namespace pumicemast {
 namespace {
--- a/src/host/engine_stager.h
+++ b/src/host/staging/engine_stager.h
@@ -11,10 +11,10 @@
 #include "common/event_loop.h"
 #include "common/metrics.h"
 #include "common/state_chart.h"
+#include "host/download/version_download.h"
 #include "host/engine_control.h"
 #include "host/host_settings.h"
-#include "host/start_orders.h"
-#include "host/version_download.h"
+#include "host/staging/start_orders.h"
 
 namespace pumicemast {
 
--- a/src/host/model_stager.cpp
+++ b/src/host/staging/model_stager.cpp
@@ -1,11 +1,11 @@
-#include "host/model_stager.h"
+#include "host/staging/model_stager.h"
 
 #include <algorithm>
 
 #include "common/event_loop.h"
 #include "common/hash.h"
-#include "host/download_tuning.h"
-#include "host/start_turns.h"
+#include "host/download/download_tuning.h"
+#include "host/staging/start_turns.h"
 
 namespace pumicemast {
 namespace {
--- a/src/host/model_stager.h
+++ b/src/host/staging/model_stager.h
@@ -12,10 +12,10 @@
 #include <string>
 #include <vector>
 
-#include "host/engine_stager.h"
-#include "host/inherited_staging.h"
-#include "host/staged_inventory.h"
-#include "host/version_download.h"
+#include "host/download/version_download.h"
+#include "host/staging/engine_stager.h"
+#include "host/staging/inherited_staging.h"
+#include "host/staging/staged_inventory.h"
 
 namespace pumicemast {
 
--- a/src/host/staged_inventory.cpp
+++ b/src/host/staging/staged_inventory.cpp
@@ -1,4 +1,4 @@
-#include "host/staged_inventory.h"
+#include "host/staging/staged_inventory.h"
 
 namespace pumicemast {
 
--- a/tests/fuzz/bad_bytes_test.cpp
+++ b/tests/fuzz/bad_bytes_test.cpp
@@ -5,9 +5,9 @@
 #include <sstream>
 
 #include "common/settings.h"
-#include "gateway/crash_messages.h"
-#include "gateway/event_splitter.h"
-#include "gateway/request_quarantine.h"
+#include "gateway/quarantine/crash_messages.h"
+#include "gateway/quarantine/request_quarantine.h"
+#include "gateway/requests/event_splitter.h"
 #include "http1/request_reader.h"
 #include "http1/response_reader.h"
 #include "platform/configuration_translation.h"
--- a/tests/gateway/configuration_catch_up_test.cpp
+++ b/tests/gateway/configuration/configuration_catch_up_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/configuration_catch_up.h"
+#include "gateway/configuration/configuration_catch_up.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/gateway/configuration_download_test.cpp
+++ b/tests/gateway/configuration/configuration_download_test.cpp
@@ -1,10 +1,10 @@
-#include "gateway/configuration_download.h"
+#include "gateway/configuration/configuration_download.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <set>
 
-#include "gateway/configuration_shelf.h"
+#include "gateway/configuration/configuration_shelf.h"
 
 namespace pumicemast {
 
--- a/tests/gateway/gateway_cores_test.cpp
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -1,9 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "common/log_budget.h"
-#include "gateway/event_splitter.h"
-#include "gateway/route_table.h"
-#include "gateway/weight_targets.h"
+#include "gateway/backends/weight_targets.h"
+#include "gateway/requests/event_splitter.h"
+#include "gateway/requests/route_table.h"
 #include "support/gateway_world.h"
 
 namespace pumicemast {
--- a/tests/gateway/backend_list_relay_test.cpp
+++ b/tests/gateway/peers/backend_list_relay_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/backend_list_relay.h"
+#include "gateway/peers/backend_list_relay.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/gateway/fleet_links_agents_test.cpp
+++ b/tests/gateway/peers/fleet_links_agents_test.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "gateway/fleet_links.h"
+#include "gateway/peers/fleet_links.h"
 #include "support/scripted_server.h"
 
 namespace pumicemast {
--- a/tests/gateway/store_reader_role_test.cpp
+++ b/tests/gateway/peers/store_reader_role_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/store_reader_role.h"
+#include "gateway/peers/store_reader_role.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/gateway/crash_witness_test.cpp
+++ b/tests/gateway/quarantine/crash_witness_test.cpp
@@ -1,8 +1,8 @@
-#include "gateway/crash_witness.h"
+#include "gateway/quarantine/crash_witness.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "gateway/backend_pool.h"
+#include "gateway/backends/backend_pool.h"
 
 namespace pumicemast {
 
--- a/tests/gateway/request_quarantine_test.cpp
+++ b/tests/gateway/quarantine/request_quarantine_test.cpp
@@ -1,12 +1,12 @@
-#include "gateway/request_quarantine.h"
+#include "gateway/quarantine/request_quarantine.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 #include <random>
 
-#include "gateway/crash_messages.h"
-#include "gateway/verdict_pull.h"
+#include "gateway/quarantine/crash_messages.h"
+#include "gateway/quarantine/verdict_pull.h"
 #include "support/gateway_world.h"
 
 namespace pumicemast {
--- a/tests/gateway/request_forwarder_test.cpp
+++ b/tests/gateway/requests/request_forwarder_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/host/credit_dealer_test.cpp
+++ b/tests/host/credits/credit_dealer_test.cpp
@@ -1,10 +1,10 @@
-#include "host/credit_dealer.h"
+#include "host/credits/credit_dealer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 
-#include "host/settling.h"
+#include "host/staging/settling.h"
 
 namespace pumicemast {
 
--- a/tests/host/report_schedule_test.cpp
+++ b/tests/host/credits/report_schedule_test.cpp
@@ -1,4 +1,4 @@
-#include "host/report_schedule.h"
+#include "host/credits/report_schedule.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/host/chunk_uploads_test.cpp
+++ b/tests/host/download/chunk_uploads_test.cpp
@@ -1,4 +1,4 @@
-#include "host/chunk_uploads.h"
+#include "host/download/chunk_uploads.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/host/host_cores_test.cpp
+++ b/tests/host/host_cores_test.cpp
@@ -2,8 +2,8 @@
 
 #include <set>
 
-#include "host/link_gauge.h"
-#include "host/start_turns.h"
+#include "host/download/link_gauge.h"
+#include "host/staging/start_turns.h"
 
 namespace pumicemast {
 
--- a/tests/host/inherited_staging_test.cpp
+++ b/tests/host/staging/inherited_staging_test.cpp
@@ -1,4 +1,4 @@
-#include "host/inherited_staging.h"
+#include "host/staging/inherited_staging.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/host/start_orders_test.cpp
+++ b/tests/host/staging/start_orders_test.cpp
@@ -1,4 +1,4 @@
-#include "host/start_orders.h"
+#include "host/staging/start_orders.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/host/unanswered_order_test.cpp
+++ b/tests/host/staging/unanswered_order_test.cpp
@@ -1,6 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "host/start_orders.h"
+#include "host/staging/start_orders.h"
 #include "support/staging_test.h"
 
 namespace pumicemast {
--- a/tests/platform/configuration_memory_test.cpp
+++ b/tests/platform/configuration_memory_test.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "gateway/route_table.h"
+#include "gateway/requests/route_table.h"
 #include "platform/configuration_translation.h"
 #include "platform/store_list.h"
 
--- a/tests/support/configuration_spread_world.cpp
+++ b/tests/support/configuration_spread_world.cpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "gateway/configuration_catch_up.h"
-#include "gateway/configuration_download.h"
-#include "gateway/configuration_shelf.h"
+#include "gateway/configuration/configuration_catch_up.h"
+#include "gateway/configuration/configuration_download.h"
+#include "gateway/configuration/configuration_shelf.h"
 #include "support/spread_network.h"
 
 namespace pumicemast {
--- a/tests/support/crash_world.h
+++ b/tests/support/crash_world.h
@@ -13,8 +13,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/request_forwarder.h"
-#include "gateway/verdict_pull.h"
+#include "gateway/quarantine/verdict_pull.h"
+#include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast::tests {
 
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-#include "gateway/request_forwarder.h"
+#include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast::tests {
 
--- a/tests/support/origin_outage_world.cpp
+++ b/tests/support/origin_outage_world.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "common/hash.h"
-#include "host/download_tuning.h"
+#include "host/download/download_tuning.h"
 
 namespace pumicemast::tests {
 namespace {
--- a/tests/support/overload_world.h
+++ b/tests/support/overload_world.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/request_forwarder.h"
-#include "host/credit_dealer.h"
+#include "gateway/requests/request_forwarder.h"
+#include "host/credits/credit_dealer.h"
 #include "support/modelled_engine.h"
 
 namespace pumicemast::tests {
--- a/tests/support/retry_fleet.h
+++ b/tests/support/retry_fleet.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/retry_budgets.h"
-#include "gateway/retry_share.h"
+#include "gateway/requests/retry_budgets.h"
+#include "gateway/requests/retry_share.h"
 
 namespace pumicemast::tests {
 
--- a/tests/support/staging_test.h
+++ b/tests/support/staging_test.h
@@ -6,7 +6,7 @@
 
 #include <memory>
 
-#include "host/model_stager.h"
+#include "host/staging/model_stager.h"
 #include "support/charts.h"
 #include "support/scripted_engine.h"
 
