--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -96,6 +96,11 @@
     return Taken{version, staged_}.whole(chunk_count);
   }
 
+  bool holds_chunk(std::uint64_t version, ChunkIndex chunk) const {
+    const auto found = staged_.find(chunk);
+    return found != staged_.end() && found->second == chunk_of(version, chunk);
+  }
+
   // EngineControl
   void set_layer_count(std::uint32_t) override {}
   void read_load(std::function<void(const LoadReport&)> callback) override {
@@ -158,8 +163,13 @@
 
 class ScriptedOrigin : public WeightOrigin {
  public:
-  explicit ScriptedOrigin(ChunkIndex chunk_count) : chunk_count_(chunk_count) {}
+  explicit ScriptedOrigin(ChunkIndex chunk_count)
+      : chunk_count_(chunk_count), chunks_given_(chunk_count) {}
   void set_newest(std::uint64_t version) { newest_ = version; }
+  /// Manifests of older versions are refused from now on.
+  void forget_manifests_before(std::uint64_t version) { oldest_manifest_ = version; }
+  /// Chunks from this one on are refused from now on.
+  void withhold_chunks_from(ChunkIndex chunk) { chunks_given_ = chunk; }
   void deliver() { answers_.deliver(); }
   /// Whoever asked is gone; what it ordered may still be carried out.
   void drop_answers() { answers_.drop(); }
@@ -168,6 +178,10 @@
   void fetch_manifest(const std::string& model, std::uint64_t version,
                       std::function<void(std::optional<WeightManifest>)> callback) override {
     WeightManifest manifest{model, version == 0 ? newest_ : version, 0, 1, {}};
+    if (manifest.version < oldest_manifest_) {
+      answers_.add([callback] { callback(std::nullopt); });
+      return;
+    }
     for (ChunkIndex chunk = 0; chunk < chunk_count_; ++chunk) {
       manifest.hashes.push_back(sha256(chunk_of(manifest.version, chunk)));
     }
@@ -175,14 +189,18 @@
   }
   void fetch_chunk(const std::string&, std::uint64_t version, ChunkIndex chunk,
                    std::function<void(std::optional<std::string>)> callback) override {
-    answers_.add([callback, version, chunk] { callback(chunk_of(version, chunk)); });
+    std::optional<std::string> bytes;
+    if (chunk < chunks_given_) bytes = chunk_of(version, chunk);
+    answers_.add([callback, bytes] { callback(bytes); });
   }
   void cancel_chunks(const std::string&, std::uint64_t) override {}
   std::uint32_t connection_limit() const override { return 9; }
 
  private:
   ChunkIndex chunk_count_;
+  ChunkIndex chunks_given_;
   std::uint64_t newest_ = 1;
+  std::uint64_t oldest_manifest_ = 0;
   PendingAnswers answers_;
 };
 
