Mark an engine's staging place while a version is written to it

Cause: an agent that is started anew must not write over what its predecessor may have ordered, and could tell only by the manifests of all versions since the one served. After all agents were killed these may be nowhere: 56 of 76 engines waited for 15 s (kLongestUnanswered) with 93 to 95 of 96 chunks there. Change: before any chunk of another version is written, a marker with that version's manifest takes the place of one chunk; that chunk follows last. A marker proves that nothing there was ordered, and tells the manifest without origin or peers. It is never written while an order, one's own or a predecessor's, may be pending. Ways weighed: taking engines that are one version behind for free without the manifest of what they serve (contradicts cases that a test keeps, and helps only them); an order of our own that raises the engine's count (no harmless order begins something); fences (not required by these engines); writing orders to the store (a call each, and it may be down). The wait of 15 s stays for places without a marker that can't be told.

--- a/src/host/staging/engine_stager.cpp
+++ b/src/host/staging/engine_stager.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 
 #include "host/staging/settling.h"
+#include "host/staging/staging_marker.h"
 
 namespace pumicemast {
 namespace {
@@ -64,6 +65,8 @@
   step("target_changed");
   if (source_ == nullptr) return;
   staged_.resize(source_->chunks().size());
+  marker_ = encode_staging_marker(*source_->manifest());
+  marker_hash_ = sha256(marker_);
   step("manifest_read");
 }
 
@@ -122,21 +125,54 @@
   }
 }
 
+bool EngineStager::lies_there(ChunkIndex chunk) const {
+  return staged_[chunk] == source_->manifest()->hashes[chunk];
+}
+
+bool EngineStager::wants_marker() const {
+  // What an order may still take must stay whole.
+  if (!marking_allowed_ || order_pending() || staged_[kMarkerPlace] == marker_hash_) return false;
+  const auto count = static_cast<ChunkIndex>(source_->manifest()->hashes.size());
+  for (ChunkIndex chunk = kMarkerPlace + 1; chunk < count; ++chunk) {
+    if (!lies_there(chunk)) return true;
+  }
+  return false;
+}
+
+std::optional<ChunkIndex> EngineStager::next_chunk() const {
+  const auto count = static_cast<ChunkIndex>(source_->manifest()->hashes.size());
+  bool others_lie_there = true;
+  for (ChunkIndex chunk = kMarkerPlace + 1; chunk < count; ++chunk) {
+    if (lies_there(chunk)) continue;
+    if (source_->chunks()[chunk]) return chunk;
+    others_lie_there = false;
+  }
+  const bool last = others_lie_there && !lies_there(kMarkerPlace);
+  return last && source_->chunks()[kMarkerPlace] ? std::optional(kMarkerPlace) : std::nullopt;
+}
+
+void EngineStager::write(ChunkIndex place, const std::string& bytes, const Sha256& hash) {
+  writing_ = true;
+  staged_[place].reset();
+  engine_.write_staged(model_, place, bytes,
+                       [this, generation = generation_, place, hash](bool done) {
+                         if (generation != generation_) return;
+                         writing_ = false;
+                         if (!done) return;  // Tried again at the next tick.
+                         staged_[place] = hash;
+                         write_missing();
+                       });
+}
+
 void EngineStager::write_missing() {
   if (writing_ || state_ != "FETCHING" || !load_.alive) return;
   const auto& hashes = source_->manifest()->hashes;
-  for (ChunkIndex chunk = 0; chunk < hashes.size(); ++chunk) {
-    const VersionDownload::Bytes& bytes = source_->chunks()[chunk];
-    if (!bytes || staged_[chunk] == hashes[chunk]) continue;
-    writing_ = true;
-    staged_[chunk].reset();
-    engine_.write_staged(model_, chunk, *bytes, [this, generation = generation_, chunk](bool done) {
-      if (generation != generation_) return;
-      writing_ = false;
-      if (!done) return;  // Tried again at the next tick.
-      staged_[chunk] = source_->manifest()->hashes[chunk];
-      write_missing();
-    });
+  if (wants_marker()) {
+    write(kMarkerPlace, marker_, marker_hash_);
+    return;
+  }
+  if (const auto chunk = next_chunk()) {
+    write(*chunk, *source_->chunks()[*chunk], hashes[*chunk]);
     return;
   }
   const bool all_staged = std::equal(hashes.begin(), hashes.end(), staged_.begin());
--- a/src/host/staging/engine_stager.h
+++ b/src/host/staging/engine_stager.h
@@ -1,7 +1,8 @@
 /// Brings a complete version from this agent's memory into the engine beside it.
 ///
-/// Interprets charts/staging.ini: chunks are written to the engine as they come, all that lies
-/// there is read back and verified, and at its turn the engine is told to take it.
+/// Interprets charts/staging.ini: chunks are written to the engine as they come, behind a
+/// marker that says so (host/staging/staging_marker.h); all that lies there is read back and
+/// verified, and at its turn the engine is told to take it.
 #pragma once
 
 #include <functional>
@@ -37,6 +38,8 @@
   void set_source(const VersionDownload* source);
   /// What lay at the engine in this place, as it was read: it need not be written again.
   void note_staged(ChunkIndex chunk, const Sha256& hash);
+  /// No earlier process's order is pending: what lies there may be marked as no whole version.
+  void allow_marking() { marking_allowed_ = true; }
   void on_load(const LoadReport& report);
   void on_tick(TimePoint now);
 
@@ -54,6 +57,13 @@
   void step(const char* event);
   bool serves_source() const;
   void write_missing();
+  /// Whether chunks are still to be written that a marker has to precede.
+  bool wants_marker() const;
+  bool lies_there(ChunkIndex chunk) const;
+  /// The next chunk to write; nothing when all lie there, or those missing are not here yet.
+  std::optional<ChunkIndex> next_chunk() const;
+  /// @param hash  of `bytes`.
+  void write(ChunkIndex place, const std::string& bytes, const Sha256& hash);
   void check_staged(ChunkIndex chunk);
   void on_checked(ChunkIndex chunk, bool intact);
   void on_verified();
@@ -73,6 +83,9 @@
   std::uint64_t generation_ = 0;  ///< Answers to calls for an older source are dropped.
   /// What is thought to lie at the engine, by place.
   std::vector<std::optional<Sha256>> staged_;
+  bool marking_allowed_ = false;
+  std::string marker_;  ///< Of the source.
+  Sha256 marker_hash_{};
   bool writing_ = false;
   TimePoint checked_at_{};
   std::optional<TimePoint> turn_;
--- a/src/host/staging/inherited_staging.cpp
+++ b/src/host/staging/inherited_staging.cpp
@@ -31,7 +31,8 @@
 std::vector<std::uint64_t> InheritedStaging::wanted_manifests(std::uint64_t newest,
                                                               std::uint64_t serving) const {
   const auto known = manifests_.find(newest);
-  if (!held_ || known == manifests_.end() || !fills_all_places(known->second.size())) return {};
+  if (marked_ || !held_ || known == manifests_.end()) return {};
+  if (!fills_all_places(known->second.size())) return {};
   if (holds_whole(known->second)) return {};
   std::vector<std::uint64_t> wanted = earlier_versions(newest, serving);
   std::erase_if(wanted, [this](std::uint64_t version) { return manifests_.contains(version); });
@@ -41,6 +42,7 @@
 InheritedStagingVerdict InheritedStaging::decide(std::uint64_t newest, std::uint64_t serving,
                                                  TimePoint now) const {
   using Kind = InheritedStagingVerdict::Kind;
+  if (marked_) return {Kind::free, 0};
   const auto known = manifests_.find(newest);
   if (!held_ || known == manifests_.end()) return {};
   if (!fills_all_places(known->second.size())) return {Kind::free, 0};
--- a/src/host/staging/inherited_staging.h
+++ b/src/host/staging/inherited_staging.h
@@ -4,7 +4,8 @@
 /// process that gave it has long been killed; nothing tells its successor of it. But a process
 /// writes over nothing that it has ordered. So such an order can only name a version that lies
 /// there whole, and it is void once the engine's count of orders has risen: the successor orders
-/// that version again before it writes anything. What lies there in part was ordered by nobody.
+/// that version again before it writes anything. What lies there in part was ordered by nobody, and
+/// a marker tells so without any version's manifest.
 /// Guards against callers getting tokens of two versions: 2 of 52 soak runs in which an agent was
 /// killed with an order unanswered.
 #pragma once
@@ -36,6 +37,8 @@
 
   /// Everything that lay at the engine was read: its hashes by place, empty where nothing lay.
   void on_read(std::vector<std::optional<Sha256>> held) { held_ = std::move(held); }
+  /// A marker lies there (host/staging/staging_marker.h).
+  void on_marked() { marked_ = true; }
   /// What a version consists of became known.
   void on_manifest(const WeightManifest& manifest);
 
@@ -56,6 +59,7 @@
   bool holds_whole(const Hashes& hashes) const;
 
   TimePoint began_;
+  bool marked_ = false;
   /// Empty until the engine's staging place was read.
   std::optional<std::vector<std::optional<Sha256>>> held_;
   std::map<std::uint64_t, Hashes> manifests_;
--- a/src/host/staging/model_stager.cpp
+++ b/src/host/staging/model_stager.cpp
@@ -208,6 +208,7 @@
     if (load_.alive) inventory_.read();
     return;
   }
+  take_over_marked();
   if (!current_->manifest()) return;
   inherited_.on_read(inventory_.hashes());
   note_manifest(*current_->manifest());
@@ -225,6 +226,13 @@
   }
 }
 
+void ModelStager::take_over_marked() {
+  if (!inventory_.marked()) return;
+  inherited_.on_marked();
+  for_each_download(
+      [&](VersionDownload& download) { download.take_manifest(*inventory_.marked(), "staging"); });
+}
+
 void ModelStager::seek_earlier_manifests(TimePoint now) {
   for (const std::uint64_t version :
        inherited_.wanted_manifests(current_->version(), serving_version())) {
@@ -264,6 +272,7 @@
 
 void ModelStager::release_engine() {
   claim_ = EngineClaim::released;
+  engine_stager_.allow_marking();
   // Nobody needs what the question took any more.
   earlier_manifests_.clear();
   known_manifests_.clear();
--- a/src/host/staging/model_stager.h
+++ b/src/host/staging/model_stager.h
@@ -75,6 +75,8 @@
   /// Finds out whether an earlier process may have ordered what lies at the engine, and has it
   /// ordered again before anything is written.
   void settle_inherited(TimePoint now);
+  /// Goes on with a version that an earlier process was writing.
+  void take_over_marked();
   void seek_earlier_manifests(TimePoint now);
   void note_earlier_manifest(const WeightManifest& manifest);
   void note_manifest(const WeightManifest& manifest);
--- a/src/host/staging/staged_inventory.cpp
+++ b/src/host/staging/staged_inventory.cpp
@@ -1,5 +1,7 @@
 #include "host/staging/staged_inventory.h"
 
+#include "host/staging/staging_marker.h"
+
 namespace pumicemast {
 
 void StagedInventory::read() {
@@ -37,6 +39,7 @@
   const Sha256 hash = sha256(bytes);
   if (place >= hashes_.size()) hashes_.resize(place + 1);
   hashes_[place] = hash;
+  if (place == kMarkerPlace) marked_ = decode_staging_marker(bytes);
   bytes_.emplace(hash, std::make_shared<const std::string>(std::move(bytes)));
 }
 
--- a/src/host/staging/staged_inventory.h
+++ b/src/host/staging/staged_inventory.h
@@ -32,6 +32,8 @@
   /// The chunks, unverified, by their hashes.
   const std::map<Sha256, Bytes>& bytes() const { return bytes_; }
   void drop_bytes() { bytes_.clear(); }
+  /// The version that was being written there, when a marker says so.
+  const std::optional<WeightManifest>& marked() const { return marked_; }
 
  private:
   void read_next(std::vector<ChunkIndex> places, std::size_t position);
@@ -43,6 +45,7 @@
   bool complete_ = false;
   std::vector<std::optional<Sha256>> hashes_;
   std::map<Sha256, Bytes> bytes_;
+  std::optional<WeightManifest> marked_;
 };
 
 }  // namespace pumicemast
--- /dev/null
+++ b/tests/host/staging/staging_marker_test.cpp
@@ -0,0 +1,46 @@
+#include "host/staging/staging_marker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicemast {
+
+class StagingMarkerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StagingMarkerTest);
+  CPPUNIT_TEST(a_marker_tells_the_manifest);
+  CPPUNIT_TEST(a_marker_that_turned_bad_is_none);
+  CPPUNIT_TEST(a_chunk_is_no_marker);
+  CPPUNIT_TEST_SUITE_END();
+
+  static WeightManifest manifest() {
+    return {"m", 7, 24576, 16, {sha256("first"), sha256("second")}};
+  }
+
+ public:
+  void a_marker_tells_the_manifest() {
+    const auto read = decode_staging_marker(encode_staging_marker(manifest()));
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT_EQUAL(manifest().model, read->model);
+    CPPUNIT_ASSERT_EQUAL(manifest().version, read->version);
+    CPPUNIT_ASSERT_EQUAL(manifest().layers, read->layers);
+    CPPUNIT_ASSERT(manifest().hashes == read->hashes);
+  }
+
+  void a_marker_that_turned_bad_is_none() {
+    const std::string marker = encode_staging_marker(manifest());
+    for (std::size_t at = 0; at < marker.size(); ++at) {
+      std::string spoilt = marker;
+      spoilt[at] = static_cast<char>(spoilt[at] ^ 1);
+      CPPUNIT_ASSERT(!decode_staging_marker(spoilt));
+      CPPUNIT_ASSERT(!decode_staging_marker(std::string_view(marker).substr(0, at)));
+    }
+  }
+
+  void a_chunk_is_no_marker() {
+    CPPUNIT_ASSERT(!decode_staging_marker(""));
+    CPPUNIT_ASSERT(!decode_staging_marker(std::string(24576, 'w')));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StagingMarkerTest);
+
+}  // namespace pumicemast
