--- a/src/host/download/version_download.cpp
+++ b/src/host/download/version_download.cpp
@@ -211,6 +211,10 @@
       });
 }
 
+void VersionDownload::act(const CancelFromOrigin& action) {
+  // What a neighbour has by now need not take the origin's link.
+  context_.origin.cancel_chunk(model_, version_, action.chunk);
+}
 
 void VersionDownload::act(const SendChunk& action) {
   const bool held = action.chunk < chunks_.size() && chunks_[action.chunk];
--- a/src/host/download/version_download.h
+++ b/src/host/download/version_download.h
@@ -109,7 +109,7 @@
   void act(const RequestFromPeer& action);
   void act(const CancelFromPeer& action);
   void act(const RequestFromOrigin& action);
-  void act(const CancelFromOrigin&) {}
+  void act(const CancelFromOrigin& action);
   void act(const SendChunk& action);
   void act(const RefuseChunk& action);
   void act(const AnnounceChunks& action);
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -72,6 +72,8 @@
   /// Empty when the origin did not give the chunk; the bytes are unverified.
   virtual void fetch_chunk(const std::string& model, std::uint64_t version, ChunkIndex chunk,
                            std::function<void(std::optional<std::string>)> callback) = 0;
+  /// This chunk is no longer wanted: its callback is not called.
+  virtual void cancel_chunk(const std::string& model, std::uint64_t version, ChunkIndex chunk) = 0;
   /// Chunks of this version are no longer wanted: their callbacks are not called. What comes of
   /// other versions goes on.
   virtual void cancel_chunks(const std::string& model, std::uint64_t version) = 0;
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -193,6 +193,7 @@
     if (chunk < chunks_given_) bytes = chunk_of(version, chunk);
     answers_.add([callback, bytes] { callback(bytes); });
   }
+  void cancel_chunk(const std::string&, std::uint64_t, ChunkIndex) override {}
   void cancel_chunks(const std::string&, std::uint64_t) override {}
   std::uint32_t connection_limit() const override { return 9; }
 
