--- a/tests/swarm/origin_outage_test.cpp
+++ b/tests/swarm/origin_outage_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(an_origin_that_was_away_sends_few_copies);
   CPPUNIT_TEST(a_narrow_origin_sends_little_twice);
   CPPUNIT_TEST(a_narrow_origin_that_was_away_is_used_at_once);
+  CPPUNIT_TEST(an_origin_so_narrow_that_a_chunk_takes_seconds_sends_little_twice);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -100,6 +101,17 @@
     }
   }
 
+  /// With all connections in use a chunk takes 5.7 s.
+  void an_origin_so_narrow_that_a_chunk_takes_seconds_sends_little_twice() {
+    OriginOutageSettings settings = narrow_origin();
+    settings.away_from = settings.away_until = Duration::zero();
+    settings.origin_bytes_per_second = 2e6 / 8;
+    const OriginOutageResult result = play(settings);
+    CPPUNIT_ASSERT_EQUAL(0U, result.incomplete);
+    CPPUNIT_ASSERT(result.origin_copies < 1.3);
+    assert_prompt(result, copy_seconds(settings));
+  }
+
  private:
   static double copy_seconds(const OriginOutageSettings& settings) {
     return settings.chunks * settings.chunk_bytes * settings.origin_overhead /
