Let a slow origin be slow: no draw is given up or taken over because it takes seconds

Cause: 2 Mbit/s before 76 agents take 5.7 s a chunk. The swarm gave each draw up after 3 s, and stepped in for owners whose chunks had not appeared for 0.7 to 2.8 s. Change: 30 s for a draw (a call that stands still fails by itself), 3 s for what is asked of an owner before it has it, and nobody steps in before twice the time that a draw takes here.

--- a/src/experiment/burst_experiment.cpp
+++ b/src/experiment/burst_experiment.cpp
@@ -31,6 +31,7 @@
     settings.swarm.announce_interval = seconds(5);  // Nobody listens.
     // Queues at the origin are as long as the fleet is large.
     settings.swarm.origin_timeout = std::chrono::hours(24);
+    settings.swarm.subscription_timeout = std::chrono::hours(24);
     settings.swarm.takeover_interval = std::chrono::hours(24);
     settings.time_limit_share = 10.0 * settings.machines;
   }
--- a/src/host/download/download_tuning.cpp
+++ b/src/host/download/download_tuning.cpp
@@ -45,7 +45,9 @@
   // On a narrowed link what was asked for again elsewhere would come twice.
   options.minimum_request_timeout = milliseconds(1500);
   options.maximum_request_timeout = seconds(4);
-  options.origin_timeout = seconds(3);
+  // A call that stands still fails by itself; one that is only slow would have to be sent again.
+  options.origin_timeout = seconds(30);
+  options.subscription_timeout = seconds(3);
   options.takeover_interval = milliseconds(700);
   options.lag_check_interval = kLagCheckInterval;
   return options;
--- a/src/swarm/appearance_watch.h
+++ b/src/swarm/appearance_watch.h
@@ -29,6 +29,9 @@
     interrupted_ = false;
     last_ = now;
   }
+  /// How long a draw from the origin takes now, as far as it is known. Behind a narrow link all
+  /// chunks come late and at once: whoever stepped in earlier would only make them later.
+  void set_draw_time(Duration draw_time) { draw_time_ = draw_time; }
   /// Others have stepped in: the next rank follows after another interval.
   void on_takeover(TimePoint now) {
     last_ = now;
@@ -38,19 +41,24 @@
   bool starved(TimePoint now) const { return now - last_ >= takeover_interval(); }
   Duration takeover_interval() const {
     // Slow links and large chunks make chunks rare without anything being wrong.
-    if (usual_gap_ == Duration::zero()) return interval_ * kFirstTakeoverScale;
-    return std::max(interval_, usual_gap_ * kTakeoverGaps);
+    const Duration several_draws = draw_time_ * kTakeoverDraws;
+    if (usual_gap_ == Duration::zero()) {
+      return std::max(interval_ * kFirstTakeoverScale, several_draws);
+    }
+    return std::max({interval_, usual_gap_ * kTakeoverGaps, several_draws});
   }
 
  private:
   static constexpr int kGapSmoothing = 8;
   static constexpr int kTakeoverGaps = 16;
+  static constexpr int kTakeoverDraws = 2;
   /// Before any chunk appeared, the origin may just be slow to send the first.
   static constexpr int kFirstTakeoverScale = 4;
 
   Duration interval_;
   TimePoint last_{};
   Duration usual_gap_ = Duration::zero();
+  Duration draw_time_ = Duration::zero();
   bool interrupted_ = false;  ///< The next gap is an outage, not usual.
 };
 
--- a/src/swarm/open_requests.cpp
+++ b/src/swarm/open_requests.cpp
@@ -1,5 +1,7 @@
 #include "swarm/open_requests.h"
 
+#include <algorithm>
+
 namespace pumicemast {
 
 void PeerRequests::open(ChunkIndex chunk, const PeerRequest& request) {
@@ -23,6 +25,19 @@
   return select([peer](const PeerRequest& request) { return request.peer == peer; });
 }
 
+void OriginDraws::on_arrived(ChunkIndex chunk, TimePoint now) {
+  const auto found = begun_.find(chunk);
+  if (found == begun_.end()) return;
+  last_took_ = now - found->second;
+  begun_.erase(found);
+}
+
+Duration OriginDraws::usual_time(TimePoint now) const {
+  Duration longest = last_took_;
+  for (const auto& [chunk, begun] : begun_) longest = std::max(longest, now - begun);
+  return longest;
+}
+
 std::vector<ChunkIndex> OriginDraws::older_than(Duration limit, TimePoint now) const {
   std::vector<ChunkIndex> chunks;
   for (const auto& [chunk, begun] : begun_) {
--- a/src/swarm/open_requests.h
+++ b/src/swarm/open_requests.h
@@ -45,13 +45,18 @@
   void begin(ChunkIndex chunk, TimePoint now) { begun_[chunk] = now; }
   /// @return whether `chunk` was on its way.
   bool end(ChunkIndex chunk) { return begun_.erase(chunk) > 0; }
+  /// `chunk` came from the origin.
+  void on_arrived(ChunkIndex chunk, TimePoint now);
   bool contains(ChunkIndex chunk) const { return begun_.contains(chunk); }
+  /// How long a draw takes now: the last that arrived, or one under way that takes longer.
+  Duration usual_time(TimePoint now) const;
   /// Those on their way for `limit` or longer.
   std::vector<ChunkIndex> older_than(Duration limit, TimePoint now) const;
   std::uint32_t count() const { return static_cast<std::uint32_t>(begun_.size()); }
 
  private:
   std::map<ChunkIndex, TimePoint> begun_;
+  Duration last_took_ = Duration::zero();
 };
 
 template <class HasFailed>
--- a/src/swarm/swarm.cpp
+++ b/src/swarm/swarm.cpp
@@ -185,7 +185,7 @@
   if (source) {
     note_delivery(*source, chunk, arrival, now, actions);
   } else {
-    draws_.end(chunk);
+    draws_.on_arrived(chunk, now);
     procurement_.on_origin_answered();
     if (arrival == ChunkArrival::verified) ++counters_.chunks_from_origin;
   }
@@ -307,7 +307,7 @@
   const bool end_game = picker_.open().count() == 0;
   const Duration timeout = end_game ? responses_.end_game_timeout() : responses_.timeout();
   const auto expired = requests_.select([&](const PeerRequest& request) {
-    const Duration limit = request.subscription ? options_.origin_timeout : timeout;
+    const Duration limit = request.subscription ? options_.subscription_timeout : timeout;
     // A peer that delivers other chunks meanwhile is busy, not stalled.
     const TimePoint last_sign =
         end_game ? request.sent : std::max(request.sent, peer(request.peer).last_arrival());
@@ -352,6 +352,7 @@
 
 void Swarm::take_over_if_starved(TimePoint now, SwarmActions& actions) {
   if (paused_ || complete() || self_ == nullptr) return;
+  appearances_.set_draw_time(draws_.usual_time(now));
   if (!appearances_.starved(now)) return;
   const bool none_arrives = now - last_chunk_ >= appearances_.takeover_interval();
   appearances_.on_takeover(now);
--- a/src/swarm/swarm_options.h
+++ b/src/swarm/swarm_options.h
@@ -31,6 +31,8 @@
   Duration minimum_request_timeout = seconds(1);
   Duration maximum_request_timeout = seconds(120);
   Duration origin_timeout = seconds(60);
+  /// An owner that was asked before it had the chunk is passed over after this.
+  Duration subscription_timeout = seconds(60);
   /// When no chunk that is missing here appeared nearby for so long, and for many times the
   /// usual gap between two that do, the next owners in rank bring in those that did not.
   Duration takeover_interval = seconds(3);
