--- a/src/admission/overload_watch.h
+++ b/src/admission/overload_watch.h
@@ -20,10 +20,8 @@
   }
 
  private:
-  /// Long enough for a gateway that refuses seven of 23 requests a second to be seen as overloaded
-  /// 9 times in 10; short enough that callers who come back after a standstill find room again.
-  /// With 1 s as much was gained under overload, but 0.018 of worth lost on a day whose engines had
-  /// all stood still for a second (three seeds).
+  /// Long enough for a gateway that refuses a third of its requests to be seen as overloaded most
+  /// of the time; short enough that callers who come back after a standstill find room again.
   static constexpr Duration kRecent = milliseconds(350);
 
   std::map<std::string, TimePoint> turned_away_;
--- a/src/admission/stated_times.cpp
+++ b/src/admission/stated_times.cpp
@@ -5,12 +5,10 @@
 namespace pumicemast {
 namespace {
 
-/// Stated times within one step count as equal. First attempts were seen within 10 ms
-/// of each other, the way from the caller included.
+/// Stated times within one step count as equal: first attempts differ by the way from the caller.
 constexpr Duration kStep = milliseconds(20);
 /// A time that so large a share of a group's requests state is one that its callers begin with.
-/// Callers that come back spread over a second: under an overload of 1.5 a step of theirs held 1 in
-/// 100 requests, the first attempts' step over 50.
+/// Callers that come back spread over a second, first attempts all fall into one step.
 constexpr double kUsualShare = 0.1;
 /// With fewer requests than this nothing is concluded. A gateway of 39 before 47 engines has seen
 /// so many for a service within two seconds of its start; of one route it would take many more.
--- a/src/fleet/backend_list.h
+++ b/src/fleet/backend_list.h
@@ -1,10 +1,7 @@
 /// The list of back ends as one process passes it on to others of its zone.
 ///
 /// Two gateways of a zone read the list from the platform's store; the others and the agents get it
-/// from them. Each call to the store is priced and the links to it are narrow: 149 gateways that
-/// all waited for changes there, and 120 agents that read the whole list every two seconds, made
-/// 7,362 calls on a calm day of 62 s, and make 2,738 since they are told (one play each; an answer
-/// that may be old counts as a tenth).
+/// from them: each call to the store is priced, and the links to it are narrow.
 #pragma once
 
 #include <algorithm>
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "common/request_limits.h"
 #include "common/settings.h"
 #include "common/time.h"
-#include "http1/request_reader.h"
 
 namespace pumicemast {
 
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -15,9 +15,7 @@
 constexpr double kPlainRequestMs = 12;
 constexpr double kTieBreakMs = 2;
 /// Share of an engine's places that callers who come back leave free: what takes a place keeps it
-/// for a second, in which a first attempt may come. Modelled engines at 1.3 times their capacity
-/// answer 0.73 of all in time without, 0.75 with 0.1 or 0.25, 0.76 with 0.4; served at all are
-/// 0.78, 0.78, 0.77 and 0.78 (OverloadTest, seed 1).
+/// for a second, in which a first attempt may come.
 constexpr double kReservedShare = 0.25;
 
 /// Whether the engine's process has ended between two reports of one agent.
@@ -386,8 +384,8 @@
   if (!common.reports) return false;
   // The machine may stand still, and would run what it is sent now whenever it wakes.
   if (!fresh(backend, now) || held_up(backend, now)) return true;
-  // An entry that lapsed behind a narrow link and came back: what was sent there before the path
-  // was measured anew took up to 2 s, and began on weights that no request may start on any more.
+  // An entry that lapsed behind a narrow link and came back: what is sent there before the path is
+  // measured anew may begin so late that no request may start on these weights any more.
   return common.paths && backend.path_measured_at == TimePoint{};
 }
 
--- a/src/gateway/backends/engine_subset.h
+++ b/src/gateway/backends/engine_subset.h
@@ -2,8 +2,7 @@
 ///
 /// A pure function: no I/O. All of its own zone, and some of each other zone, for when its own has
 /// too few. Were every gateway told the load of every engine, messages would grow with the product
-/// of their numbers. With 149 gateways before 120 engines in five regions, 1.08 GB went between
-/// regions on a calm day of 48 s; with subsets and fleet/backend_list.h 0.27 GB (one play each).
+/// of their numbers.
 #pragma once
 
 #include <string>
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -10,7 +10,7 @@
 
 #include "common/event_loop.h"
 #include "common/state_chart.h"
-#include "gateway/backends/backend_connections.h"
+#include "gateway/requests/backend_connections.h"
 #include "gateway/backends/backend_probe.h"
 #include "gateway/gateway_log.h"
 #include "gateway/gateway_metrics.h"
--- a/src/gateway/quarantine/crash_witness.cpp
+++ b/src/gateway/quarantine/crash_witness.cpp
@@ -5,10 +5,10 @@
 namespace pumicemast {
 namespace {
 
-/// Between a connection's end and the word that the process ended. An agent asks its engine every
-/// 0.12 s and gives an engine that says nothing 0.6 s; the rest is the way here.
+/// Between a connection's end and the word that the process ended: an agent's interval of asking,
+/// its patience with an engine that says nothing, and the way here.
 constexpr Duration kConfirmationLimit = milliseconds(1500);
-/// Agents that ask every 0.12 s tell of ends at one moment within such a span.
+/// Agents that ask their engines by turns tell of ends at one moment within such a span.
 constexpr Duration kCrowdSpan = milliseconds(200);
 /// Fewer that end within the span are taken for a coincidence.
 constexpr std::ptrdiff_t kCrowd = 3;
--- a/src/gateway/quarantine/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -9,8 +9,8 @@
 
 /// Of one request. With three to convict, the longest hold is that of the first verdict 32 times.
 constexpr std::size_t kEndsKept = 8;
-/// Two ends of a crowd are told within such a span: of agents that ask every 0.12 s, over links
-/// that differ, by gateways that each see the moment for themselves.
+/// Two ends of a crowd are told within such a span: of agents that ask by turns, over links that
+/// differ, by gateways that each see the moment for themselves.
 constexpr Duration kSameCrowd = milliseconds(400);
 /// For how long a whole answer speaks for its request. Long enough for a request that many callers
 /// send, some of them through each gateway; short, because new weights may make a killer of one
--- a/src/gateway/quarantine/request_quarantine.h
+++ b/src/gateway/quarantine/request_quarantine.h
@@ -15,9 +15,6 @@
 /// - memory is bounded, however many requests end back ends.
 ///
 /// Why three ends: a back end that ends breaks off all that it runs, and most of that is innocent.
-/// Modelled (four such requests from three callers each, twelve engines, 60 other requests a second
-/// that come again up to three times, 10 seeds): one end to convict refuses 966 of 20,164 other
-/// tries, two refuse 465 of 20,734, three 4 of 22,011.
 #pragma once
 
 #include <cstdint>
--- a/src/gateway/backends/backend_connections.cpp
+++ b/src/gateway/requests/backend_connections.cpp
@@ -1,4 +1,4 @@
-#include "gateway/backends/backend_connections.h"
+#include "gateway/requests/backend_connections.h"
 
 #include <algorithm>
 
--- a/src/gateway/backends/backend_connections.h
+++ b/src/gateway/requests/backend_connections.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/requests/request_forwarder.h"
+#include "gateway/requests/forwarder_actions.h"
 #include "http1/client_connection.h"
 #include "http1/deferred_deleter.h"
 
--- a/src/host/credits/credit_dealer.cpp
+++ b/src/host/credits/credit_dealer.cpp
@@ -52,11 +52,8 @@
 }
 
 // By the root of the demand: whoever finishes a request may use its place again at once, so that
-// gateways with more callers keep more places than they are dealt. Three modelled gateways with
-// 0.2, 0.5 and 0.3 of the requests at 1.3 times the capacity answered 0.60, 0.77 and 0.70 of theirs
-// in time by the demand itself, 0.65, 0.76 and 0.70 by its root; with equal shares a zone with two
-// of nine gateways and 0.38 of the requests got 0.56 of its worth where others got 0.64 and 0.68,
-// by the root 0.60 against 0.61 and 0.66.
+// gateways with more callers keep more places than they are dealt. Dealt by the demand itself the
+// callers of small gateways would be refused more often, dealt equally those of large ones.
 std::map<PeerId, double> CreditDealer::shares(const std::vector<PeerId>& gateways) const {
   std::map<PeerId, double> weights;
   double told = 0;
--- a/src/host/download/download_tuning.cpp
+++ b/src/host/download/download_tuning.cpp
@@ -17,9 +17,7 @@
 constexpr Duration kSourcePause = milliseconds(200);
 /// After a refusal or a failure the origin is asked again after half to one and a half times this,
 /// drawn anew each time. Not growing: once the origin is back, the last of its chunks' owners to
-/// notice sets the pace, and pauses of up to 0.9 s brought the first whole copy a second later
-/// (32 engines, origin away for 6 s, three plays each: 28.6 s in place of 29.4 s; manifests by a
-/// few copies came with the pauses and were not measured apart).
+/// notice sets the pace.
 constexpr Duration kOriginRetry = milliseconds(300);
 
 std::uint32_t origin_window(std::uint32_t connections, std::size_t agents) {
--- a/src/host/download/version_download.cpp
+++ b/src/host/download/version_download.cpp
@@ -6,7 +6,6 @@
 #include "common/hash.h"
 #include "host/download/download_tuning.h"
 #include "host/download/manifest_codec.h"
-#include "host/staging/start_turns.h"
 
 namespace pumicemast {
 namespace {
--- a/src/host/engine_list.h
+++ b/src/host/engine_list.h
@@ -2,8 +2,8 @@
 /// it.
 ///
 /// A decision core: no I/O. While a gateway of the zone reads the list, its agents leave the store
-/// alone: with 60 KB a list, 120 agents that read it every two seconds ask 3 MB a second of links
-/// that carry 2.5 to 3 MB a second to each region.
+/// alone: a list of hundreds of engines, read by each agent every two seconds, would fill the links
+/// between regions.
 #pragma once
 
 #include <map>
--- a/src/host/staging/inherited_staging.cpp
+++ b/src/host/staging/inherited_staging.cpp
@@ -5,8 +5,8 @@
 namespace pumicemast {
 namespace {
 
-/// When what lies there can't be told, it is left alone for so long. Orders without an answer were
-/// carried out up to 12 s after they were given.
+/// When what lies there can't be told, it is left alone for so long: longer than an engine may take
+/// to carry out an order without an answer.
 constexpr Duration kLongestUnanswered = seconds(15);
 /// So many versions are not named within that time.
 constexpr std::uint64_t kEarlierVersions = 3;
--- a/src/host/staging/inherited_staging.h
+++ b/src/host/staging/inherited_staging.h
@@ -6,8 +6,8 @@
 /// there whole, and it is void once the engine's count of orders has risen: the successor orders
 /// that version again before it writes anything. What lies there in part was ordered by nobody, and
 /// a marker tells so without any version's manifest.
-/// Guards against callers getting tokens of two versions: 2 of 52 soak runs in which an agent was
-/// killed with an order unanswered.
+/// Guards against callers getting tokens of two versions after an agent was killed with an order
+/// unanswered.
 #pragma once
 
 #include <cstdint>
--- a/src/host/staging/start_orders.h
+++ b/src/host/staging/start_orders.h
@@ -1,9 +1,9 @@
 /// Follows orders to start a version until none of them can be carried out any more.
 ///
-/// A decision core: no I/O. An order that got no answer may be carried out seconds later (2.7 to
-/// 12 s were seen), and the engine then takes whatever lies in its one staging place. So what an
-/// order names stays there until the order is settled: answered, or overtaken by the engine's
-/// count of orders, which each order states and which must still be true when it is carried out.
+/// A decision core: no I/O. An order that got no answer may be carried out many seconds later, and
+/// the engine then takes whatever lies in its one staging place. So what an order names stays there
+/// until the order is settled: answered, or overtaken by the engine's count of orders, which each
+/// order states and which must still be true when it is carried out.
 #pragma once
 
 #include <cstdint>
--- a/src/http1/request_reader.h
+++ b/src/http1/request_reader.h
@@ -10,16 +10,11 @@
 #include <string>
 #include <string_view>
 
+#include "common/request_limits.h"
 #include "http1/http_message.h"
 
 namespace pumicemast {
 
-/// Bounds on what a caller may send.
-struct RequestLimits {
-  std::size_t maximum_head_bytes = 16U * 1024U;
-  std::size_t maximum_body_bytes = 4U * 1024U * 1024U;
-};
-
 enum class RequestStatus {
   need_more,
   complete,
