Give an origin that answers late more time

Behind a link that serves in turn, a call waits for all before it: 48 chunks take 2.2 s of 4.38 Mbit/s, 4.7 s of 2 Mbit/s, and the fixed 2.5 s until an answer begins would end all of them there. Tests with real sockets: a slow answer comes whole, a late one after the first was given up, one chunk is cancelled alone.

--- a/tests/platform/origin_client_test.cpp
+++ b/tests/platform/origin_client_test.cpp
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(chunks_of_another_version_survive_a_cancellation);
   CPPUNIT_TEST(waiting_chunks_of_a_cancelled_version_are_not_asked_for);
   CPPUNIT_TEST(manifests_asked_for_at_once_are_all_answered);
+  CPPUNIT_TEST(a_chunk_that_is_not_wanted_any_more_is_cancelled_alone);
+  CPPUNIT_TEST(an_answer_that_comes_slowly_is_not_given_up);
+  CPPUNIT_TEST(an_origin_that_answers_late_is_given_more_time);
   CPPUNIT_TEST_SUITE_END();
 
   ScriptedServer server_;
@@ -81,6 +84,56 @@
     run_until([&] { return answered.size() == 2; });
     CPPUNIT_ASSERT((answered == std::vector<std::uint64_t>{2, 3}));
   }
+
+  void a_chunk_that_is_not_wanted_any_more_is_cancelled_alone() {
+    fetch(2, 0);
+    run_until([&] { return server_.try_accept(); });
+    server_.end();
+    fetch(2, 1);
+    origin_.cancel_chunk("m", 2, 0);
+    run_until([&] { return server_.try_accept(); });
+    run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    CPPUNIT_ASSERT_EQUAL(std::string("/piece/m?num=1&version=2"), server_.take_request_target());
+    server_.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    run_until([&] { return !arrived_.empty(); });
+  }
+
+  /// Its link is narrow; what is given up has to be sent again.
+  void an_answer_that_comes_slowly_is_not_given_up() {
+    fetch(2, 0);
+    run_until([&] { return server_.try_accept(); });
+    run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    server_.say("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+    for (int part = 0; part < 4; ++part) {
+      wait_for(milliseconds(900));
+      server_.say("x");
+    }
+    run_until([&] { return !arrived_.empty(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("xxxx"), arrived_.front());
+  }
+
+  /// Those before a call may hold the origin's link for longer than the first limit.
+  void an_origin_that_answers_late_is_given_more_time() {
+    fetch(2, 0);
+    run_until([&] { return server_.try_accept(); });
+    wait_for(milliseconds(2700));
+    server_.end();
+    fetch(2, 1);
+    run_until([&] { return server_.try_accept(); });
+    run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    wait_for(milliseconds(3500));
+    server_.say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    run_until([&] { return !arrived_.empty(); });
+  }
+
+ private:
+  static void wait_for(Duration duration) {
+    const TimePoint end = loop_now() + duration;
+    while (loop_now() < end) {
+      g_main_context_iteration(nullptr, FALSE);
+      g_usleep(1000);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginClientTest);
