Read the rate limits that back ends name; log them and count what is sent there

Sight only: no decision changes. The logs and metrics could not tell whether a limit was named, by whose word a gateway held it, nor how much of it was used. A line tells each change (state=LIMITED, UNLIMITED), three gauges tell how many back ends are limited, what was sent to them, and how many answers stated what is no number of requests.

Malformed values (nan, -1, 1e300, 0x2, text, empty) change nothing; of several the lowest holds; an answer of another instance at the address is not taken.

--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -58,7 +58,10 @@
   if (record.revision < backend.record.revision) return;
   // The list's revision tells which entry is newer: a clock that was set back makes a later start
   // look earlier.
-  if (record.started_at_ms != backend.record.started_at_ms) forget_earlier_life(backend);
+  if (record.started_at_ms != backend.record.started_at_ms) {
+    forget_earlier_life(backend);
+    limits_.forget(record.id);
+  }
   // The engine's own report is newer than the list.
   const std::uint64_t version =
       backend.has_report ? backend.record.weight_version : record.weight_version;
@@ -97,6 +100,7 @@
     if (by_address != ids_by_address_.end() && by_address->second == entry.first) {
       ids_by_address_.erase(by_address);
     }
+    limits_.forget(entry.first);
     return true;
   });
 }
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -18,6 +18,7 @@
 #include "common/time.h"
 #include "fleet/backend_record.h"
 #include "fleet/fleet_configuration.h"
+#include "gateway/backends/backend_limits.h"
 
 namespace pumicemast {
 
@@ -139,6 +140,8 @@
   /// The engines that this gateway hears of: it sends to no others. All until this is called.
   void set_watched(std::set<Address> engines) { watched_ = std::move(engines); }
   std::size_t size() const { return backends_.size(); }
+  /// The limits that back ends name, by id.
+  BackendLimits& limits() { return limits_; }
   /// Back ends whose agents have told their load lately.
   std::size_t reporting(TimePoint now) const;
 
@@ -196,6 +199,7 @@
   std::map<std::string, Backend> backends_;
   std::map<Address, std::string> ids_by_address_;
   std::set<std::string> changed_backlogs_;
+  BackendLimits limits_;
   std::optional<std::set<Address>> watched_;
   std::map<std::string, std::uint64_t> left_;  ///< Revisions by id.
   std::deque<LeftBackend> left_order_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -197,6 +197,7 @@
   }
   const bool events = field_value(head, "Content-Type").starts_with(event_stream_type());
   forwarder_.on_response_head(number, facts, events, loop_now());
+  fleet_.follow_limits();
   return true;
 }
 
@@ -421,6 +422,8 @@
     figures.configuration_version = fleet_.configuration_version();
     figures.bytes_queued_to_gateways = fleet_.bytes_queued_to_gateways();
     figures.retry_gateways = fleet_.retry_sharers(loop_now());
+    figures.limited_backends = fleet_.pool().limits().limited().size();
+    figures.unreadable_limits = fleet_.pool().limits().unreadable();
     figures.quarantined_requests = fleet_.quarantine().list(loop_now()).size();
     metrics_.update(forwarder_.counters(), figures);
     metrics_.update(forwarder_.retries());
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -63,6 +63,9 @@
   set("pumicemast_gateway_queued_to_gateways_bytes",
       static_cast<double>(figures.bytes_queued_to_gateways));
   set("pumicemast_gateway_quarantined_requests", static_cast<double>(figures.quarantined_requests));
+  set("pumicemast_gateway_limited_backends", static_cast<double>(figures.limited_backends));
+  set("pumicemast_gateway_unreadable_limits", static_cast<double>(figures.unreadable_limits));
+  set("pumicemast_gateway_limited_sends", static_cast<double>(counters.limited_sends));
   set("pumicemast_gateway_retry_gateways", static_cast<double>(figures.retry_gateways));
 }
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -16,7 +16,9 @@
   std::uint64_t configuration_version = 0;
   std::size_t bytes_queued_to_gateways = 0;
   std::size_t quarantined_requests = 0;
-  std::uint64_t retry_gateways = 0;  ///< Thought to share the retries; 0 while nothing is known.
+  std::size_t limited_backends = 0;     ///< That name a limit for all gateways together.
+  std::uint64_t unreadable_limits = 0;  ///< Answers whose limit is no number of requests.
+  std::uint64_t retry_gateways = 0;     ///< Thought to share the retries; 0 while nothing is known.
 };
 
 class GatewayMetrics {
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -259,6 +259,15 @@
   }
 }
 
+void FleetState::follow_limits() {
+  for (const LimitChange& change : pool_.limits().take_changes()) {
+    const bool named = change.limit.named();
+    const std::string rate = named ? std::to_string(*change.limit.per_second) : "-";
+    log_.line("limit", "backend id=" + change.backend + " limit_per_s=" + rate + " source=" +
+                           change.source + (named ? " state=LIMITED" : " state=UNLIMITED"));
+  }
+}
+
 void FleetState::tell_crashes() {
   const CrashNews news = quarantine_.take_news(loop_now());
   if (!news.empty()) links_.tell_crashes(news);
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -41,6 +41,8 @@
   void set_changeover(Duration changeover, Duration start_bound);
   /// Tells agents which of this gateway's prompts wait at their engines, where that has changed.
   void tell_backlogs();
+  /// Logs which back ends name other limits than before.
+  void follow_limits();
   void set_demand(double requests_per_s) { links_.set_demand(requests_per_s); }
   /// Forgets back ends that are gone, counts the gateways. Call now and then.
   void sweep(TimePoint now);
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -10,6 +10,7 @@
 
 #include "common/settings.h"
 #include "common/time.h"
+#include "fleet/rate_limit.h"
 #include "gateway/quarantine/request_fingerprint.h"
 
 namespace pumicemast {
@@ -36,6 +37,7 @@
   bool not_run = false;   ///< It says that it did not run the request and never will.
   bool replaced = false;  ///< Another incarnation has the address.
   bool success = false;
+  StatedRateLimit rate_limit;
 };
 
 enum class RefusalReason {
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -136,6 +136,7 @@
   }
   ++session.sends;
   ++counters_.sends;
+  if (pool_.limits().limited(choice.id)) ++counters_.limited_sends;
   pool_.on_sent(choice.id, session.request.prompt_tokens, now);
   SendToBackend action;
   action.request = number;
@@ -196,6 +197,7 @@
   session.head_seen = true;
   session.facts = facts;
   session.last_progress = now;
+  pool_.limits().on_answer(session.backend, facts.rate_limit, facts.success, session.sent_at, now);
   session.events = event_stream && facts.success && session.route->kind == RequestKind::stream;
 }
 
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -41,6 +41,7 @@
   std::uint64_t requests = 0;
   std::uint64_t engine_first_attempts = 0;  ///< By callers that were not refused before.
   std::uint64_t sends = 0;
+  std::uint64_t limited_sends = 0;  ///< To back ends that name a limit.
   std::uint64_t repeats = 0;
   std::uint64_t resumes = 0;
   std::uint64_t refused_by_backend = 0;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(a_resumption_names_the_last_event_once);
   CPPUNIT_TEST(only_named_refusals_count_as_not_run);
   CPPUNIT_TEST(an_answer_of_another_request_is_told_apart);
+  CPPUNIT_TEST(reads_the_rate_that_a_runner_takes);
+  CPPUNIT_TEST(a_rate_that_is_no_number_changes_nothing);
+  CPPUNIT_TEST(what_another_runner_says_of_its_rate_is_not_taken);
   CPPUNIT_TEST(reads_a_configuration);
   CPPUNIT_TEST(the_reading_rate_of_engines_has_two_spellings);
   CPPUNIT_TEST(a_reading_rate_of_nothing_is_none);
@@ -121,6 +124,36 @@
     CPPUNIT_ASSERT(belongs("503 Service Unavailable", ""));
   }
 
+  StatedRateLimit stated(const std::string& fields, const std::string& status = "200 OK") {
+    return facts(status, fields).rate_limit;
+  }
+
+  void reads_the_rate_that_a_runner_takes() {
+    CPPUNIT_ASSERT(!stated("").per_second && stated("").readable);
+    CPPUNIT_ASSERT_EQUAL(1.4, *stated("Server-Limit: 1.4\r\n").per_second);
+    CPPUNIT_ASSERT_EQUAL(0.0, *stated("server-limit:0\r\n").per_second);
+    CPPUNIT_ASSERT_EQUAL(2.5,
+                         *stated("Server-Limit: 2.5 \r\n", "503 Service Unavailable").per_second);
+    // Of two the lower one, wherever it stands, and whatever else is there.
+    CPPUNIT_ASSERT_EQUAL(2.0, *stated("Server-Limit: 3\r\nServer-Limit: 2\r\n").per_second);
+    CPPUNIT_ASSERT_EQUAL(2.0, *stated("Server-Limit: 2\r\nServer-Limit: x\r\n").per_second);
+  }
+
+  void a_rate_that_is_no_number_changes_nothing() {
+    for (const char* text : {"nan", "inf", "-1", "1e300", "2 a second", "0x2", "", "+2", "1,4"}) {
+      const StatedRateLimit limit = stated("Server-Limit: " + std::string(text) + "\r\n");
+      CPPUNIT_ASSERT_MESSAGE(text, !limit.readable && !limit.per_second);
+    }
+    const std::string many_digits(400, '9');
+    CPPUNIT_ASSERT(!stated("Server-Limit: " + many_digits + "\r\n").per_second);
+    CPPUNIT_ASSERT_EQUAL(1e6, *stated("Server-Limit: 99999999999\r\n").per_second);
+  }
+
+  void what_another_runner_says_of_its_rate_is_not_taken() {
+    const StatedRateLimit limit = stated("Server-Limit: 1\r\n", "421 Misdirected Request");
+    CPPUNIT_ASSERT(limit.readable && !limit.per_second);
+  }
+
   void reads_a_configuration() {
     const json document = json::parse(tests::kConfiguration);
     const auto configuration = read_configuration(document);
