--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -40,6 +40,8 @@
 class Platform:
     """The stand-ins and the processes of the system."""
 
+    slots = 4  # Of each back end.
+
     def __init__(self, folder):
         self.folder = Path(folder)
         self.processes = []
@@ -68,7 +70,7 @@
         routes = [self.route("/chat/", "stream", "engines", 2, resumable=True),
                   self.route("/write/", "unsafe", "plain", 1),
                   self.route("/read/", "safe", "plain", 2), *extra]
-        engine = {"slots": 4, "step_ms": 10, "read_per_s": 20000, "stride": 5, "layers": 4,
+        engine = {"slots": self.slots, "step_ms": 10, "read_per_s": 20000, "stride": 5, "layers": 4,
                   "chunks": CHUNKS, "chunkBytes": 4096, "models": [{"name": "m", "warmS": 0.1}]}
         services = [{"name": "engines", "maxConns": 50, "engine": engine},
                     {"name": "plain", "maxConns": 50},
@@ -88,7 +90,7 @@
     def register(self, runner, service, state="ready"):
         self.store.put("servers", runner.identity, {
             "service": service, "address": f"{runner.host}:{runner.port}", "zone": "z1",
-            "slots": 4, "state": state, "models": [], "layers": None})
+            "slots": self.slots, "state": state, "models": [], "layers": None})
 
     def launch(self, name, program, settings, stdout=None):
         path = self.folder / f"{name}.ini"
