Let back ends of the soak name rate limits, and check what they get

The check counts at the back end: from 1 s after the first answer that named it, 4 x limit + 2 in any 4 s with nothing disturbed, 6 x limit + 5 otherwise.

--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -3,7 +3,7 @@
 Everything is drawn from one seed. While it runs, the promises are checked from what callers and back
 ends see; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
-       [--regressions] [--keep FOLDER]
+       [--limits] [--regressions] [--keep FOLDER]
 """
 
 import argparse
@@ -23,6 +23,7 @@
 from soak_checks import QUIET_S, Checks  # noqa: E402
 from soak_faults import PLANNED, Faults  # noqa: E402
 from soak_fleet import GATEWAYS, SoakPlatform  # noqa: E402
+from soak_limits import Limits  # noqa: E402
 from soak_load import Load  # noqa: E402
 
 PLANNED_S = 10.0  # Planned work with nothing disturbed, after the faults: there all bounds hold.
@@ -38,9 +39,11 @@
     seed: int
     seconds: float
     faults: list  # Empty: all.
+    limits: bool = False  # Back ends name rate limits beside them.
 
     def __str__(self):
-        return f"seed {self.seed}" + (" of " + ",".join(self.faults) if self.faults else "")
+        drawn_from = " of " + ",".join(self.faults) if self.faults else ""
+        return f"seed {self.seed}{drawn_from}" + (" with limits" if self.limits else "")
 
 
 class Soak:
@@ -56,6 +59,8 @@
         self.faults = Faults(self.platform, self.checks, faults)
         self.load = Load(self.platform, self.checks, load)
         self.faults.load = self.load
+        self.limits = Limits(self.platform, self.checks, random.Random(f"limits {seed}"))
+        self.names_limits = False
         self.suspends = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
@@ -67,10 +72,14 @@
         self.load.end = float("inf")
         beats = asyncio.create_task(self.beat())
         callers = self.load.start()
+        limits = asyncio.create_task(self.limits.run()) if self.names_limits else None
         await self.play_faults()
         await self.settle()
         await self.planned_work()
         await asyncio.gather(*callers, *self.faults.killers)
+        if limits:
+            limits.cancel()
+            self.limits.lift_all()
         await self.check_recovered()
         beats.cancel()
         await self.platform.stop()
@@ -126,11 +135,13 @@
     folder = tempfile.mkdtemp(prefix="pumicemast-soak-")
     soak = Soak(plan.seed, plan.seconds, folder)
     soak.faults.chosen = plan.faults or soak.faults.chosen
+    soak.names_limits = plan.limits
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (a frozen process is a suspended machine)" if soak.suspends else ""
     print(f"{plan}{clock}: {len(checks.violations)} violations; " + listed(checks.outcomes)
-          + "\n  played: " + listed(soak.faults.played), flush=True)
+          + "\n  played: " + listed(soak.faults.played)
+          + (f", limits named {soak.limits.named}" if plan.limits else ""), flush=True)
     for violation in checks.violations:
         print("  " + violation, flush=True)
     if checks.violations and keep:
@@ -176,6 +187,8 @@
     parser.add_argument("--seeds", default="1:1", help="FIRST:COUNT or SEED, separated by commas")
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--only", help="draw from these faults alone, separated by commas")
+    parser.add_argument("--limits", action="store_true",
+                        help="back ends name rate limits beside the faults")
     parser.add_argument("--regressions", action="store_true", help="play the listed seeds as well")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -185,7 +198,8 @@
     arguments = read_arguments()
     platform_test.BUILD = arguments.build.resolve()
     only = arguments.only.split(",") if arguments.only else []
-    plans = [Plan(seed, arguments.seconds, only) for seed in read_seeds(arguments.seeds)]
+    plans = [Plan(seed, arguments.seconds, only, arguments.limits)
+             for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
     failed = [plan for plan in plans if not play(plan, arguments.keep)]
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -17,6 +17,10 @@
 ENDS_TO_CONVICT = 3  # Engines that end under one request before it is run no more.
 ENDS_AFTERWARDS = 3  # Whose evidence may have been lost while the system was disturbed.
 CONTACT_S = 3.0  # After the third end every gateway that is in touch knows.
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLE_S = 1.0  # After a back end first named a limit, until all gateways keep it.
+LIMIT_BURST = 2  # Requests above the rate in a window, with nothing disturbed.
+DISTURBED_RATIO, DISTURBED_EXTRA = 1.5, 5  # What the rule allows also while gateways come and go.
 STALL_S = 1.0  # The store and all back ends are played by one process: it stands still, so do they.
 TIMELINE_SHOWN = 40  # Events, the last ones; the whole time line is in the kept logs.
 
@@ -48,6 +52,26 @@
         return self.within(self.repeats, now), RETRY_RATIO * requests + RETRY_EXTRA
 
 
+class LimitCount:
+    """Requests that reach a back end since it named a limit."""
+
+    def __init__(self, rate):
+        self.rate = rate
+        self.told_at = None
+        self.arrivals = []
+
+    def on_arrival(self, now):
+        """How many came in the window that ends now; 0 while gateways may not know of the limit."""
+        if self.told_at is None or now - self.told_at < LIMIT_SETTLE_S:
+            return 0
+        self.arrivals.append(now)
+        return bisect_right(self.arrivals, now) - bisect_left(self.arrivals, now - LIMIT_WINDOW_S)
+
+    def allowed(self, quiet):
+        by_rate = self.rate * LIMIT_WINDOW_S
+        return by_rate + LIMIT_BURST if quiet else DISTURBED_RATIO * by_rate + DISTURBED_EXTRA
+
+
 class Checks:
     """The history of one run."""
 
@@ -61,6 +85,7 @@
         self.retries = {"engines": RetryCount(), "plain": RetryCount()}
         self.ends = {}  # By target: when engines ended under it.
         self.late_ends = {}  # By target: ends with nothing disturbed, long after the third.
+        self.limits = {}  # By identity of the back end: the limit that it names now.
         self.violations = []
         self.outcomes = {}
         self.disturbed_until = 0.0
@@ -108,6 +133,26 @@
             self.violate("BUDGET", f"{repeats} repeats at {service} in {RETRY_WINDOW_S} s, "
                                    f"{allowed:.1f} allowed")
 
+    def on_limit(self, runner, rate):
+        """The back end names another limit from now on, or none."""
+        self.limits.pop(runner.identity, None)
+        if rate is not None:
+            self.limits[runner.identity] = LimitCount(rate)
+
+    def on_limit_told(self, runner):
+        count = self.limits.get(runner.identity)
+        if count and count.told_at is None:
+            count.told_at = time.monotonic()
+
+    def on_limited_arrival(self, runner):
+        count = self.limits.get(runner.identity)
+        if not count:
+            return
+        arrived, allowed = count.on_arrival(time.monotonic()), count.allowed(self.quiet())
+        if arrived > allowed:
+            self.violate("LIMIT", f"{runner.identity} got {arrived} requests in {LIMIT_WINDOW_S} s, "
+                                  f"{allowed:.1f} allowed by its limit of {count.rate} a second")
+
     def on_run(self, runner, identity):
         self.runs[identity] = self.runs.get(identity, 0) + 1
         now = time.monotonic()
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -7,12 +7,13 @@
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 import fault_soak  # noqa: E402  (sets the path of the stand-ins)
 import soak_checks  # noqa: E402
 from platform_standin import CHUNKS, piece  # noqa: E402
-from soak_checks import (DEADLINE_S, DRAIN_BOUND_S, QUIET_S, RETRY_EXTRA, RETRY_WINDOW_S,  # noqa: E402
+from soak_checks import (DEADLINE_S, DRAIN_BOUND_S, LIMIT_SETTLE_S, QUIET_S, RETRY_EXTRA, RETRY_WINDOW_S,  # noqa: E402
                          STALL_S, START_BOUND_S, TURNED_BAD_S, Checks)
 from soak_engine import SoakEngine  # noqa: E402
 from soak_load import Load  # noqa: E402
@@ -52,6 +53,34 @@
         self.check("read", "read-1", body=b"read-2")
         self.assertEqual(["MIXED"], self.rules())
 
+    def limited(self, rate, arrivals_s):
+        """A back end names a limit; requests come at these moments after it did."""
+        runner = SimpleNamespace(identity="e1")
+        self.checks.on_limit(runner, rate)
+        self.checks.on_limit_told(runner)
+        told_at = self.checks.limits["e1"].told_at
+        for moment in arrivals_s:
+            with mock.patch.object(time, "monotonic", lambda: told_at + moment):
+                self.checks.on_limited_arrival(runner)
+
+    def test_more_than_a_back_ends_limit(self):
+        every_fifth = [LIMIT_SETTLE_S + 0.2 * number for number in range(30)]
+        self.limited(5, every_fifth)
+        self.assertEqual([], self.rules())
+        self.limited(2, every_fifth[:11])  # Ten are allowed.
+        self.assertEqual(["LIMIT"], self.rules())
+
+    def test_gateways_have_a_moment_to_hear_of_a_limit(self):
+        self.limited(1, [0.05 * number for number in range(20)])
+        self.assertEqual([], self.rules())
+
+    def test_more_is_allowed_while_gateways_come_and_go(self):
+        self.checks.disturb(60)
+        self.limited(2, [LIMIT_SETTLE_S + 0.2 * number for number in range(17)])
+        self.assertEqual([], self.rules())
+        self.limited(2, [LIMIT_SETTLE_S + 0.2 * number for number in range(18)])
+        self.assertEqual(["LIMIT"], self.rules())
+
     def test_a_second_run(self):
         self.checks.on_run(self.runner(), "write-1")
         self.checks.on_run(self.runner(), "write-1")
--- a/tests/soak/soak_engine.py
+++ b/tests/soak/soak_engine.py
@@ -25,6 +25,7 @@
         self.service = service
         self.draining_since = None
         self.down = False
+        self.limit = None  # Requests a second that it takes of all gateways together.
 
     async def start_anew(self):
         """Another incarnation at the same address."""
@@ -32,8 +33,16 @@
 
     async def run(self, writer, method, target, headers):
         self.checks.on_arrival(self.service, headers.get("x-pumicemast-request-id", ""))
+        self.checks.on_limited_arrival(self)
         await super().run(writer, method, target, headers)
 
+    def head(self, headers, extra=()):
+        fields = super().head(headers, extra)
+        if self.limit is not None:
+            fields["Server-Limit"] = self.limit
+            self.checks.on_limit_told(self)
+        return fields
+
     def on_begun(self, headers):
         self.checks.on_run(self, headers.get("x-pumicemast-request-id", ""))
 
