Count no end in a crowd that a gateway saw in its first two seconds

Cause: all gateways were started anew, and 0.1 s later all three engines ended together. The request ran on each of them, so each end of the crowd counted beside another; that its like ends well was known only to the gateways' former processes.

An end now says whether the gateway that saw it was new; in a crowd such ends count nowhere, until an older gateway has seen the same. Ends that are no crowd count at once, as before. Ruled out: 15 s, for which whole answers speak for a request: four killers that come together in that time ended 5 engines each or more in the model (many_that_come_at_once failed, and the poll test); evidence held back for 0.4 s: one engine more under each killer of a fleet just started.

--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -61,7 +61,7 @@
       callbacks_(std::move(callbacks)),
       pool_(pool_options(settings)),
       targets_(settings.changeover),
-      quarantine_(quarantine_options(settings)),
+      quarantine_(quarantine_options(settings), loop_now()),
       links_(settings.internal_address, settings.zone, settings.seeds, metrics, *this),
       permits_(self_, pool_, links_, [this] { callbacks_.on_report(); }),
       retry_share_(retry_share_options(settings), loop_now()) {
--- a/src/gateway/quarantine/crash_messages.cpp
+++ b/src/gateway/quarantine/crash_messages.cpp
@@ -25,6 +25,7 @@
     told->backend = crash.backend;
     told->age_ms = encode_age(crash.age);
     told->in_crowd = crash.in_crowd;
+    told->by_newcomer = crash.by_newcomer;
     for (const RequestFingerprint& request : crash.requests) {
       told->requests.emplace_back(request.high, request.low);
     }
@@ -44,7 +45,8 @@
   CrashNews news;
   if (message.crashes() != nullptr) {
     for (const auto* told : *message.crashes()) {
-      ToldCrash crash{told->backend(), milliseconds(told->age_ms()), {}, told->in_crowd()};
+      ToldCrash crash{
+          told->backend(), milliseconds(told->age_ms()), {}, told->in_crowd(), told->by_newcomer()};
       if (told->requests() == nullptr) continue;
       for (const auto* request : *told->requests()) crash.requests.push_back(decode(*request));
       news.crashes.push_back(std::move(crash));
--- a/src/gateway/quarantine/crash_news.cpp
+++ b/src/gateway/quarantine/crash_news.cpp
@@ -40,9 +40,11 @@
   std::map<std::pair<std::uint64_t, TimePoint>, ToldCrash> by_end;
   while (!ends_.empty() && bound_.try_take(1, now)) {
     const NewEnd& entry = ends_.back();
-    ToldCrash& crash = by_end[{entry.end.backend, entry.end.at}];
+    const auto [told, is_new] = by_end.try_emplace({entry.end.backend, entry.end.at});
+    ToldCrash& crash = told->second;
     crash.backend = entry.end.backend;
     crash.in_crowd = entry.end.in_crowd;
+    crash.by_newcomer = entry.end.by_newcomer && (is_new || crash.by_newcomer);
     crash.age = std::max(Duration::zero(), now - entry.end.at);
     crash.requests.push_back(entry.request);
     ends_.pop_back();
--- a/src/gateway/quarantine/crash_news.h
+++ b/src/gateway/quarantine/crash_news.h
@@ -17,6 +17,8 @@
   std::uint64_t backend = 0;  ///< A hash of its life: no two ends have the same.
   TimePoint at{};
   bool in_crowd = false;  ///< One of several at that moment.
+  /// Seen by a gateway that did not know yet which requests end well.
+  bool by_newcomer = false;
 };
 
 /// An end of a back end, as one gateway tells another.
@@ -24,7 +26,8 @@
   std::uint64_t backend = 0;  ///< As in BackendEnd.
   Duration age = Duration::zero();
   std::vector<RequestFingerprint> requests;
-  bool in_crowd = false;  ///< As in BackendEnd.
+  bool in_crowd = false;     ///< As in BackendEnd.
+  bool by_newcomer = false;  ///< As in BackendEnd.
 };
 
 /// A suspect's answer that was whole: its back end did not end.
--- a/src/gateway/quarantine/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -16,6 +16,9 @@
 /// send, some of them through each gateway; short, because new weights may make a killer of one
 /// that has run well: until then its ends count for nothing.
 constexpr Duration kSoundFor = seconds(15);
+/// After its start a gateway knows this long too little of what ends well: until requests that were
+/// under way when it began have mostly been answered.
+constexpr Duration kLearningTime = seconds(2);
 /// Of one such span; 100 requests a second reach a busy gateway.
 constexpr std::size_t kSoundKept = 4096;
 /// Requests of which one message tells the evidence, about 80 bytes each.
@@ -23,8 +26,8 @@
 
 }  // namespace
 
-RequestQuarantine::RequestQuarantine(QuarantineOptions options)
-    : options_(options), sound_(kSoundFor, kSoundKept) {}
+RequestQuarantine::RequestQuarantine(QuarantineOptions options, TimePoint started)
+    : options_(options), started_(started), sound_(kSoundFor, kSoundKept) {}
 
 std::size_t RequestQuarantine::Record::counted() const {
   const auto near = [](const BackendEnd& one, const BackendEnd& other) {
@@ -33,8 +36,9 @@
   const auto counts = [&](const SeenEnd& seen) {
     if (seen.outlived) return false;
     if (!seen.end.in_crowd) return true;
+    if (seen.end.by_newcomer) return false;
     return std::any_of(ends.begin(), ends.end(), [&](const SeenEnd& other) {
-      return other.end.in_crowd && near(seen.end, other.end);
+      return other.end.in_crowd && !other.end.by_newcomer && near(seen.end, other.end);
     });
   };
   return static_cast<std::size_t>(std::count_if(ends.begin(), ends.end(), counts));
@@ -55,9 +59,12 @@
     return seen.end.backend == end.backend;
   });
   if (known != record.ends.end()) {
-    // One gateway hears of more back ends than another.
-    if (known->end.in_crowd || !end.in_crowd) return false;
-    known->end.in_crowd = true;
+    // One gateway hears of more back ends than another, or has run for longer.
+    const bool crowd_shows = end.in_crowd && !known->end.in_crowd;
+    const bool seen_by_older = !end.by_newcomer && known->end.by_newcomer;
+    if (!crowd_shows && !seen_by_older) return false;
+    known->end.in_crowd = known->end.in_crowd || end.in_crowd;
+    known->end.by_newcomer = known->end.by_newcomer && end.by_newcomer;
   } else {
     if (record.acquitted_at && end.at <= *record.acquitted_at) return false;
     record.ends.push_back({end, false});
@@ -86,7 +93,7 @@
 void RequestQuarantine::on_crash(const BackendCrash& crash) {
   const BackendEnd end{
       stable_hash(crash.backend.id, static_cast<std::uint64_t>(crash.backend.started_at_ms)),
-      crash.at, crash.in_crowd};
+      crash.at, crash.in_crowd, crash.at < started_ + kLearningTime};
   for (const RequestFingerprint& request : crash.requests) {
     if (!sound_.contains(request, crash.at)) add_end(request, end);
   }
@@ -105,7 +112,7 @@
     changed = acquit(told.request, now - told.age) || changed;
   }
   for (const ToldCrash& crash : news.crashes) {
-    const BackendEnd end{crash.backend, now - crash.age, crash.in_crowd};
+    const BackendEnd end{crash.backend, now - crash.age, crash.in_crowd, crash.by_newcomer};
     for (const RequestFingerprint& request : crash.requests) {
       changed = add_end(request, end) || changed;
     }
@@ -162,7 +169,8 @@
     for (const SeenEnd& seen : record.ends) {
       if (seen.outlived) continue;
       const Duration age = now - seen.end.at;
-      news.crashes.push_back({seen.end.backend, age, {request}, seen.end.in_crowd});
+      news.crashes.push_back(
+          {seen.end.backend, age, {request}, seen.end.in_crowd, seen.end.by_newcomer});
     }
     if (record.acquitted_at) news.acquittals.push_back({request, now - *record.acquitted_at});
   }
--- a/tests/gateway/quarantine/request_quarantine_test.cpp
+++ b/tests/gateway/quarantine/request_quarantine_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(a_whole_answer_acquits);
   CPPUNIT_TEST(a_request_that_many_send_is_not_convicted_by_ends_between_its_answers);
   CPPUNIT_TEST(an_end_in_a_crowd_counts_only_beside_another);
+  CPPUNIT_TEST(of_a_gateway_that_just_started_no_end_in_a_crowd_counts);
   CPPUNIT_TEST(after_the_hold_one_more_end_convicts);
   CPPUNIT_TEST(a_request_that_many_send_is_under_every_end_and_is_no_suspect);
   CPPUNIT_TEST(a_pardon_frees_at_once);
@@ -99,6 +100,29 @@
     CPPUNIT_ASSERT(quarantine_.quarantined(kRequest, now_));
   }
 
+  void of_a_gateway_that_just_started_no_end_in_a_crowd_counts() {
+    RequestQuarantine newcomer({}, now_ - milliseconds(100));
+    for (const char* backend : {"e1", "e2", "e3"}) {
+      newcomer.on_crash({{backend, 1000}, now_, {kRequest}, true});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, newcomer.ends_under(kRequest));
+    // Nor where it is told; what an older gateway has seen of the same ends counts there.
+    quarantine_.on_told(newcomer.take_news(now_), now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, quarantine_.ends_under(kRequest));
+    for (const char* backend : {"e1", "e2", "e3"}) {
+      quarantine_.on_crash({{backend, 1000}, now_, {kRequest}, true});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, quarantine_.ends_under(kRequest));
+    newcomer.on_told(quarantine_.take_news(now_), now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, newcomer.ends_under(kRequest));
+    // Ends that are no crowd count at once.
+    RequestQuarantine another({}, now_);
+    for (const char* backend : {"e1", "e2", "e3"}) {
+      another.on_crash({{backend, 1000}, now_, {kRequest}});
+    }
+    CPPUNIT_ASSERT(another.quarantined(kRequest, now_));
+  }
+
   void after_the_hold_one_more_end_convicts() {
     convict();
     now_ += seconds(599);
--- a/tests/gateway/requests/crash_containment_test.cpp
+++ b/tests/gateway/requests/crash_containment_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(many_that_come_at_once_end_few_engines_more);
   CPPUNIT_TEST(no_bystander_is_refused_while_engines_end_on_their_own);
   CPPUNIT_TEST(a_request_that_many_send_is_served_while_others_end_engines);
+  CPPUNIT_TEST(engines_that_end_together_after_all_gateways_began_anew_convict_nobody);
   CPPUNIT_TEST(a_zone_without_power_convicts_nobody);
   CPPUNIT_TEST(a_gateway_that_begins_anew_knows_within_a_second);
   CPPUNIT_TEST(a_gateway_that_was_cut_off_knows_soon_after);
@@ -134,6 +135,35 @@
     }
   }
 
+  // Callers of an ordinary request were refused to the end of the play: all gateways were started
+  // anew, and a moment later all three engines ended together. The request ran on each of them, so
+  // that each end of the crowd counted beside another one; that such requests end well had been
+  // known to the gateways' former processes only.
+  void engines_that_end_together_after_all_gateways_began_anew_convict_nobody() {
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      CrashWorldOptions options;
+      options.seed = seed;
+      options.zones = 1;
+      options.gateways_per_zone = 3;
+      options.engines_per_zone = 3;
+      options.ordinary_per_s = 0;
+      CrashWorld world{options};
+      const auto poll = [&world](int times) {
+        for (int asked = 0; asked < times; ++asked) {
+          world.ask(static_cast<std::size_t>(asked) % 3, "poll");
+          world.run(milliseconds(10));
+        }
+      };
+      poll(300);
+      for (std::size_t gateway = 0; gateway < 3; ++gateway) world.restart_gateway(gateway);
+      poll(15);
+      world.end_engines(0);
+      poll(300);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.quarantined_at("poll"));
+      CPPUNIT_ASSERT_EQUAL(0, world.ordinary().quarantined);
+    }
+  }
+
   void a_zone_without_power_convicts_nobody() {
     CrashWorld world{CrashWorldOptions{}};
     world.run(seconds(2));
--- a/tests/support/crash_world.cpp
+++ b/tests/support/crash_world.cpp
@@ -28,10 +28,11 @@
 }  // namespace
 
 struct CrashWorld::Gateway {
-  Gateway(std::size_t zone_index, std::uint64_t seed)
+  Gateway(std::size_t zone_index, std::uint64_t seed, TimePoint started)
       : zone(zone_index),
         targets(seconds(7)),
         pool(pool_options(zone_index, seed)),
+        quarantine(QuarantineOptions{}, started),
         forwarder(pool, targets, quarantine, forwarder_options(seed)) {}
 
   static BackendPoolOptions pool_options(std::size_t zone, std::uint64_t seed) {
@@ -79,7 +80,7 @@
 
 std::unique_ptr<CrashWorld::Gateway> CrashWorld::start_gateway(std::size_t zone,
                                                                std::uint64_t seed) {
-  auto gateway = std::make_unique<Gateway>(zone, seed);
+  auto gateway = std::make_unique<Gateway>(zone, seed, now_);
   RouteRule route;
   route.name = "chat";
   route.host = "api.example";
