Tell an end of a back end as one of a crowd once it is known to be one

Other gateways were told of an end twice in one message, first alone, then as one of a crowd; the entries are taken the newest first, so that the older word overwrote the newer one, and the end counted there as a single one: bystanders came nearer to a verdict at gateways that had not seen the crowd themselves.

--- a/src/gateway/quarantine/crash_news.cpp
+++ b/src/gateway/quarantine/crash_news.cpp
@@ -43,7 +43,8 @@
     const auto [told, is_new] = by_end.try_emplace({entry.end.backend, entry.end.at});
     ToldCrash& crash = told->second;
     crash.backend = entry.end.backend;
-    crash.in_crowd = entry.end.in_crowd;
+    // An end may wait here twice, once with what was learnt of it later.
+    crash.in_crowd = crash.in_crowd || entry.end.in_crowd;
     crash.by_newcomer = entry.end.by_newcomer && (is_new || crash.by_newcomer);
     crash.age = std::max(Duration::zero(), now - entry.end.at);
     crash.requests.push_back(entry.request);
--- a/tests/gateway/quarantine/request_quarantine_test.cpp
+++ b/tests/gateway/quarantine/request_quarantine_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(a_request_that_many_send_is_not_convicted_by_ends_between_its_answers);
   CPPUNIT_TEST(an_end_in_a_crowd_counts_only_beside_another);
   CPPUNIT_TEST(of_a_gateway_that_just_started_no_end_in_a_crowd_counts);
+  CPPUNIT_TEST(an_end_that_turns_out_to_be_one_of_a_crowd_is_told_so);
   CPPUNIT_TEST(after_the_hold_one_more_end_convicts);
   CPPUNIT_TEST(a_request_that_many_send_is_under_every_end_and_is_no_suspect);
   CPPUNIT_TEST(a_pardon_frees_at_once);
@@ -123,6 +124,16 @@
     CPPUNIT_ASSERT(another.quarantined(kRequest, now_));
   }
 
+  // Other gateways were told of an end twice in one message, alone and in a crowd, and the first
+  // word of it held.
+  void an_end_that_turns_out_to_be_one_of_a_crowd_is_told_so() {
+    end("e1");
+    quarantine_.on_crash({{"e1", 1000}, now_, {kRequest}, true});
+    const CrashNews news = quarantine_.take_news(now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.crashes.size());
+    CPPUNIT_ASSERT(news.crashes[0].in_crowd);
+  }
+
   void after_the_hold_one_more_end_convicts() {
     convict();
     now_ += seconds(599);
