Leave connections open at a stop whose callers have not sent anything yet

Callers that had connected and were slow to send (a loaded machine) got no answer: a stopping gateway closed connections that rested for half a second, and ended once half a second had passed without a new connection or request. Now a connection that never carried a request is left open, and the gateway waits for it within its grace. Connections that rest between requests are closed as before.

test_callers_that_are_slow_to_send_are_answered_during_a_stop failed before (connection closed without an answer), passes now.

--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -93,6 +93,8 @@
   void step(const char* event);
   void check_stopped(TimePoint now);
   void refuse_connections(TimePoint now);
+  /// Whether a caller has connected and not sent its request yet.
+  bool awaits_first_request() const;
   StatusAnswer status(const std::string& path);
   /// The requests in quarantine, a line each.
   std::string quarantine_page();
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -9,8 +9,8 @@
 
 /// A caller that sends ahead while its request is in progress is held back beyond this.
 constexpr std::size_t kMaximumAheadBytes = 64U * 1024U;
-/// A closing connection without a request is ended after so long: who has just connected, or sent
-/// the next request, may have one on its way.
+/// A closing connection that rests is ended after so long: its caller may have the next request on
+/// its way.
 constexpr Duration kClosingIdleLimit = milliseconds(500);
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTimeout = 408;
@@ -68,6 +68,7 @@
   }
   ReceivedRequest request = reader_.take_request();
   state_ = State::handling;
+  had_request_ = true;
   continue_sent_ = false;
   keep_alive_ = request.keep_alive;
   http_1_0_ = request.head.version() < kHttp11;
@@ -193,7 +194,9 @@
     if (waited >= head_limit) refuse(kStatusTimeout);
     return;
   }
-  const bool ends = closing_ && waited >= kClosingIdleLimit && stream_.queued_bytes() == 0;
+  // Who has just connected is about to send, however slowly its machine works.
+  const bool ends =
+      closing_ && had_request_ && waited >= kClosingIdleLimit && stream_.queued_bytes() == 0;
   if (ends || waited >= idle_limit) close();
 }
 
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -45,13 +45,15 @@
   void close();
 
   /// Answers end with Connection: close from now on; an idle connection is closed after a
-  /// while.
+  /// while, but not one whose caller has not sent anything yet.
   void set_closing() { closing_ = true; }
   void set_limits(RequestLimits limits) { reader_.set_limits(limits); }
   /// Ends a connection that has rested, or has been sending a head, for too long.
   void expire(TimePoint now, Duration idle_limit, Duration head_limit);
 
   bool handling() const { return state_ == State::handling; }
+  /// Its caller has connected, and not sent its first request yet.
+  bool awaits_first_request() const { return state_ == State::waiting && !had_request_; }
   bool is_open() const { return stream_.is_open(); }
   std::size_t queued_bytes() const { return stream_.queued_bytes(); }
   std::uint64_t request_number = 0;  ///< The owner's number of the request in progress.
@@ -73,6 +75,7 @@
   State state_ = State::waiting;
   AnswerFraming framing_ = AnswerFraming::length;
   TimePoint waiting_since_{};
+  bool had_request_ = false;
   bool keep_alive_ = true;
   bool http_1_0_ = false;
   bool head_request_ = false;
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -644,6 +644,25 @@
         self.assertEqual([], broken)
         self.assertGreater(answered[0], 100)
 
+    async def call_slowly(self, connect_after, send_after):
+        """Connects and sends its request so long after the gateway was told to stop."""
+        await asyncio.sleep(connect_after)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.platform.callers)
+        await asyncio.sleep(send_after - connect_after)
+        writer.write(b"GET /read/1 HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key\r\n"
+                     b"X-Pumicemast-Request-Id: q1\r\nX-Pumicemast-Deadline-Ms: 5000\r\n\r\n")
+        return await self.platform.read_answer(reader, None)
+
+    async def test_callers_that_are_slow_to_send_are_answered_during_a_stop(self):
+        """On a loaded machine a second passes between a caller's connecting and its request: the
+        gateway closed such connections after half a second, and its callers got no answer."""
+        self.platform.gateway.terminate()
+        answers = await asyncio.gather(self.call_slowly(0.0, 1.2), self.call_slowly(2.0, 3.2),
+                                       self.call_slowly(2.7, 4.2))
+        self.assertEqual([True] * 3, [answered.whole for answered in answers])
+        self.assertEqual([200, 503, 503], [answered.status for answered in answers])
+        await self.platform.wait(lambda: self.platform.gateway.poll() == 0, limit=4)
+
     async def test_serves_on_while_the_store_is_down(self):
         self.platform.store.down = True
         await asyncio.sleep(1)
