Let connections to a back end rest only in number that leaves room for all gateways

Now each keeps at most its part by the number of gateways that agents tell, 24 as before at most; none where the part is under one. Evidence: connections_that_rest_leave_room_for_all_gateways (sums at 1, 7, 40 and 149 gateways; 24 each were kept before). Connections in use are not bounded: retries after a reset are, by their budget.

--- a/src/gateway/backends/backend_permits.h
+++ b/src/gateway/backends/backend_permits.h
@@ -43,7 +43,8 @@
   void on_answer(const PermitAnswer& answer, TimePoint now);
   /// A request goes to the back end.
   void use(const std::string& backend, TimePoint now);
-  /// No request waits for a permit any more: what is held goes back at once, to be of use elsewhere.
+  /// No request waits for a permit any more: what is held goes back at once, to be of use
+  /// elsewhere.
   void release_unused();
   /// Another limit holds: what the issuer said of the time to wait holds no longer.
   void on_limit_changed(const std::string& backend);
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -14,6 +14,7 @@
 /// One plain request in flight weighs like so much waiting.
 constexpr double kPlainRequestMs = 12;
 constexpr double kTieBreakMs = 2;
+constexpr std::size_t kMostRestingConnections = 24;
 /// Share of an engine's places that callers who come back leave free: what takes a place keeps it
 /// for a second, in which a first attempt may come.
 constexpr double kReservedShare = 0.25;
@@ -470,6 +471,11 @@
   });
 }
 
+std::size_t BackendPool::resting_connections(const ServiceProfile& service) const {
+  const double share = service.maximum_connections / std::max(1.0, options_.gateway_count);
+  return std::min(static_cast<std::size_t>(share), kMostRestingConnections);
+}
+
 const BackendRecord* BackendPool::record_of(const std::string& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second.record;
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -153,6 +153,9 @@
   BackendPermits& permits() { return permits_; }
   /// Whether a back end of `service` could take requests but for the limit that it names.
   bool limits_requests(const std::string& service) const;
+  /// Of the connections that one back end accepts from all callers together, those that may rest at
+  /// this gateway: they keep others out.
+  std::size_t resting_connections(const ServiceProfile& service) const;
   /// Its entry of the list, or null.
   const BackendRecord* record_of(const std::string& id) const;
   /// Back ends whose agents have told their load lately.
--- a/src/gateway/requests/backend_connections.cpp
+++ b/src/gateway/requests/backend_connections.cpp
@@ -13,7 +13,6 @@
 constexpr Duration kKeepAliveMargin = milliseconds(1000);
 /// Where the peer states no time.
 constexpr Duration kUnstatedIdleLimit = seconds(4);
-constexpr std::size_t kIdlePerBackend = 24;
 
 }  // namespace
 
@@ -21,7 +20,10 @@
 class BackendConnections::Attempt : public ExchangeObserver {
  public:
   Attempt(BackendConnections& owner, const SendToBackend& send)
-      : owner_(owner), number_(send.request), backend_(send.backend) {}
+      : owner_(owner),
+        number_(send.request),
+        backend_(send.backend),
+        resting_connections_(send.resting_connections) {}
 
   void run(std::unique_ptr<ClientConnection> connection, const std::string& bytes,
            bool head_request) {
@@ -30,6 +32,7 @@
   }
   std::unique_ptr<ClientConnection> release() { return std::move(connection_); }
   const std::string& backend() const { return backend_; }
+  std::size_t resting_connections() const { return resting_connections_; }
 
  private:
   void on_response_connected() override { owner_.observer_.on_attempt_connected(number_); }
@@ -50,6 +53,7 @@
   BackendConnections& owner_;
   RequestNumber number_;
   std::string backend_;
+  std::size_t resting_connections_;
   std::unique_ptr<ClientConnection> connection_;
 };
 
@@ -101,9 +105,10 @@
   if (node.empty()) return;
   std::unique_ptr<ClientConnection> connection = node.mapped()->release();
   const std::string backend = node.mapped()->backend();
+  const std::size_t most = node.mapped()->resting_connections();
   deleter_.defer(std::move(node.mapped()));
-  if (keep_connection && connection->reusable()) {
-    keep(backend, std::move(connection));
+  if (keep_connection && connection->reusable() && most > 0) {
+    keep(backend, std::move(connection), most);
   } else {
     connection->abandon();
     deleter_.defer(std::move(connection));
@@ -112,16 +117,17 @@
 }
 
 void BackendConnections::keep(const std::string& backend,
-                              std::unique_ptr<ClientConnection> connection) {
+                              std::unique_ptr<ClientConnection> connection, std::size_t most) {
   auto& connections = idle_[backend].connections;
   connection->set_idle_since(loop_now());
   // One that goes silent while it rests would take a request that can't be sent again.
   connection->set_probing(true);
   connections.push_back(std::move(connection));
-  if (connections.size() <= kIdlePerBackend) return;
-  connections.front()->abandon();
-  deleter_.defer(std::move(connections.front()));
-  connections.erase(connections.begin());
+  while (connections.size() > most) {
+    connections.front()->abandon();
+    deleter_.defer(std::move(connections.front()));
+    connections.erase(connections.begin());
+  }
 }
 
 void BackendConnections::cancel(RequestNumber number) { finish(number, false); }
--- a/src/gateway/requests/backend_connections.h
+++ b/src/gateway/requests/backend_connections.h
@@ -46,7 +46,9 @@
   };
 
   std::unique_ptr<ClientConnection> take_idle(const SendToBackend& send);
-  void keep(const std::string& backend, std::unique_ptr<ClientConnection> connection);
+  /// @param most  that may rest for this back end, this one included.
+  void keep(const std::string& backend, std::unique_ptr<ClientConnection> connection,
+            std::size_t most);
   void on_idle_connection_ended(ClientConnection& connection) override;
   void finish(RequestNumber number, bool keep_connection);
   static bool too_old(const ClientConnection& connection, TimePoint now);
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -71,6 +71,8 @@
   std::uint64_t expected_version = 0;  ///< 0: whichever it serves.
   std::string resume_after;            ///< Id of the last event the caller has; or empty.
   std::string tenant;                  ///< Empty when the request has none.
+  /// Connections to this back end that may rest here between requests.
+  std::size_t resting_connections = 0;
 };
 /// The caller left, or the attempt is given up: the back end is to stop.
 struct CancelAttempt {
--- a/tests/gateway/backends/backend_pool_test.cpp
+++ b/tests/gateway/backends/backend_pool_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(a_late_entry_of_an_earlier_start_undoes_nothing);
   CPPUNIT_TEST(an_engine_that_is_not_watched_gets_nothing);
   CPPUNIT_TEST(what_is_not_watched_says_nothing_of_the_others);
+  CPPUNIT_TEST(connections_that_rest_leave_room_for_all_gateways);
   CPPUNIT_TEST_SUITE_END();
 
   tests::GatewayWorld world;
@@ -43,6 +44,24 @@
   BackendNeed need;
 
  public:
+  // A back end accepts so many connections from all callers together, and resets the rest: those
+  // that rested at 149 gateways kept out whoever wanted to send.
+  void connections_that_rest_leave_room_for_all_gateways() {
+    ServiceProfile service;
+    for (const std::uint32_t maximum : {48U, 96U, 628U}) {
+      service.maximum_connections = maximum;
+      for (const std::size_t gateways : {1U, 7U, 40U, 149U}) {
+        BackendPool pool{BackendPoolOptions{}};
+        pool.set_gateway_count(gateways);
+        CPPUNIT_ASSERT(pool.resting_connections(service) * gateways <= maximum);
+      }
+    }
+    BackendPool pool{BackendPoolOptions{}};
+    pool.set_gateway_count(7);
+    service.maximum_connections = 48;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, pool.resting_connections(service));
+  }
+
   void setUp() override { need.service = &configuration.services[1]; }
 
   /// It holds no weights, and is neither as loaded nor as unreliable as it was.
