--- a/tests/gateway/backends/limited_fleet_test.cpp
+++ b/tests/gateway/backends/limited_fleet_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(an_engine_that_takes_nothing_is_tried_now_and_then);
   CPPUNIT_TEST(room_is_used_again_when_the_limit_ends);
   CPPUNIT_TEST(an_engine_started_anew_has_no_limit);
+  CPPUNIT_TEST(messages_about_permits_are_few);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Duration kSettled = seconds(1);
@@ -241,6 +242,34 @@
     }
   }
 
+  void messages_about_permits_are_few() {
+    // A frame with one permit request or answer.
+    constexpr double kMessageBytes = 120;
+    // What a node may use for control.
+    constexpr double kBytesPerSecond = 30000;
+    for (const std::size_t gateways : {7U, 149U}) {
+      LimitedFleetOptions options;
+      options.gateways = gateways;
+      options.engines = options.limited = 20;
+      options.requests_per_s = 160;
+      LimitedFleet fleet(options);
+      name(fleet, 2);
+      const std::uint64_t before = fleet.permit_messages();
+      fleet.reset_results();
+      fleet.run(seconds(20));
+      const auto messages = static_cast<double>(fleet.permit_messages() - before);
+      const double per_request = messages / fleet.results().asked;
+      const double per_gateway = messages * kMessageBytes / 20 / static_cast<double>(gateways);
+      const double per_engine = messages * kMessageBytes / 20 / 20;
+      std::printf(
+          "\nfigure permits gateways=%zu messages_a_request=%.1f gateway_bytes_s=%.0f "
+          "engine_bytes_s=%.0f\n",
+          gateways, per_request, per_gateway, per_engine);
+      CPPUNIT_ASSERT(per_gateway <= kBytesPerSecond);
+      CPPUNIT_ASSERT(per_engine <= kBytesPerSecond);
+    }
+  }
+
   void an_engine_started_anew_has_no_limit() {
     LimitedFleetOptions options;
     options.gateways = 40;
