--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -24,9 +24,6 @@
 /// While a newer configuration is known elsewhere, it is looked so often whether to ask for it.
 constexpr Duration kCatchUpInterval = milliseconds(50);
 constexpr Duration kRoleInterval = milliseconds(100);
-constexpr std::size_t kLeavingTold = 32;
-/// Limits of back ends that one digest tells.
-constexpr std::size_t kLimitsTold = 32;
 /// Engines are described to the agents of the zone every so many ticks, and to others, which have
 /// gateways of their own, more rarely.
 constexpr std::uint64_t kDescriptionTicks = 4;
@@ -34,30 +31,6 @@
 
 PeerId peer_id(const Address& address) { return stable_hash(address.to_string()); }
 
-std::vector<std::unique_ptr<wire::LimitedBackendT>> encode_limits(
-    const std::vector<ToldLimit>& limits) {
-  std::vector<std::unique_ptr<wire::LimitedBackendT>> entries;
-  for (const ToldLimit& told : limits) {
-    if (entries.size() == kLimitsTold) break;
-    auto entry = std::make_unique<wire::LimitedBackendT>();
-    entry->id = told.backend.id;
-    entry->started_at_ms = told.backend.started_at_ms;
-    entry->limit = encode(told.limit, loop_now());
-    if (entry->limit) entries.push_back(std::move(entry));
-  }
-  return entries;
-}
-
-std::vector<ToldLimit> decode_limits(const wire::GatewayDigest& digest) {
-  std::vector<ToldLimit> limits;
-  if (digest.limits() == nullptr) return limits;
-  for (const auto* entry : *digest.limits()) {
-    limits.push_back(
-        {{entry->id()->str(), entry->started_at_ms()}, decode(entry->limit(), loop_now())});
-  }
-  return limits;
-}
-
 std::string text_of(const flatbuffers::String* text) { return text == nullptr ? "" : text->str(); }
 
 }  // namespace
@@ -307,32 +280,12 @@
 }
 
 void FleetLinks::send_digest(PeerId peer) {
-  const GatewayKnowledge knowledge = listener_.own_knowledge();
-  wire::GatewayDigestT message;
+  wire::GatewayDigestT message = encode(listener_.own_knowledge(), loop_now());
   message.gateway = own_address_.to_string();
   message.address = own_address_.to_string();
-  message.configuration_version = knowledge.configuration_version;
   message.zone = zone_;
   message.reads_store = reads_store_ && store_reachable_;
   message.list_revision = revision_read();
-  message.crash_verdicts = knowledge.crash_verdicts;
-  const std::size_t count = std::min(kLeavingTold, knowledge.leaving.size());
-  for (std::size_t index = knowledge.leaving.size() - count; index < knowledge.leaving.size();
-       ++index) {
-    auto left = std::make_unique<wire::LeavingBackendT>();
-    left->id = knowledge.leaving[index].id;
-    left->revision = knowledge.leaving[index].revision;
-    message.leaving.push_back(std::move(left));
-  }
-  for (const NamedWeights& weights : knowledge.weights) {
-    auto named = std::make_unique<wire::WeightsNamedT>();
-    named->model = weights.model;
-    named->version = weights.version;
-    named->age_ms = static_cast<std::uint32_t>(to_milliseconds(weights.age));
-    named->assumed = weights.assumed;
-    message.weights.push_back(std::move(named));
-  }
-  message.limits = encode_limits(knowledge.limits);
   links_.send(peer, message);
 }
 
@@ -479,20 +432,7 @@
     role_.on_heard(peer, digest.reads_store(), loop_now());
     if (digest.reads_store()) listener_.on_list_revision_told(peer, digest.list_revision());
   }
-  GatewayKnowledge knowledge;
-  knowledge.configuration_version = digest.configuration_version();
-  if (digest.leaving() != nullptr) {
-    for (const auto* left : *digest.leaving()) {
-      knowledge.leaving.push_back({left->id()->str(), left->revision()});
-    }
-  }
-  if (digest.weights() != nullptr) {
-    for (const auto* named : *digest.weights()) {
-      knowledge.weights.push_back({named->model()->str(), named->version(),
-                                   milliseconds(named->age_ms()), named->assumed()});
-    }
-  }
-  knowledge.limits = decode_limits(digest);
+  const GatewayKnowledge knowledge = decode(digest, loop_now());
   const std::uint64_t own_verdicts = listener_.own_knowledge().crash_verdicts;
   if (verdict_pull_.should_ask(peer, digest.crash_verdicts(), own_verdicts, loop_now())) {
     links_.send(peer, wire::CrashVerdictsRequestT{});
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -22,6 +22,7 @@
 #include "gateway/configuration/configuration_catch_up.h"
 #include "gateway/configuration/configuration_download.h"
 #include "gateway/configuration/configuration_shelf.h"
+#include "gateway/peers/gateway_digest.h"
 #include "gateway/peers/store_reader_role.h"
 #include "gateway/quarantine/crash_news.h"
 #include "gateway/quarantine/verdict_pull.h"
@@ -30,21 +31,6 @@
 
 namespace pumicemast {
 
-/// The limit that a back end names, or that it names none any more.
-struct ToldLimit {
-  BackendLife backend;
-  RateLimit limit;
-};
-
-/// What a gateway tells others.
-struct GatewayKnowledge {
-  std::uint64_t configuration_version = 0;
-  std::vector<LeftBackend> leaving;
-  std::vector<NamedWeights> weights;
-  std::uint64_t crash_verdicts = 0;  ///< Digest of the requests in quarantine.
-  std::vector<ToldLimit> limits;     ///< Of back ends without agents.
-};
-
 /// A configuration that was fetched from another gateway.
 struct FetchedConfiguration {
   std::uint64_t version = 0;
