--- a/tests/gateway/backends/limited_fleet_test.cpp
+++ b/tests/gateway/backends/limited_fleet_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(callers_lose_no_more_than_the_limits_take);
   CPPUNIT_TEST(gateways_that_keep_the_limit_alone_break_it);
   CPPUNIT_TEST(the_limit_holds_while_gateways_start_freeze_and_are_cut_off);
+  CPPUNIT_TEST(the_limit_holds_while_some_of_7_gateways_are_troubled);
+  CPPUNIT_TEST(the_limit_holds_while_some_of_149_gateways_are_troubled);
   CPPUNIT_TEST(the_limit_holds_while_agents_start_anew);
   CPPUNIT_TEST(a_limit_that_changes_is_followed);
   CPPUNIT_TEST(an_engine_that_takes_nothing_is_tried_now_and_then);
@@ -155,25 +157,38 @@
     std::printf("\n");
   }
 
-  void the_limit_holds_while_gateways_start_freeze_and_are_cut_off() {
-    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
-      LimitedFleetOptions options;
-      options.gateways = 40;
-      options.requests_per_s = 30;
-      options.seed = seed;
-      LimitedFleet fleet(options);
-      const TimePoint since = name(fleet, 2);
-      for (std::size_t round = 0; round < 10; ++round) {
-        fleet.freeze_gateway((3 * round) % 40, milliseconds(700 + 300 * round));
-        fleet.cut_off_gateway((3 * round + 1) % 40);
-        fleet.run(milliseconds(400));
-        fleet.restart_gateway((3 * round + 2) % 40);
-        fleet.run(milliseconds(900));
-        fleet.reconnect_gateway((3 * round + 1) % 40);
-      }
-      check_kept(fleet, 1, 2, since, "seed " + std::to_string(seed));
-      check_used(fleet, 1, 2, since, "seed " + std::to_string(seed));
+  static void check_with_troubled_gateways(std::size_t gateways, std::uint32_t seed) {
+    LimitedFleetOptions options;
+    options.gateways = gateways;
+    options.requests_per_s = 30;
+    options.seed = seed;
+    LimitedFleet fleet(options);
+    const TimePoint since = name(fleet, 2);
+    for (std::size_t round = 0; round < 10; ++round) {
+      fleet.freeze_gateway((3 * round) % gateways, milliseconds(700 + 300 * round));
+      fleet.cut_off_gateway((3 * round + 1) % gateways);
+      fleet.run(milliseconds(400));
+      fleet.restart_gateway((3 * round + 2) % gateways);
+      fleet.run(milliseconds(900));
+      fleet.reconnect_gateway((3 * round + 1) % gateways);
     }
+    const std::string what = describe(options, 2) + ", seed " + std::to_string(seed);
+    check_kept(fleet, 1, 2, since, what);
+    check_used(fleet, 1, 2, since, what);
+  }
+
+  static void check_seeds_with_troubled_gateways(std::size_t gateways) {
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) check_with_troubled_gateways(gateways, seed);
+  }
+
+  void the_limit_holds_while_gateways_start_freeze_and_are_cut_off() {
+    check_seeds_with_troubled_gateways(40);
+  }
+  void the_limit_holds_while_some_of_7_gateways_are_troubled() {
+    check_seeds_with_troubled_gateways(7);
+  }
+  void the_limit_holds_while_some_of_149_gateways_are_troubled() {
+    check_seeds_with_troubled_gateways(149);
   }
 
   void the_limit_holds_while_agents_start_anew() {
