Let one gateway of a zone read the list for the others when all start

Evidence: a site of the same size (99 gateways, 201 agents, 3,000 back ends) with the logs of all gateways. Ruled out: configurations waiting in their own watch (the readers of the near zone had them at once), a watch that was lost, versions in quick succession (there were two, 3 s apart). Cause: who reads the store is decided among gateways that know each other, and they know each other from agents that the list names. So each read all of the list first, as each agent did: 100 copies of a megabyte over a link of 2.5 MB/s, and the configuration behind them.

Change: each zone has a contact in the store, one small object that is claimed on the condition that it has not changed. Only the contact reads the list at a start; the others greet it, learn of each other, get the list and the configuration from whoever has them, and begin to read only when fewer than two of the zone do. A silent contact is replaced by one of those that miss it. Agents wait for gateways to tell them the list, of engines alone. A gateway with much queued sends no whole lists, so that a configuration does not wait. Without an answer from the store each reads as before.

--- a/src/fleet/feeds.h
+++ b/src/fleet/feeds.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fleet/backend_record.h"
+#include "fleet/contact_board.h"
 #include "fleet/fleet_configuration.h"
 
 namespace pumicemast {
@@ -38,12 +39,14 @@
 class FleetFeed {
  public:
   virtual ~FleetFeed() = default;
-  /// Begins to tell `listener`, first the present state, then each change.
+  /// `listener` is told what is read from resume() on: first the present state, then each change.
   virtual void start(FleetListener& listener) = 0;
   /// The platform's store is not read until resume(): other processes pass on what is there.
   virtual void pause() = 0;
-  /// @param list_revision  of the list of back ends as others have passed it on.
+  /// @param list_revision  of the list of back ends as others have passed it on; 0 for none.
   virtual void resume(std::uint64_t list_revision) = 0;
+  /// Of the zone of this process.
+  virtual ContactBoard& contacts() = 0;
   /// Reads a document that another process passed on; empty when it is not valid.
   virtual std::optional<FleetConfiguration> read_document(const std::string& document) = 0;
 };
--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -16,6 +16,9 @@
 /// In one connection. A peer that reads leaves a few messages; the largest, a configuration, is
 /// about 50 KB.
 constexpr std::size_t kQueueLimitBytes = 4U << 20U;
+/// While more than so much waits for all others, requests for the whole list go unanswered: what is
+/// urgent, as a configuration is, would wait behind the lists. Others hold it too.
+constexpr std::size_t kListQueueLimitBytes = 1U << 20U;
 /// Gateways that each one tells regularly: news reaches all in a few steps.
 constexpr std::size_t kFanOut = 3;
 /// Further gateways, drawn by lot, that hear of a change at once: with all of them the messages
@@ -23,7 +26,6 @@
 constexpr std::size_t kNewsFanOut = 5;
 /// While a newer configuration is known elsewhere, it is looked so often whether to ask for it.
 constexpr Duration kCatchUpInterval = milliseconds(50);
-constexpr Duration kRoleInterval = milliseconds(100);
 /// Engines are described to the agents of the zone every so many ticks, and to others, which have
 /// gateways of their own, more rarely.
 constexpr std::uint64_t kDescriptionTicks = 4;
@@ -46,7 +48,6 @@
               [this](PeerId peer) { on_agent_lost(peer); }, [](PeerId) {}}),
       catch_up_(peer_id(own_address_)),
       download_(peer_id(own_address_)),
-      role_(peer_id(own_address_)),
       random_(static_cast<std::minstd_rand::result_type>(peer_id(own_address_))) {
   links_.set_unanswered_limit(kUnansweredLimit);
   links_.set_queue_limit(kQueueLimitBytes);
@@ -61,18 +62,18 @@
       },
       [](const Error&) { return false; });
   timer_.start_repeating(kTickInterval, [this] { tick(); });
-  role_timer_.start_repeating(kRoleInterval, [this] { update_role(); });
   return bound;
 }
 
-void FleetLinks::note_gateway(const std::string& text, const std::string& zone) {
+bool FleetLinks::note_gateway(const std::string& text, const std::string& zone) {
   const auto address = parse_address(text);
-  if (!address || *address == own_address_) return;
+  if (!address || *address == own_address_) return false;
   const PeerId peer = peer_id(*address);
-  if (agents_.contains(peer)) return;
+  if (agents_.contains(peer)) return false;
   const auto [known, is_new] = gateways_.try_emplace(peer, Gateway{*address, zone});
   if (is_new) links_.set_address(peer, *address);
   if (!zone.empty()) known->second.zone = zone;
+  return is_new;
 }
 
 bool FleetLinks::near(PeerId gateway) const {
@@ -85,12 +86,28 @@
   catch_up_.set_reads_store(reads_store_ && store_reachable_);
 }
 
-void FleetLinks::update_role() {
-  const bool reads = role_.should_read(loop_now());
-  if (reads == reads_store_) return;
+void FleetLinks::set_reads_store(bool reads) {
   reads_store_ = reads;
   catch_up_.set_reads_store(reads_store_ && store_reachable_);
-  listener_.on_store_reader(reads);
+}
+
+void FleetLinks::greet(const Address& gateway) {
+  note_gateway(gateway.to_string(), zone_);
+  send_digest(peer_id(gateway));
+}
+
+void FleetLinks::welcome(PeerId newcomer) {
+  if (!welcomed_.insert(newcomer).second) return;
+  wire::GatewayListT message;
+  for (const auto& [peer, gateway] : gateways_) {
+    if (peer == newcomer || gateway.zone != zone_) continue;
+    auto place = std::make_unique<wire::GatewayPlaceT>();
+    place->address = gateway.address.to_string();
+    place->zone = gateway.zone;
+    message.gateways.push_back(std::move(place));
+  }
+  if (!message.gateways.empty()) links_.send(newcomer, message);
+  send_digest(newcomer);
 }
 
 std::set<PeerId> FleetLinks::regular_gateways() const {
@@ -116,13 +133,14 @@
   }
 }
 
-void FleetLinks::pass_on(const BackendChanges& changes) {
-  const wire::BackendChangesT message = encode(changes);
+void FleetLinks::pass_on(const BackendChanges& to_gateways, const BackendChanges& to_agents) {
+  const wire::BackendChangesT gateway_message = encode(to_gateways);
   for (const auto& [peer, gateway] : gateways_) {
-    if (gateway.zone == zone_ && links_.connected(peer)) links_.send(peer, message);
+    if (gateway.zone == zone_ && links_.connected(peer)) links_.send(peer, gateway_message);
   }
+  const wire::BackendChangesT agent_message = encode(to_agents);
   for (const auto& [peer, engine] : agents_) {
-    if (engine.zone == zone_) links_.send(peer, message);
+    if (engine.zone == zone_) links_.send(peer, agent_message);
   }
 }
 
@@ -214,6 +232,12 @@
   for (const PeerId peer : gateways_told_at_once()) send_digest(peer);
 }
 
+void FleetLinks::tell_zone() {
+  for (const auto& [peer, gateway] : gateways_) {
+    if (gateway.zone == zone_ && links_.connected(peer)) send_digest(peer);
+  }
+}
+
 void FleetLinks::tell_crashes(const CrashNews& news) {
   const wire::RequestCrashesT message = encode(news);
   for (const PeerId peer : gateways_told_at_once()) links_.send(peer, message);
@@ -285,10 +309,18 @@
   message.address = own_address_.to_string();
   message.zone = zone_;
   message.reads_store = reads_store_ && store_reachable_;
-  message.list_revision = revision_read();
+  // Whoever knows the list may be asked for it.
+  message.list_revision = list_revision_;
   links_.send(peer, message);
 }
 
+void FleetLinks::on_list_request(PeerId peer, const wire::BackendListRequest& request) {
+  if (list_revision_ <= request.known_revision()) return;
+  if (links_.queued_bytes() > kListQueueLimitBytes) return;
+  const ListScope scope = is_agent(peer) ? ListScope::engines : ListScope::all;
+  links_.send(peer, encode(listener_.own_backend_list(scope)));
+}
+
 void FleetLinks::on_frame(PeerId peer, const wire::Frame& frame) {
   switch (frame.body_type()) {
     case wire::Body::EngineReport:
@@ -310,7 +342,7 @@
       listener_.on_backend_changes(peer, decode(*frame.body_as_BackendChanges()));
       return;
     case wire::Body::BackendListRequest:
-      links_.send(peer, encode(listener_.own_backend_list()));
+      on_list_request(peer, *frame.body_as_BackendListRequest());
       return;
     case wire::Body::RequestCrashes:
       listener_.on_crash_news(decode(*frame.body_as_RequestCrashes()));
@@ -362,7 +394,11 @@
 void FleetLinks::on_gateway_list(const wire::GatewayList& list) {
   if (list.gateways() == nullptr) return;
   for (const auto* gateway : *list.gateways()) {
-    note_gateway(gateway->address()->str(), text_of(gateway->zone()));
+    const std::string address = gateway->address()->str();
+    const bool is_new = note_gateway(address, text_of(gateway->zone()));
+    // So that all of a zone know each other before they decide who reads the store.
+    const PeerId peer = stable_hash(address);
+    if (is_new && near(peer)) send_digest(peer);
   }
 }
 
@@ -429,8 +465,12 @@
 void FleetLinks::on_digest(PeerId peer, const wire::GatewayDigest& digest) {
   note_gateway(digest.address()->str(), text_of(digest.zone()));
   if (near(peer)) {
-    role_.on_heard(peer, digest.reads_store(), loop_now());
-    if (digest.reads_store()) listener_.on_list_revision_told(peer, digest.list_revision());
+    welcome(peer);
+    listener_.on_near_gateway(peer, digest.reads_store());
+    // A change reaches each gateway from the readers: only without any list others are asked, too.
+    if (digest.reads_store() || list_revision_ == 0) {
+      listener_.on_list_revision_told(peer, digest.list_revision());
+    }
   }
   const GatewayKnowledge knowledge = decode(digest, loop_now());
   const std::uint64_t own_verdicts = listener_.own_knowledge().crash_verdicts;
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -23,7 +23,6 @@
 #include "gateway/configuration/configuration_download.h"
 #include "gateway/configuration/configuration_shelf.h"
 #include "gateway/peers/gateway_digest.h"
-#include "gateway/peers/store_reader_role.h"
 #include "gateway/quarantine/crash_news.h"
 #include "gateway/quarantine/verdict_pull.h"
 #include "limits/permit_issuer.h"
@@ -38,6 +37,9 @@
   std::string gateway;  ///< The address of the one that sent the last piece.
 };
 
+/// Agents exchange weights with those beside other engines; of plain services they need nothing.
+enum class ListScope { all, engines };
+
 class FleetLinksListener {
  public:
   virtual ~FleetLinksListener() = default;
@@ -48,14 +50,14 @@
   virtual void on_engine_agent_lost(const Address& engine) = 0;
   virtual void on_other_knowledge(const GatewayKnowledge& knowledge) = 0;
   virtual void on_other_configuration(const FetchedConfiguration& fetched) = 0;
-  /// This gateway is to read the store itself, or leaves it to others.
-  virtual void on_store_reader(bool reads) = 0;
+  /// A gateway of the zone tells whether it reads the store, and reaches it.
+  virtual void on_near_gateway(PeerId gateway, bool reads) = 0;
   /// A gateway of the zone passes on what it read.
   virtual void on_backend_changes(PeerId gateway, const BackendChanges& changes) = 0;
   /// The list of a gateway of the zone is of that revision.
   virtual void on_list_revision_told(PeerId gateway, std::uint64_t revision) = 0;
-  /// The whole list as it is known here, and its revision.
-  virtual BackendChanges own_backend_list() = 0;
+  /// The list as it is known here, and its revision.
+  virtual BackendChanges own_backend_list(ListScope scope) = 0;
   virtual GatewayKnowledge own_knowledge() = 0;
   virtual void on_crash_news(const CrashNews& news) = 0;
   /// The evidence of all verdicts on requests.
@@ -78,7 +80,7 @@
   /// The list of back ends is of that revision here.
   void set_list_revision(std::uint64_t revision) { list_revision_ = revision; }
   /// Tells the gateways and agents of the zone what this gateway has read.
-  void pass_on(const BackendChanges& changes);
+  void pass_on(const BackendChanges& to_gateways, const BackendChanges& to_agents);
   void ask_backend_list(PeerId gateway);
   /// How many first attempts for engines reach this gateway in a second; agents deal room by it.
   void set_demand(double requests_per_s) { demand_ = requests_per_s; }
@@ -87,6 +89,12 @@
   /// Tells some gateways at once, after something changed; the others hear it from them, or from
   /// the next regular digests.
   void tell_others();
+  /// Tells `gateway`, which stands in the own zone, what is known here; it answers with the same.
+  void greet(const Address& gateway);
+  /// Whether this gateway reads the store, for its zone.
+  void set_reads_store(bool reads);
+  /// Tells all gateways of the zone that this one is connected to.
+  void tell_zone();
   /// Whether the platform's store answers this gateway.
   void set_store_reachable(bool reachable);
   /// `version` is in force here; other gateways may fetch `document`.
@@ -115,7 +123,6 @@
     std::string zone;  ///< Empty while it is not known.
   };
   void tick();
-  void update_role();
   bool near(PeerId gateway) const;
   /// Those that this one tells regularly.
   std::set<PeerId> regular_gateways() const;
@@ -133,12 +140,16 @@
   void on_frame(PeerId peer, const wire::Frame& frame);
   void on_report(const wire::EngineReport& message);
   void on_gateway_list(const wire::GatewayList& list);
+  void on_list_request(PeerId peer, const wire::BackendListRequest& request);
   void on_configuration_request(PeerId peer, const wire::ConfigurationRequest& request);
   void on_configuration_document(PeerId peer, const wire::ConfigurationDocument& message);
   void send_configuration(PeerId peer, const wire::ConfigurationDocumentT& message);
   void send_requests(const ConfigurationPieceRequests& requests);
   void on_digest(PeerId peer, const wire::GatewayDigest& digest);
-  void note_gateway(const std::string& address, const std::string& zone);
+  /// @return whether it was not known before.
+  bool note_gateway(const std::string& address, const std::string& zone);
+  /// A gateway of the zone that has just started knows no other one.
+  void welcome(PeerId newcomer);
   /// Asks another gateway for a newer configuration when it is time.
   void catch_up();
 
@@ -152,20 +163,19 @@
   std::map<PeerId, EnginePlace> agents_;
   std::set<PeerId> agents_to_tell_again_;  ///< Their links were lost since they were told.
   std::map<PeerId, Gateway> gateways_;
+  std::set<PeerId> welcomed_;  ///< Gateways of the zone that have been told of the others.
   std::map<Address, wire::EngineDescriptionT> descriptions_;
   ConfigurationCatchUp catch_up_;
   ConfigurationDownload download_;
   ConfigurationShelf shelf_;
-  StoreReaderRole role_;
   VerdictPull verdict_pull_;
-  bool reads_store_ = true;
+  bool reads_store_ = false;
   bool store_reachable_ = false;
   std::uint64_t list_revision_ = 0;
   std::minstd_rand random_;
   std::uint64_t tick_count_ = 0;
   Timer timer_;
   Timer catch_up_timer_;
-  Timer role_timer_;
 };
 
 }  // namespace pumicemast
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -64,6 +64,10 @@
       quarantine_(quarantine_options(settings), loop_now()),
       links_(settings.internal_address, settings.zone, settings.seeds, metrics, *this),
       permits_(self_, pool_, links_, [this] { callbacks_.on_report(); }),
+      list_holders_(self_),
+      reading_(settings.internal_address, self_, feed.contacts(),
+               {[this](bool reads) { on_store_reader(reads); },
+                [this](const Address& gateway) { links_.greet(gateway); }}),
       retry_share_(retry_share_options(settings), loop_now()) {
   targets_.set_start_bound(settings.start_bound);
   quarantine_.set_pardoned(settings.pardoned);
@@ -72,6 +76,7 @@
 bool FleetState::start() {
   if (!links_.start()) return false;
   feed_.start(*this);
+  reading_.start();
   return true;
 }
 
@@ -183,8 +188,11 @@
   const auto changes = list_relay_.on_current(revision);
   links_.set_list_revision(list_relay_.revision());
   update_engines();
+  on_list_known();
   if (!changes) return;
-  links_.pass_on(*changes);
+  BackendChanges to_agents = *changes;
+  std::erase_if(to_agents.entries, [this](const auto& entry) { return !concerns_agents(entry); });
+  links_.pass_on(*changes, to_agents);
   // Gateways that are cut off from the store hear of who leaves.
   links_.tell_others();
 }
@@ -209,15 +217,38 @@
   }
   links_.set_list_revision(list_relay_.revision());
   update_engines();
+  on_list_known();
+}
+
+void FleetState::on_list_known() {
+  if (list_known_) return;
+  list_known_ = true;
+  reading_.on_list_known();
+  if (!reading_.reads()) on_read_by_others();
+  links_.tell_zone();  // Others wait for the list.
 }
 
 void FleetState::on_list_revision_told(PeerId gateway, std::uint64_t revision) {
-  if (list_relay_.should_ask(revision, loop_now())) links_.ask_backend_list(gateway);
+  list_holders_.on_heard(gateway, revision);
+  if (!list_relay_.should_ask(revision, loop_now())) return;
+  if (const auto holder = list_holders_.next(list_relay_.revision())) {
+    links_.ask_backend_list(*holder);
+  }
+}
+
+bool FleetState::concerns_agents(const BackendChange& change) const {
+  // Of what is gone only the id is known.
+  if (change.gone || !routes_) return true;
+  const ServiceProfile* service = routes_->service(change.record.service);
+  return service == nullptr || service->engine.has_value();
 }
 
-BackendChanges FleetState::own_backend_list() {
+BackendChanges FleetState::own_backend_list(ListScope scope) {
   BackendChanges list{0, list_relay_.revision(), true, {}};
-  for (const BackendRecord& record : pool_.listed()) list.entries.push_back({record, false});
+  for (const BackendRecord& record : pool_.listed()) {
+    const BackendChange entry{record, false};
+    if (scope == ListScope::all || concerns_agents(entry)) list.entries.push_back(entry);
+  }
   return list;
 }
 
@@ -237,13 +268,24 @@
   links_.tell_others();
 }
 
+void FleetState::on_near_gateway(PeerId gateway, bool reads) {
+  reading_.on_gateway_heard(gateway, reads);
+}
+
 void FleetState::on_store_reader(bool reads) {
   log_.line("reader", std::string("store reader=") + (reads ? "yes" : "no"));
+  links_.set_reads_store(reads);
   if (reads) {
     feed_.resume(list_relay_.revision());
+    // Before others begin, too.
+    links_.tell_others();
     return;
   }
   feed_.pause();
+  on_read_by_others();
+}
+
+void FleetState::on_read_by_others() {
   // Whoever reads for the zone reaches the store, or this gateway would read itself.
   on_list_reachable(true);
   on_store_reachable(true);
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -16,7 +16,9 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/peers/backend_list_relay.h"
 #include "gateway/peers/fleet_links.h"
+#include "gateway/peers/list_holders.h"
 #include "gateway/peers/permit_exchange.h"
+#include "gateway/peers/store_reading_loop.h"
 #include "gateway/quarantine/request_quarantine.h"
 #include "gateway/requests/retry_share.h"
 #include "gateway/requests/route_table.h"
@@ -81,16 +83,21 @@
   void on_engine_agent_lost(const Address& engine) override;
   void on_other_knowledge(const GatewayKnowledge& knowledge) override;
   void on_other_configuration(const FetchedConfiguration& fetched) override;
-  void on_store_reader(bool reads) override;
+  void on_near_gateway(PeerId gateway, bool reads) override;
   void on_backend_changes(PeerId gateway, const BackendChanges& changes) override;
   void on_list_revision_told(PeerId gateway, std::uint64_t revision) override;
-  BackendChanges own_backend_list() override;
+  BackendChanges own_backend_list(ListScope scope) override;
   GatewayKnowledge own_knowledge() override;
   void on_crash_news(const CrashNews& news) override;
   CrashNews own_verdicts() override;
   void on_permit_request(PeerId gateway, const PermitRequest& request) override;
   void on_permit_answer(PeerId issuer, const PermitAnswer& answer) override;
 
+  void on_store_reader(bool reads);
+  /// The list of back ends is as its reader knows it, here or elsewhere.
+  void on_list_known();
+  void on_read_by_others();
+  bool concerns_agents(const BackendChange& change) const;
   void apply_configuration(FleetConfiguration configuration, const std::string& document,
                            const char* source, const std::string& from);
   void note_backend(const BackendRecord& record);
@@ -117,6 +124,9 @@
   PermitExchange permits_;
   RouteTablePointer routes_;
   BackendListRelay list_relay_;
+  ListHolders list_holders_;
+  StoreReadingLoop reading_;
+  bool list_known_ = false;
   bool store_reachable_ = false;
   RetryShare retry_share_;
   TimePoint limits_told_at_{};
--- a/src/gateway/peers/store_reader_role.h
+++ b/src/gateway/peers/store_reader_role.h
@@ -22,6 +22,9 @@
   Duration takeover_spread = milliseconds(300);
 };
 
+/// The part of `options.takeover_spread` that is `self`'s own.
+Duration takeover_share(PeerId self, const StoreReaderOptions& options);
+
 class StoreReaderRole {
  public:
   explicit StoreReaderRole(PeerId self, StoreReaderOptions options = {});
@@ -29,8 +32,12 @@
   /// A gateway of the same zone tells whether it reads the store, and reaches it.
   void on_heard(PeerId gateway, bool reads, TimePoint now);
   bool should_read(TimePoint now) const;
+  /// Other gateways of the zone that read the store.
+  std::size_t readers(TimePoint now) const;
 
  private:
+  bool lives(TimePoint heard_at, TimePoint now) const { return now - heard_at <= lifetime_; }
+
   PeerId self_;
   StoreReaderOptions options_;
   Duration lifetime_;
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "common/hash.h"
 #include "common/log.h"
 #include "transport/backend_list_messages.h"
 #include "transport/permit_messages.h"
@@ -152,7 +153,18 @@
   if (!engine_list_.on_reader_heard(list_revision, loop_now())) return;
   wire::BackendListRequestT request;
   request.known_revision = engine_list_.revision();
-  links_.send(gateway, request);
+  // The first time all agents of the zone ask at once: any gateway of it may have the list.
+  links_.send(request.known_revision == 0 ? next_near_gateway(gateway) : gateway, request);
+}
+
+PeerId HostDaemon::next_near_gateway(PeerId fallback) {
+  std::vector<PeerId> near;
+  for (const auto& [peer, subscriber] : subscribers_) {
+    if (subscriber.near) near.push_back(peer);
+  }
+  if (near.empty()) return fallback;
+  const std::uint64_t turn = stable_hash(settings_.name) + lists_asked_for_++;
+  return near[turn % near.size()];
 }
 
 void HostDaemon::on_backend_changes(PeerId gateway, const BackendChanges& changes) {
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -53,6 +53,8 @@
     std::uint64_t ping = 0;                ///< Its last one that was not sent back yet; or 0.
     std::uint32_t told_others_tokens = 0;  ///< What it was told of the others'.
   };
+  /// Another gateway of the zone at each call; agents begin at different ones.
+  PeerId next_near_gateway(PeerId fallback);
   /// New requests that each gateway may send until its next report; only for those that get one.
   std::map<PeerId, std::uint32_t> deal_credits(const LoadReport& report, ReportAudience audience);
 
@@ -108,6 +110,7 @@
   std::map<PeerId, Subscriber> subscribers_;
   std::set<PeerId> new_subscribers_;  ///< Of whom the others were not told yet.
   EngineList engine_list_;
+  std::uint64_t lists_asked_for_ = 0;
   LoadReport load_;
   CreditDealer dealer_;
   EngineRoom room_;
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -31,6 +31,14 @@
   return found->second.connection->queued_bytes();
 }
 
+std::size_t PeerLinks::queued_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [peer, link] : links_) {
+    if (link.connection) bytes += link.connection->queued_bytes();
+  }
+  return bytes;
+}
+
 bool PeerLinks::connected(PeerId peer) const {
   const auto found = links_.find(peer);
   return found != links_.end() && found->second.connection != nullptr;
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -51,6 +51,8 @@
     }
   }
   std::size_t queued_bytes(PeerId peer) const;
+  /// To all peers.
+  std::size_t queued_bytes() const;
   bool connected(PeerId peer) const;
   /// Holds all senders back while the downlink's share is used up.
   void set_reading(bool reading);
--- /dev/null
+++ b/tests/gateway/peers/contact_search_test.cpp
@@ -0,0 +1,123 @@
+#include "gateway/peers/contact_search.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicemast {
+
+/// A gateway that starts finds another one of its zone, or is the one that others find.
+class ContactSearchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ContactSearchTest);
+  CPPUNIT_TEST(the_first_of_a_zone_enters_itself_and_reads);
+  CPPUNIT_TEST(the_others_ask_the_contact_and_do_not_read);
+  CPPUNIT_TEST(who_loses_the_claim_asks_the_winner);
+  CPPUNIT_TEST(a_silent_contact_is_replaced_by_one);
+  CPPUNIT_TEST(a_contact_whose_readers_are_heard_is_kept);
+  CPPUNIT_TEST(a_claim_without_an_answer_is_looked_up);
+  CPPUNIT_TEST(without_a_board_a_gateway_reads_itself);
+  CPPUNIT_TEST(a_contact_that_starts_anew_reads);
+  CPPUNIT_TEST_SUITE_END();
+
+  TimePoint now = TimePoint(seconds(100));
+  const Address self{"10.0.0.1", 7700};
+  const Address other{"10.0.0.2", 7700};
+
+  static ContactBoardAnswer empty() { return {ContactBoardState::empty, {}}; }
+  static ContactBoardAnswer names(const Address& gateway, std::uint64_t revision) {
+    return {ContactBoardState::named, {gateway, revision}};
+  }
+  template <class Action>
+  std::optional<Action> next(ContactSearch& search) const {
+    const auto action = search.next_action(now);
+    if (!action || !std::holds_alternative<Action>(*action)) return std::nullopt;
+    return std::get<Action>(*action);
+  }
+  ContactSearch after_reading(const ContactBoardAnswer& answer) const {
+    ContactSearch search(self);
+    CPPUNIT_ASSERT(next<ReadContact>(search));
+    search.on_answer(answer, now);
+    return search;
+  }
+
+ public:
+  void the_first_of_a_zone_enters_itself_and_reads() {
+    ContactSearch search = after_reading(empty());
+    CPPUNIT_ASSERT(!search.reads(now));
+    const auto claim = next<ClaimContact>(search);
+    CPPUNIT_ASSERT(claim && !claim->replaces);
+    search.on_answer(names(self, 7), now);
+    CPPUNIT_ASSERT(search.reads(now));
+    CPPUNIT_ASSERT(!search.contact());
+    CPPUNIT_ASSERT(!search.next_action(now + seconds(60)));
+  }
+
+  void the_others_ask_the_contact_and_do_not_read() {
+    ContactSearch search = after_reading(names(other, 7));
+    CPPUNIT_ASSERT(search.contact() && search.contact()->gateway == other);
+    CPPUNIT_ASSERT(!search.reads(now));
+    CPPUNIT_ASSERT(!search.next_action(now));
+  }
+
+  void who_loses_the_claim_asks_the_winner() {
+    ContactSearch search = after_reading(empty());
+    CPPUNIT_ASSERT(next<ClaimContact>(search));
+    search.on_answer(names(other, 8), now);
+    CPPUNIT_ASSERT(search.contact() && search.contact()->gateway == other);
+    CPPUNIT_ASSERT(!search.reads(now));
+  }
+
+  void a_silent_contact_is_replaced_by_one() {
+    ContactSearch search = after_reading(names(other, 7));
+    now += milliseconds(999);
+    CPPUNIT_ASSERT(!search.next_action(now));
+    now += milliseconds(301);
+    const auto claim = next<ClaimContact>(search);
+    CPPUNIT_ASSERT(claim && claim->replaces == 7U);
+    // Another one was faster: it is given its time.
+    search.on_answer(names({"10.0.0.3", 7700}, 9), now);
+    CPPUNIT_ASSERT(!search.reads(now));
+    CPPUNIT_ASSERT(!search.next_action(now + milliseconds(900)));
+  }
+
+  void a_contact_whose_readers_are_heard_is_kept() {
+    ContactSearch search = after_reading(names(other, 7));
+    for (int second = 0; second < 10; ++second) {
+      now += milliseconds(900);
+      search.on_reader_heard(now);
+      CPPUNIT_ASSERT(!search.next_action(now));
+    }
+  }
+
+  void a_claim_without_an_answer_is_looked_up() {
+    ContactSearch search = after_reading(empty());
+    CPPUNIT_ASSERT(next<ClaimContact>(search));
+    search.on_answer({}, now);
+    CPPUNIT_ASSERT(!search.next_action(now));
+    now += milliseconds(250);
+    CPPUNIT_ASSERT(next<ReadContact>(search));
+    search.on_answer(names(self, 7), now);
+    CPPUNIT_ASSERT(search.reads(now));
+  }
+
+  void without_a_board_a_gateway_reads_itself() {
+    ContactSearch search(self);
+    for (int call = 0; call < 6; ++call) {
+      CPPUNIT_ASSERT(next<ReadContact>(search));
+      search.on_answer({}, now);
+      now += milliseconds(250);
+    }
+    CPPUNIT_ASSERT(search.reads(now));
+    // It is there again, and names somebody.
+    CPPUNIT_ASSERT(next<ReadContact>(search));
+    search.on_answer(names(other, 3), now);
+    CPPUNIT_ASSERT(!search.reads(now));
+  }
+
+  void a_contact_that_starts_anew_reads() {
+    const ContactSearch search = after_reading(names(self, 7));
+    CPPUNIT_ASSERT(search.reads(now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ContactSearchTest);
+
+}  // namespace pumicemast
--- a/tests/gateway/peers/fleet_links_agents_test.cpp
+++ b/tests/gateway/peers/fleet_links_agents_test.cpp
@@ -20,10 +20,10 @@
   void on_engine_agent_lost(const Address&) override { ++agents_lost; }
   void on_other_knowledge(const GatewayKnowledge&) override {}
   void on_other_configuration(const FetchedConfiguration&) override {}
-  void on_store_reader(bool) override {}
+  void on_near_gateway(PeerId, bool) override {}
   void on_backend_changes(PeerId, const BackendChanges&) override {}
   void on_list_revision_told(PeerId, std::uint64_t) override {}
-  BackendChanges own_backend_list() override { return {}; }
+  BackendChanges own_backend_list(ListScope) override { return {}; }
   void on_crash_news(const CrashNews&) override {}
   CrashNews own_verdicts() override { return {}; }
   void on_permit_request(PeerId, const PermitRequest&) override {}
--- /dev/null
+++ b/tests/gateway/peers/fleet_start_test.cpp
@@ -0,0 +1,116 @@
+// What users saw: with 300 machines gateways answered 404 for routes that had been acknowledged up
+// to 16 s before, and after all processes were killed one zone was served again only after 30 s.
+// Order of events: all gateways and agents start at once, know nobody and read the list of back
+// ends from the store. The copies of a zone fill its link to the store's region; gateways hear of
+// each other from agents that the list names, so that none ceases to read before it has the list.
+// The configuration waits behind the lists.
+// Cause: who reads the store was decided among gateways that know each other, which they did only
+// after each had read the whole list.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdio>
+#include <string>
+
+#include "support/fleet_start_world.h"
+
+namespace pumicemast {
+
+using tests::FleetStartOutcome;
+using tests::FleetStartSetup;
+using tests::start_fleet;
+using tests::StartReading;
+
+class FleetStartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetStartTest);
+  CPPUNIT_TEST(a_configuration_is_in_force_within_a_second_after_all_started);
+  CPPUNIT_TEST(a_configuration_is_in_force_within_a_second_while_all_start);
+  CPPUNIT_TEST(the_store_sends_the_list_to_few_of_a_zone);
+  CPPUNIT_TEST(a_contact_that_hangs_as_all_start_is_replaced);
+  CPPUNIT_TEST(the_expected_size_starts);
+  CPPUNIT_TEST(the_links_are_full_where_each_reads_alone);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t kSeeds = 5;
+  static constexpr Duration kInForceLimit = seconds(1);
+  static constexpr Duration kListLimit = seconds(4);
+
+  static std::string describe(const FleetStartOutcome& outcome) {
+    return "list_ms=" + std::to_string(to_milliseconds(outcome.list_at_last)) +
+           " in_force_ms=" + std::to_string(to_milliseconds(outcome.change_in_force)) +
+           " store_mb=" + std::to_string(outcome.megabytes_from_store_to_other_regions) +
+           " lists=" + std::to_string(outcome.lists_read) +
+           " most_readers=" + std::to_string(outcome.most_readers);
+  }
+  static FleetStartOutcome play(const FleetStartSetup& setup, const char* what) {
+    const FleetStartOutcome outcome = start_fleet(setup);
+    std::printf("\nfigure start %s seed=%u %s\n", what, setup.seed, describe(outcome).c_str());
+    return outcome;
+  }
+  static void check(bool holds, const FleetStartOutcome& outcome) {
+    CPPUNIT_ASSERT_MESSAGE(describe(outcome), holds);
+  }
+
+ public:
+  void a_configuration_is_in_force_within_a_second_after_all_started() {
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      FleetStartSetup setup;
+      setup.seed = seed;
+      const FleetStartOutcome outcome = play(setup, "300");
+      check(outcome.list_at_last <= kListLimit, outcome);
+      check(outcome.change_in_force <= kInForceLimit, outcome);
+    }
+  }
+
+  void a_configuration_is_in_force_within_a_second_while_all_start() {
+    for (const Duration after : {milliseconds(500), milliseconds(1000), milliseconds(2000)}) {
+      FleetStartSetup setup;
+      setup.change_after = after;
+      const FleetStartOutcome outcome = play(setup, "300-while");
+      check(outcome.change_in_force <= kInForceLimit, outcome);
+    }
+  }
+
+  void the_store_sends_the_list_to_few_of_a_zone() {
+    for (const std::size_t gateways : {2U, 11U, 33U, 100U}) {
+      FleetStartSetup setup;
+      setup.gateways_per_zone = gateways;
+      const FleetStartOutcome outcome = play(setup, "readers");
+      check(outcome.lists_read <= 2 * setup.zones, outcome);
+      check(outcome.most_readers <= 3, outcome);
+    }
+  }
+
+  void a_contact_that_hangs_as_all_start_is_replaced() {
+    for (const Duration after : {milliseconds(20), milliseconds(200), milliseconds(700)}) {
+      FleetStartSetup setup;
+      setup.contact_hangs_after = after;
+      const FleetStartOutcome outcome = play(setup, "contact-hangs");
+      check(outcome.list_at_last <= kListLimit, outcome);
+      check(outcome.change_in_force <= kInForceLimit, outcome);
+    }
+  }
+
+  void the_expected_size_starts() {
+    FleetStartSetup setup;
+    setup.zones = 24;
+    setup.regions = 7;
+    setup.gateways_per_zone = 15;
+    setup.agents_per_zone = 0;
+    setup.backends = 6800;
+    const FleetStartOutcome outcome = play(setup, "350+6800");
+    check(outcome.list_at_last <= seconds(8), outcome);
+    check(outcome.change_in_force <= kInForceLimit, outcome);
+  }
+
+  void the_links_are_full_where_each_reads_alone() {
+    FleetStartSetup setup;
+    setup.reading = StartReading::each_alone;
+    const FleetStartOutcome outcome = play(setup, "each-alone");
+    check(outcome.list_at_last > kListLimit, outcome);
+    check(outcome.change_in_force > kInForceLimit, outcome);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetStartTest);
+
+}  // namespace pumicemast
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -151,7 +151,9 @@
         while parts[0] in self.held:
             await asyncio.sleep(0.02)
         kind = self.objects.get(parts[0], {})
-        if len(parts) == 2:
+        if method in ("POST", "PUT"):
+            answer(writer, *self.write(method, parts, json.loads(body)))
+        elif len(parts) == 2:
             item = kind.get(parts[1])
             self.sent.append(parts[0])
             await self.send(writer, parts[0], 200 if item else 404, item or {})
@@ -167,6 +169,18 @@
             if self.on_page:
                 self.on_page([item["metadata"]["name"] for item in rest[:self.page]])
 
+    def write(self, method, parts, item):
+        """Creates an object, or replaces the one of the revision given: (status, object)."""
+        name = item["metadata"]["name"]
+        present = self.objects.get(parts[0], {}).get(name)
+        if method == "PUT" and present is None:
+            return 404, {}
+        expected = item["metadata"].get("revision")
+        if present and (method == "POST" or expected not in (None, present["metadata"]["revision"])):
+            return 409, present
+        self.put(parts[0], name, item["spec"])
+        return 200, self.objects[parts[0]][name]
+
     async def watch(self, writer, kind, since, wait_ms):
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
--- a/tests/support/spread_network.h
+++ b/tests/support/spread_network.h
@@ -45,6 +45,9 @@
   /// Nothing leaves the machine any more; its connections stay open.
   void hang(Machine machine) { senders_[machine].hangs = true; }
   std::size_t peak_queued_bytes(Machine machine) const { return senders_[machine].peak_bytes; }
+  std::size_t queued_bytes(Machine machine) const { return senders_[machine].queued_bytes; }
+  /// Of this machine alone, in place of the options' rate.
+  void set_rate(Machine machine, double bytes_per_s) { rates_[machine] = bytes_per_s; }
   bool same_region(Machine one, Machine other) const { return regions_[one] == regions_[other]; }
 
  private:
@@ -67,6 +70,10 @@
     std::size_t peak_bytes = 0;
   };
 
+  double rate_of(Machine machine) const {
+    const auto found = rates_.find(machine);
+    return found == rates_.end() ? options_.machine_bytes_per_s : found->second;
+  }
   static Duration time_of(std::size_t bytes, double bytes_per_s) {
     return from_seconds(static_cast<double>(bytes) / bytes_per_s);
   }
@@ -102,7 +109,7 @@
     connection.in_flight += bytes;
     sender.queued_bytes -= bytes;
     sender.busy = true;
-    events_.schedule_in(time_of(bytes, options_.machine_bytes_per_s), [this, from, to, bytes] {
+    events_.schedule_in(time_of(bytes, rate_of(from)), [this, from, to, bytes] {
       senders_[from].busy = false;
       cross_region(from, to, bytes);
       pump(from);
@@ -119,7 +126,7 @@
   }
   void enter_downlink(Machine from, Machine to, std::size_t bytes) {
     TimePoint& free_at = downlink_free_[to];
-    free_at = std::max(free_at, events_.now()) + time_of(bytes, options_.machine_bytes_per_s);
+    free_at = std::max(free_at, events_.now()) + time_of(bytes, rate_of(to));
     events_.schedule_at(free_at + options_.latency,
                         [this, from, to, bytes] { arrive(from, to, bytes); });
   }
@@ -143,6 +150,7 @@
   simulation::EventQueue& events_;
   Options options_;
   std::vector<std::size_t> regions_;
+  std::map<Machine, double> rates_;
   std::vector<Sender> senders_;
   std::vector<TimePoint> downlink_free_;
   std::map<std::pair<std::size_t, std::size_t>, TimePoint> region_free_;
