Provoke the calls cut off at the end of a stop: pauses of callers, before the mend and after it

What callers saw: six connections ended at one moment without an answer as a gateway stopped, once, beside load. Cause: a caller that stands still between connecting and sending; a stopping gateway closed its connection after half a second.

--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -619,8 +619,10 @@
     async def test_who_calls_to_the_end_of_a_stop_is_answered_or_refused(self):
         """Callers that do not heed the readiness: each call is answered whole, or its connection
         was refused before a byte of it was sent."""
-        broken = []
+        broken = []  # Each with its second.
         answered = [0]
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
 
         async def keep_calling():
             while True:
@@ -629,12 +631,12 @@
                 except ConnectionRefusedError:
                     return
                 except (OSError, IndexError) as error:
-                    broken.append(repr(error))
+                    broken.append((round(loop.time() - begin, 3), repr(error)))
                     continue
                 if answer.whole:
                     answered[0] += 1
                 else:
-                    broken.append(answer)
+                    broken.append((round(loop.time() - begin, 3), vars(answer)))
 
         callers = [asyncio.create_task(keep_calling()) for _ in range(8)]
         await asyncio.sleep(0.2)
@@ -663,6 +665,25 @@
         self.assertEqual([200, 503, 503], [answered.status for answered in answers])
         await self.platform.wait(lambda: self.platform.gateway.poll() == 0, limit=4)
 
+    async def test_callers_whose_process_stands_still_are_answered_during_a_stop(self):
+        """On a loaded machine callers stood still between connecting and sending: the gateway
+        closed their connections after half a second, six of them at once."""
+        callers = await asyncio.create_subprocess_exec(
+            sys.executable, Path(__file__).with_name("paused_callers.py"),
+            str(self.platform.callers), "40", stdout=asyncio.subprocess.PIPE)
+        await asyncio.sleep(0.5)
+        self.platform.gateway.terminate()
+        for _ in range(3):
+            await asyncio.sleep(0.3)
+            callers.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.8)
+            callers.send_signal(signal.SIGCONT)
+        output, _ = await asyncio.wait_for(callers.communicate(), 30)
+        result = json.loads(output)
+        self.assertEqual([], result["broken"])
+        self.assertGreater(result["answered"], 100)
+        await self.platform.wait(lambda: self.platform.gateway.poll() == 0, limit=4)
+
     async def test_serves_on_while_the_store_is_down(self):
         self.platform.store.down = True
         await asyncio.sleep(1)
