Wait at a stop for the rest of a request on a kept connection, too

What callers saw: a caller that stood still in the middle of its second request on a connection got no answer from a gateway that was stopping: the process ended half a second after the last whole request, and only connections without a first request were waited for. A deployment whose header timeout is shorter than the stop answers such a caller 408 before. test_the_rest_of_a_request_on_a_kept_connection_is_awaited_during_a_stop failed before (no answer), passes now (503), twice in a row.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -121,7 +121,7 @@
   if (!grace_over && (since < kStopAcceptLimit || !nothing_left)) return;
   if (!refuses_connections_) refuse_connections(now);
   // Connections in the system's queue may carry requests: closing now would reset them.
-  const bool quiet = now - last_caller_activity_ >= kQuietBeforeEnd && !awaits_first_request();
+  const bool quiet = now - last_caller_activity_ >= kQuietBeforeEnd && !awaits_requests();
   if (!grace_over && !quiet) return;
   step("finished");
   LOG(INFO) << "gateway event=end active=" << forwarder_.active()
@@ -130,9 +130,9 @@
   loop_.quit();
 }
 
-bool GatewayDaemon::awaits_first_request() const {
+bool GatewayDaemon::awaits_requests() const {
   return std::any_of(callers_.begin(), callers_.end(),
-                     [](const auto& entry) { return entry.first->awaits_first_request(); });
+                     [](const auto& entry) { return entry.first->awaits_request(); });
 }
 
 void GatewayDaemon::refuse_connections(TimePoint now) {
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -93,8 +93,8 @@
   void step(const char* event);
   void check_stopped(TimePoint now);
   void refuse_connections(TimePoint now);
-  /// Whether a caller has connected and not sent its request yet.
-  bool awaits_first_request() const;
+  /// Whether a caller has connected and is yet to send a whole request.
+  bool awaits_requests() const;
   StatusAnswer status(const std::string& path);
   /// The requests in quarantine, a line each.
   std::string quarantine_page();
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -52,8 +52,10 @@
   void expire(TimePoint now, Duration idle_limit, Duration head_limit);
 
   bool handling() const { return state_ == State::handling; }
-  /// Its caller has connected, and not sent its first request yet.
-  bool awaits_first_request() const { return state_ == State::waiting && !had_request_; }
+  /// Its caller has connected and not sent its first request yet, or has sent a part of one.
+  bool awaits_request() const {
+    return state_ == State::waiting && (!had_request_ || reader_.has_partial());
+  }
   bool is_open() const { return stream_.is_open(); }
   std::size_t queued_bytes() const { return stream_.queued_bytes(); }
   std::uint64_t request_number = 0;  ///< The owner's number of the request in progress.
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -66,7 +66,7 @@
         await self.wait(self.ready)
         await self.wait(self.engines_known)
 
-    def configure(self, version, extra=()):
+    def configure(self, version, extra=(), header_timeout_ms=3000):
         routes = [self.route("/chat/", "stream", "engines", 2, resumable=True),
                   self.route("/write/", "unsafe", "plain", 1),
                   self.route("/read/", "safe", "plain", 2), *extra]
@@ -77,7 +77,7 @@
                     {"name": "origin", "origin": f"127.0.0.1:{self.origin.port}", "maxConns": 9}]
         self.store.put("config", "main", {
             "version": version, "routes": routes, "services": services,
-            "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+            "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": header_timeout_ms,
                        "idleTimeoutMs": 15000},
             "tenants": [{"name": "acme", "apiKeys": ["key"]}]})
 
@@ -684,6 +684,23 @@
         self.assertGreater(result["answered"], 100)
         await self.platform.wait(lambda: self.platform.gateway.poll() == 0, limit=4)
 
+    async def test_the_rest_of_a_request_on_a_kept_connection_is_awaited_during_a_stop(self):
+        """A caller that stood still in the middle of its second request got no answer: only first
+        requests were waited for."""
+        self.platform.configure(2, header_timeout_ms=9000)
+        await asyncio.sleep(1)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.platform.callers)
+        request = (b"GET /read/1 HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key\r\n"
+                   b"X-Pumicemast-Request-Id: q1\r\nX-Pumicemast-Deadline-Ms: 5000\r\n\r\n")
+        writer.write(request)
+        self.assertEqual(200, (await self.platform.read_answer(reader, None)).status)
+        self.platform.gateway.terminate()
+        writer.write(request[:40])
+        await asyncio.sleep(4.2)
+        writer.write(request[40:])
+        self.assertEqual(503, (await self.platform.read_answer(reader, None)).status)
+        await self.platform.wait(lambda: self.platform.gateway.poll() == 0, limit=4)
+
     async def test_serves_on_while_the_store_is_down(self):
         self.platform.store.down = True
         await asyncio.sleep(1)
