Give back permits whose answers were lost

Change: an asking without an answer is given back by its moment until the issuer answers; the issuer takes back what it granted, once, and only as far as its bucket would not have been full without it, so that no window gets more.

--- a/src/gateway/backends/backend_permits.cpp
+++ b/src/gateway/backends/backend_permits.cpp
@@ -8,6 +8,8 @@
 /// From the asking on. One that is used later would count into a window for which it was not
 /// issued.
 constexpr Duration kPermitLifetime = milliseconds(150);
+/// What was given back longer ago is told no more.
+constexpr Duration kGivenBackMemory = seconds(3);
 
 }  // namespace
 
@@ -42,6 +44,7 @@
 
 void BackendPermits::ask(const std::string& backend, TimePoint now) {
   Entry& entry = entries_[backend];
+  give_up(entry);
   entry.asked_at = now;
   entry.call_due = true;
   ++counters_.asked;
@@ -51,13 +54,18 @@
   const auto found = entries_.find(answer.backend);
   if (found == entries_.end()) return;
   Entry& entry = found->second;
-  if (entry.asked_at == answer.asked_at) entry.asked_at.reset();
+  std::erase_if(entry.given_back, [&](const GivenBack& given) {
+    return given.told_by && *given.told_by <= answer.asked_at;
+  });
+  const bool was_given_up = entry.asked_at != answer.asked_at;
+  if (!was_given_up) entry.asked_at.reset();
   if (!answer.granted) {
     ++counters_.denied;
     entry.wait_until = now + answer.retry_after;
     return;
   }
   ++counters_.granted;
+  if (was_given_up) return;  // It was given back with its asking.
   entry.held_until.push_back(answer.asked_at + kPermitLifetime);
 }
 
@@ -74,7 +82,7 @@
 
 void BackendPermits::release_unused() {
   for (auto& [backend, entry] : entries_) {
-    entry.to_return += static_cast<std::uint32_t>(entry.held_until.size());
+    for (const TimePoint until : entry.held_until) give_back(entry, until);
     entry.held_until.clear();
   }
 }
@@ -84,17 +92,42 @@
   if (found != entries_.end()) found->second.wait_until = TimePoint{};
 }
 
+void BackendPermits::give_up(Entry& entry) {
+  if (!entry.asked_at) return;
+  entry.given_back.push_back({*entry.asked_at, {}});
+  entry.asked_at.reset();
+}
+
+void BackendPermits::give_back(Entry& entry, TimePoint held_until) {
+  ++entry.to_return;
+  entry.given_back.push_back({held_until - kPermitLifetime, {}});
+}
+
+PermitCall BackendPermits::make_call(const std::string& backend, Entry& entry, bool asks,
+                                     TimePoint now) {
+  std::erase_if(entry.given_back,
+                [now](const GivenBack& given) { return now - given.asked_at > kGivenBackMemory; });
+  PermitCall call{backend, entry.asked_at.value_or(now), asks, entry.to_return, {}};
+  for (GivenBack& given : entry.given_back) {
+    if (asks) given.told_by = call.asked_at;
+    call.given_back.push_back(given.asked_at);
+  }
+  entry.to_return = 0;
+  return call;
+}
+
 std::vector<PermitCall> BackendPermits::take_calls(TimePoint now) {
   std::vector<PermitCall> calls;
   for (auto& [backend, entry] : entries_) {
-    entry.to_return += static_cast<std::uint32_t>(
-        std::erase_if(entry.held_until, [now](TimePoint until) { return now >= until; }));
+    for (const TimePoint until : entry.held_until) {
+      if (now >= until) give_back(entry, until);
+    }
+    std::erase_if(entry.held_until, [now](TimePoint until) { return now >= until; });
     const bool asks = entry.call_due && awaits(entry, now);
     entry.call_due = false;
     if (!asks && entry.to_return == 0) continue;
-    calls.push_back({backend, entry.asked_at.value_or(now), asks, entry.to_return});
-    counters_.returned += entry.to_return;
-    entry.to_return = 0;
+    calls.push_back(make_call(backend, entry, asks, now));
+    counters_.returned += calls.back().returned;
   }
   return calls;
 }
--- a/src/gateway/backends/backend_permits.h
+++ b/src/gateway/backends/backend_permits.h
@@ -21,7 +21,10 @@
   std::string backend;
   TimePoint asked_at{};
   bool wanted = false;
-  std::uint32_t returned = 0;
+  std::uint32_t returned = 0;  ///< Permits that were held and not used.
+  /// By their asked_at: those that were not used, and requests that nobody answered in time, whose
+  /// permits may have been granted. Told again until the issuer answers.
+  std::vector<TimePoint> given_back{};
 };
 
 struct PermitCounters {
@@ -57,13 +60,23 @@
   const PermitCounters& counters() const { return counters_; }
 
  private:
+  struct GivenBack {
+    TimePoint asked_at{};
+    /// Of the last request that told it.
+    std::optional<TimePoint> told_by;
+  };
   struct Entry {
     std::optional<TimePoint> asked_at;
     bool call_due = false;
     std::deque<TimePoint> held_until;
     TimePoint wait_until{};
     std::uint32_t to_return = 0;
+    std::vector<GivenBack> given_back;
   };
+  /// The asking is over without an answer.
+  static void give_up(Entry& entry);
+  static void give_back(Entry& entry, TimePoint held_until);
+  static PermitCall make_call(const std::string& backend, Entry& entry, bool asks, TimePoint now);
   static bool awaits(const Entry& entry, TimePoint now);
   static std::size_t count_held(const Entry& entry, TimePoint now);
 
--- a/src/gateway/peers/permit_exchange.cpp
+++ b/src/gateway/peers/permit_exchange.cpp
@@ -31,8 +31,14 @@
 }
 
 void PermitExchange::send(const BackendRecord& record, const PermitCall& call, TimePoint now) {
-  PermitRequest request{record.id,   record.started_at_ms, call.asked_at,
-                        call.wanted, call.returned,        pool_.limits().limit_of(record.id)};
+  PermitRequest request{record.id,
+                        record.started_at_ms,
+                        call.asked_at,
+                        call.wanted,
+                        0,
+                        pool_.limits().limit_of(record.id),
+                        call.given_back,
+                        self_};
   if (const auto agent = links_.agent_of(record.address)) {
     links_.send(*agent, request);
     return;
@@ -53,8 +59,14 @@
   const auto agent = links_.agent_of(record->address);
   if (!agent) return false;
   const TimePoint now = loop_now();
-  links_.send(*agent, PermitRequest{record->id, record->started_at_ms, now, false, 0,
-                                    pool_.limits().limit_of(backend)});
+  links_.send(*agent, PermitRequest{record->id,
+                                    record->started_at_ms,
+                                    now,
+                                    false,
+                                    0,
+                                    pool_.limits().limit_of(backend),
+                                    {},
+                                    self_});
   return true;
 }
 
@@ -65,7 +77,9 @@
 }
 
 void PermitExchange::on_request(PeerId gateway, const PermitRequest& request) {
-  const PermitAnswer answer = issue(request, loop_now());
+  PermitRequest from_gateway = request;
+  from_gateway.gateway = gateway;
+  const PermitAnswer answer = issue(from_gateway, loop_now());
   if (request.wanted) links_.send(gateway, answer);
 }
 
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -241,14 +241,18 @@
 }
 
 void HostDaemon::on_permit_request(PeerId peer, const PermitRequest& request) {
-  const PermitAnswer answer = permits_.on_request(request, loop_now());
+  PermitRequest from_gateway = request;
+  from_gateway.gateway = peer;
+  const PermitAnswer answer = permits_.on_request(from_gateway, loop_now());
   if (request.wanted) {
     metrics_.count("pumicemast_host_permits_total",
                    {{"outcome", answer.granted ? "granted" : "denied"}});
     links_.send(peer, pumicemast::encode(answer, loop_now()));
   }
-  if (request.returned > 0) {
-    metrics_.count("pumicemast_host_permits_total", {{"outcome", "returned"}}, request.returned);
+  const std::size_t returned = request.returned + request.given_back.size();
+  if (returned > 0) {
+    metrics_.count("pumicemast_host_permits_total", {{"outcome", "returned"}},
+                   static_cast<double>(returned));
   }
   follow_limit();
 }
--- a/src/limits/permit_issuer.cpp
+++ b/src/limits/permit_issuer.cpp
@@ -13,19 +13,42 @@
 /// Requests a second to a back end whose limit is lower: without any answer it could not say that
 /// its limit has ended.
 constexpr double kLeastRate = 0.2;
+/// A permit that was granted longer ago is not taken back.
+constexpr Duration kGrantMemory = seconds(3);
 
 }  // namespace
 
 PermitAnswer PermitIssuer::on_request(const PermitRequest& request, TimePoint now) {
   on_limit(request.limit, now);
   if (request.returned > 0) bucket_.put_back(request.returned);
+  note_level(now);
+  for (const TimePoint asked_at : request.given_back) take_back({request.gateway, asked_at});
   PermitAnswer answer{request.backend, request.asked_at, false, Duration::zero(), limit()};
   if (!request.wanted) return answer;
   answer.granted = !limit().named() || bucket_.try_take(1, now);
   if (!answer.granted) answer.retry_after = bucket_.time_until(1, now);
+  if (answer.granted && limit().named()) {
+    grants_[{request.gateway, request.asked_at}] = {now, bucket_.level(now)};
+  }
   return answer;
 }
 
+void PermitIssuer::note_level(TimePoint now) {
+  std::erase_if(grants_,
+                [now](const auto& entry) { return now - entry.second.granted_at > kGrantMemory; });
+  const double level = bucket_.level(now);
+  for (auto& [ask, grant] : grants_) grant.highest_level = std::max(grant.highest_level, level);
+}
+
+void PermitIssuer::take_back(const Ask& ask) {
+  const auto found = grants_.find(ask);
+  if (found == grants_.end()) return;
+  // What the bucket would hold now if the permit had not been granted, it would have been full with
+  // the rest.
+  bucket_.put_back(std::clamp(kBurst - found->second.highest_level, 0.0, 1.0));
+  grants_.erase(found);
+}
+
 void PermitIssuer::on_limit(const RateLimit& limit, TimePoint now) {
   if (limit.observed_at < restarted_at_) return;
   const bool was_named = belief_.limit().named();
@@ -33,13 +56,17 @@
   changed_ = true;
   if (!limit.named()) return;
   // Empty at first: what gateways sent without permits is still on its way.
-  if (!was_named) bucket_ = TokenBucket();
+  if (!was_named) {
+    bucket_ = TokenBucket();
+    grants_.clear();
+  }
   bucket_.configure(std::max(kLeastRate, *limit.per_second * kIssuedShare), kBurst, now);
 }
 
 void PermitIssuer::on_restarted(TimePoint now) {
   changed_ = changed_ || belief_.limit().named();
   belief_ = {};
+  grants_.clear();
   restarted_at_ = now;
 }
 
--- a/src/limits/permit_issuer.h
+++ b/src/limits/permit_issuer.h
@@ -9,7 +9,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "common/time.h"
 #include "fleet/rate_limit.h"
@@ -25,6 +28,10 @@
   bool wanted = false;             ///< A permit is asked for.
   std::uint32_t returned = 0;      ///< Permits that were not used, and never will be.
   RateLimit limit;                 ///< As the gateway knows it.
+  /// Earlier requests by their asked_at: their permits, if any were granted, were not used and
+  /// never will be. May be told more than once.
+  std::vector<TimePoint> given_back{};
+  std::uint64_t gateway = 0;  ///< Who asks; sets apart requests of one moment.
 };
 
 struct PermitAnswer {
@@ -47,10 +54,18 @@
   bool take_changed();
 
  private:
+  using Ask = std::pair<std::uint64_t, TimePoint>;  ///< The gateway, and its asked_at.
+  struct Grant {
+    TimePoint granted_at{};
+    double highest_level = 0;  ///< Of the bucket since then.
+  };
   void on_limit(const RateLimit& limit, TimePoint now);
+  void note_level(TimePoint now);
+  void take_back(const Ask& ask);
 
   RateLimitBelief belief_;
   TokenBucket bucket_;
+  std::map<Ask, Grant> grants_;  ///< Those of the last seconds.
   TimePoint restarted_at_{};
   bool changed_ = false;
 };
--- a/src/limits/token_bucket.h
+++ b/src/limits/token_bucket.h
@@ -35,6 +35,12 @@
     tokens_ -= amount;
   }
 
+  /// Tokens that are there.
+  double level(TimePoint now) {
+    refill(now);
+    return tokens_;
+  }
+
   /// Gives back tokens whose work did not happen.
   void put_back(double amount) { tokens_ = std::min(burst_, tokens_ + amount); }
 
--- a/src/transport/permit_messages.cpp
+++ b/src/transport/permit_messages.cpp
@@ -39,6 +39,7 @@
   message.wanted = request.wanted;
   message.returned = request.returned;
   message.limit = encode(request.limit, now);
+  for (const TimePoint asked_at : request.given_back) message.given_back.push_back(ticks(asked_at));
   return message;
 }
 
@@ -50,6 +51,11 @@
   request.wanted = message.wanted();
   request.returned = message.returned();
   request.limit = decode(message.limit(), now);
+  if (message.given_back() != nullptr) {
+    for (const std::int64_t asked_at : *message.given_back()) {
+      request.given_back.push_back(from_ticks(asked_at));
+    }
+  }
   return request;
 }
 
--- a/tests/gateway/backends/backend_permits_test.cpp
+++ b/tests/gateway/backends/backend_permits_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(a_permit_that_comes_late_goes_back);
   CPPUNIT_TEST(a_denial_holds_until_its_time_or_another_limit);
   CPPUNIT_TEST(an_unanswered_request_is_made_again);
+  CPPUNIT_TEST(an_unanswered_request_is_given_back_until_the_issuer_answers);
   CPPUNIT_TEST(no_request_goes_to_a_limited_engine_without_a_permit);
   CPPUNIT_TEST(who_is_refused_for_a_limit_is_told_so);
   CPPUNIT_TEST_SUITE_END();
@@ -85,6 +86,29 @@
     CPPUNIT_ASSERT(permits.askable("e1", now + milliseconds(150)));
   }
 
+  // Its answer may be lost, and the permit with it.
+  void an_unanswered_request_is_given_back_until_the_issuer_answers() {
+    const TimePoint first = now;
+    permits.ask("e1", now);
+    permits.take_calls(now);
+    now += milliseconds(200);
+    for (int lost = 0; lost < 2; ++lost) {
+      permits.ask("e1", now);
+      const auto calls = permits.take_calls(now);
+      CPPUNIT_ASSERT(calls.size() == 1 && calls[0].wanted);
+      CPPUNIT_ASSERT(calls[0].given_back.front() == first);
+      now += milliseconds(200);
+    }
+    // A late answer to what was given back is not used.
+    permits.on_answer({"e1", first, true, Duration::zero(), {}}, now);
+    CPPUNIT_ASSERT(!permits.held("e1", now));
+    permits.ask("e1", now);
+    permits.take_calls(now);
+    permits.on_answer(answer(false), now);
+    permits.ask("e1", now);
+    CPPUNIT_ASSERT(permits.take_calls(now).at(0).given_back.empty());
+  }
+
   void no_request_goes_to_a_limited_engine_without_a_permit() {
     tests::GatewayWorld world;
     world.add_engines();
--- a/tests/limits/permit_issuer_test.cpp
+++ b/tests/limits/permit_issuer_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <limits>
+#include <random>
 
 #include "transport/permit_messages.h"
 
@@ -13,6 +14,8 @@
   CPPUNIT_TEST(without_a_limit_everything_is_granted);
   CPPUNIT_TEST(nothing_is_granted_at_once_after_a_limit_was_named);
   CPPUNIT_TEST(a_permit_that_is_returned_is_granted_anew);
+  CPPUNIT_TEST(a_permit_that_is_given_back_is_granted_anew_once);
+  CPPUNIT_TEST(what_is_given_back_late_lets_no_more_through);
   CPPUNIT_TEST(whoever_denies_says_when_to_ask_again);
   CPPUNIT_TEST(the_newest_limit_that_a_gateway_tells_holds);
   CPPUNIT_TEST(what_was_observed_before_a_restart_is_not_taken);
@@ -53,6 +56,58 @@
     CPPUNIT_ASSERT(ask({}, {}).granted && ask({}, {}).granted && !ask({}, {}).granted);
   }
 
+  PermitAnswer ask_as(std::uint64_t gateway) {
+    return issuer.on_request({"e1", 1, now, true, 0, {}, {}, gateway}, now);
+  }
+  void give_back(std::uint64_t gateway, TimePoint asked_at) {
+    issuer.on_request({"e1", 1, now, false, 0, {}, {asked_at}, gateway}, now);
+  }
+
+  // A gateway was cut off as its permit came: the permit was lost for good.
+  void a_permit_that_is_given_back_is_granted_anew_once() {
+    ask(1, now);
+    now += milliseconds(1100);
+    CPPUNIT_ASSERT(ask_as(7).granted);
+    give_back(8, now);  // Another gateway's asking of the same moment.
+    CPPUNIT_ASSERT(!ask_as(8).granted);
+    give_back(7, now);
+    give_back(7, now);
+    CPPUNIT_ASSERT(ask_as(8).granted && !ask_as(8).granted);
+    // One that was denied brings nothing.
+    give_back(8, now - seconds(1));
+    CPPUNIT_ASSERT(!ask_as(8).granted);
+  }
+
+  void what_is_given_back_late_lets_no_more_through() {
+    constexpr double kRate = 2;
+    constexpr Duration kWindow = seconds(4);
+    std::minstd_rand random(1);
+    ask(kRate, now);
+    std::vector<TimePoint> used;
+    std::vector<std::pair<TimePoint, TimePoint>> unused;  // Asked at, to be given back at.
+    for (int step = 0; step < 20000; ++step) {
+      now += milliseconds(static_cast<std::int64_t>(1 + random() % 700));
+      std::erase_if(unused, [&](const auto& permit) {
+        if (permit.second > now) return false;
+        give_back(7, permit.first);
+        return true;
+      });
+      for (std::size_t asked = 0; asked < random() % 5; ++asked) {
+        now += Duration(1);
+        if (!ask_as(7).granted) continue;
+        if (random() % 3 == 0) {
+          unused.emplace_back(now, now + milliseconds(static_cast<std::int64_t>(random() % 2900)));
+        } else {
+          used.push_back(now);
+        }
+      }
+    }
+    const auto allowed = static_cast<std::size_t>(kRate * to_seconds(kWindow) + 2);
+    for (std::size_t first = 0; first + allowed < used.size(); ++first) {
+      CPPUNIT_ASSERT(used[first + allowed] - used[first] >= kWindow);
+    }
+  }
+
   void whoever_denies_says_when_to_ask_again() {
     const PermitAnswer denied = ask(0.2, now);
     CPPUNIT_ASSERT(!denied.granted);
@@ -82,7 +137,8 @@
 
   void messages_carry_all_but_the_clock() {
     const TimePoint elsewhere = TimePoint(seconds(5000));
-    const PermitRequest request{"e1", 17, now, true, 3, {1.4, now - milliseconds(250)}};
+    const PermitRequest request{
+        "e1", 17, now, true, 3, {1.4, now - milliseconds(250)}, {now - seconds(1), now}};
     flatbuffers::FlatBufferBuilder builder;
     const auto message = encode(request, now);
     builder.Finish(wire::PermitRequest::Pack(builder, &message));
@@ -91,6 +147,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), read.backend);
     CPPUNIT_ASSERT(read.started_at_ms == 17 && read.asked_at == now && read.wanted);
     CPPUNIT_ASSERT_EQUAL(3U, read.returned);
+    CPPUNIT_ASSERT(read.given_back == request.given_back);
     CPPUNIT_ASSERT_EQUAL(1.4, *read.limit.per_second);
     CPPUNIT_ASSERT(read.limit.observed_at == elsewhere - milliseconds(250));
     CPPUNIT_ASSERT(encode(RateLimit{}, now) == nullptr);
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -251,9 +251,14 @@
 
 void LimitedFleet::exchange_permits(std::size_t index, Gateway& gateway) {
   for (const PermitCall& call : gateway.pool.permits().take_calls(now_)) {
-    const PermitRequest request{call.backend,  gateway.pool.life_of(call.backend).started_at_ms,
-                                call.asked_at, call.wanted,
-                                call.returned, gateway.pool.limits().limit_of(call.backend)};
+    const PermitRequest request{call.backend,
+                                gateway.pool.life_of(call.backend).started_at_ms,
+                                call.asked_at,
+                                call.wanted,
+                                0,
+                                gateway.pool.limits().limit_of(call.backend),
+                                call.given_back,
+                                gateway.life};
     if (options_.sharing == LimitSharing::issuer) {
       send_to_issuer(index, gateway, request);
       continue;
