--- a/src/fleet/contact_board.h
+++ b/src/fleet/contact_board.h
@@ -25,6 +25,18 @@
   unavailable  ///< No answer, or none that can be used; a claim may have been carried out.
 };
 
+inline const char* to_string(ContactBoardState state) {
+  switch (state) {
+    case ContactBoardState::named:
+      return "NAMED";
+    case ContactBoardState::empty:
+      return "EMPTY";
+    case ContactBoardState::unavailable:
+      return "UNAVAILABLE";
+  }
+  return "UNAVAILABLE";
+}
+
 struct ContactBoardAnswer {
   ContactBoardState state = ContactBoardState::unavailable;
   ContactEntry entry;  ///< Where the state is `named`.
--- a/tests/gateway/peers/fleet_start_test.cpp
+++ b/tests/gateway/peers/fleet_start_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST_SUITE(FleetStartTest);
   CPPUNIT_TEST(a_configuration_is_in_force_within_a_second_after_all_started);
   CPPUNIT_TEST(a_configuration_is_in_force_within_a_second_while_all_start);
+  CPPUNIT_TEST(a_configuration_is_in_force_within_a_second_while_the_store_is_slow);
   CPPUNIT_TEST(the_store_sends_the_list_to_few_of_a_zone);
   CPPUNIT_TEST(a_contact_that_hangs_as_all_start_is_replaced);
   CPPUNIT_TEST(the_expected_size_starts);
@@ -70,6 +71,17 @@
     }
   }
 
+  void a_configuration_is_in_force_within_a_second_while_the_store_is_slow() {
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      FleetStartSetup setup;
+      setup.seed = seed;
+      setup.store_delay = milliseconds(240);
+      const FleetStartOutcome outcome = play(setup, "store-slow");
+      check(outcome.change_in_force <= kInForceLimit, outcome);
+      check(outcome.lists_read <= 2 * setup.zones, outcome);
+    }
+  }
+
   void the_store_sends_the_list_to_few_of_a_zone() {
     for (const std::size_t gateways : {2U, 11U, 33U, 100U}) {
       FleetStartSetup setup;
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -108,6 +108,7 @@
         self.changed = asyncio.Event()
         self.never = asyncio.Event()  # Kept here: what waits for an event alone is collected with it.
         self.down = False
+        self.refused_kinds = set()  # Calls for these are declined.
         self.page = 500  # Objects that one answer lists.
         self.lists = []  # Kinds of which a page was read, in order.
         self.mute = False  # No call is answered any more, also those that wait.
@@ -143,6 +144,9 @@
         if self.down:
             answer(writer, 503)
             return
+        if kind_called in self.refused_kinds:
+            answer(writer, 403)
+            return
         if self.mute:
             await self.never.wait()
         url = urlsplit(target)
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -148,7 +148,12 @@
 
     def run_gateway_without_store(self):
         """Another one of the zone, that knows only what the first tells it."""
+        return self.run_second_gateway(free_port(), f"127.0.0.1:{self.internal}")
+
+    def run_second_gateway(self, store_port, seeds=""):
+        """Another one of the zone."""
         self.second_metrics = free_port()
+        self.second_ready = free_port()
         return self.launch("gateway2", "pumicemast-gateway", f"""
 [process]
 name=gateway2
@@ -157,20 +162,27 @@
 stop_grace_ms=6000
 [listen]
 callers=127.0.0.2:{free_port()}
-ready=127.0.0.2:{free_port()}
+ready=127.0.0.2:{self.second_ready}
 metrics=127.0.0.1:{self.second_metrics}
 internal=127.0.0.2:{self.internal}
 [membership]
-seeds=127.0.0.1:{self.internal}
+seeds={seeds}
 [weights]
 changeover_ms=3000
 changeover_margin_ms=500
 [log]
 decisions=failures
 [platform]
-store=127.0.0.1:{free_port()}
+store=127.0.0.1:{store_port}
 """)
 
+    async def second_is_ready(self):
+        try:
+            answered = await self.call("GET", "/ready", port=self.second_ready, host="127.0.0.2")
+            return answered.status == 200
+        except OSError:
+            return False
+
     async def metric(self, name, port):
         """The first value of a metric, or None."""
         try:
@@ -701,6 +713,35 @@
         self.assertEqual(503, (await self.platform.read_answer(reader, None)).status)
         await self.platform.wait(lambda: self.platform.gateway.poll() == 0, limit=4)
 
+    async def test_a_gateway_that_starts_gets_the_list_from_the_contact_of_its_zone(self):
+        """Hundreds of processes that each read the list from the store at a start filled the links
+        to it for many seconds."""
+        contact = self.platform.store.objects["gateway-contacts"]["z1"]
+        self.assertEqual({"gateway": f"127.0.0.1:{self.platform.internal}"}, contact["spec"])
+        before = self.platform.store.lists.count("servers")
+        self.platform.run_second_gateway(self.platform.store.port)
+        await self.platform.wait(self.platform.second_is_ready, limit=5)
+        log = Path(self.folder.name) / "gateway2.log"
+        await self.platform.wait(lambda: b"event=list count=4" in log.read_bytes(), limit=5)
+        self.assertEqual(before, self.platform.store.lists.count("servers"))
+        self.assertIn(b"source=gateway", log.read_bytes())
+
+    async def test_a_contact_that_is_gone_is_replaced_by_who_misses_it(self):
+        """All power is back but for the machine that the zone's contact ran on."""
+        self.platform.gateway.kill()
+        self.platform.gateway.wait()
+        self.platform.run_second_gateway(self.platform.store.port)
+        await self.platform.wait(self.platform.second_is_ready, limit=5)
+        contact = self.platform.store.objects["gateway-contacts"]["z1"]
+        self.assertEqual({"gateway": f"127.0.0.2:{self.platform.internal}"}, contact["spec"])
+
+    async def test_a_store_that_keeps_no_contacts_is_read_by_each(self):
+        self.platform.store.refused_kinds.add("gateway-contacts")
+        self.platform.gateway.kill()
+        self.platform.gateway.wait()
+        self.platform.run_second_gateway(self.platform.store.port)
+        await self.platform.wait(self.platform.second_is_ready, limit=5)
+
     async def test_serves_on_while_the_store_is_down(self):
         self.platform.store.down = True
         await asyncio.sleep(1)
--- a/tests/support/fleet_start_world.cpp
+++ b/tests/support/fleet_start_world.cpp
@@ -147,7 +147,9 @@
       outcome_.megabytes_from_store_to_other_regions +=
           static_cast<double>(bytes) / kBytesPerMegabyte;
     }
-    network_.send(store(), to, bytes, std::move(on_arrival));
+    events_.schedule_in(setup_.store_delay, [this, to, bytes, on_arrival = std::move(on_arrival)] {
+      network_.send(store(), to, bytes, on_arrival);
+    });
   }
   void call_store(std::size_t from, std::function<void()> on_call) {
     network_.send(from, store(), kSmallCallBytes, std::move(on_call));
--- a/tests/support/fleet_start_world.h
+++ b/tests/support/fleet_start_world.h
@@ -24,6 +24,7 @@
   std::size_t backends = 3000;
   std::size_t configuration_bytes = 5'000;
   double region_mbit_per_s = 22;
+  Duration store_delay = milliseconds(4);  ///< Of each answer.
   Duration start_spread = milliseconds(300);
   /// A configuration is published so long after the start.
   Duration change_after = seconds(4);
