Count no end in a crowd until a gateway has seen answers for a second

What callers saw: an ordinary request that many send, refused as one that ends engines, where engines are back seconds after gateways that started anew and end together again. Cause: what a gateway knows of sound requests comes from answers, while the time in which it counts no end of a crowd ran from its own start; with engines back 2.5 s later it was over before the first answer. Evidence: a property test over the moments (72 cases) failed with the first: one of three gateways new, engines that had served for 50 ms.

--- a/src/gateway/quarantine/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -19,6 +19,8 @@
 /// After its start a gateway knows this long too little of what ends well: until requests that were
 /// under way when it began have mostly been answered.
 constexpr Duration kLearningTime = seconds(2);
+/// The same from the first whole answer that it sees: engines may be back later than gateways.
+constexpr Duration kLearningFromAnswers = seconds(1);
 /// Of one such span; 100 requests a second reach a busy gateway.
 constexpr std::size_t kSoundKept = 4096;
 /// Requests of which one message tells the evidence, about 80 bytes each.
@@ -27,7 +29,9 @@
 }  // namespace
 
 RequestQuarantine::RequestQuarantine(QuarantineOptions options, TimePoint started)
-    : options_(options), started_(started), sound_(kSoundFor, kSoundKept) {}
+    : options_(options), started_(started), sound_(kSoundFor, kSoundKept) {
+  if (started == TimePoint::min()) learnt_at_ = started;
+}
 
 std::size_t RequestQuarantine::Record::counted() const {
   const auto near = [](const BackendEnd& one, const BackendEnd& other) {
@@ -93,13 +97,14 @@
 void RequestQuarantine::on_crash(const BackendCrash& crash) {
   const BackendEnd end{
       stable_hash(crash.backend.id, static_cast<std::uint64_t>(crash.backend.started_at_ms)),
-      crash.at, crash.in_crowd, crash.at < started_ + kLearningTime};
+      crash.at, crash.in_crowd, !learnt_at_ || crash.at < *learnt_at_};
   for (const RequestFingerprint& request : crash.requests) {
     if (!sound_.contains(request, crash.at)) add_end(request, end);
   }
 }
 
 void RequestQuarantine::on_ended_well(const RequestFingerprint& request, TimePoint now) {
+  if (!learnt_at_) learnt_at_ = std::max(started_ + kLearningTime, now + kLearningFromAnswers);
   sound_.add(request, now);
   const auto found = records_.find(request);
   if (found == records_.end()) return;
--- a/src/gateway/quarantine/request_quarantine.h
+++ b/src/gateway/quarantine/request_quarantine.h
@@ -10,8 +10,8 @@
 /// - no end of a machine, link or agent counts, only that of a back end's process alone;
 /// - an end in a crowd counts only for a request that was under another one of the crowd: what has
 ///   ended all of them at a moment (a bad rollout, an operator) was not a request that one ran;
-/// - of a gateway that has just started no end in a crowd counts: it can't know yet which requests
-///   end well, and one that many callers send is under every end of the crowd;
+/// - of a gateway that has only begun to see whole answers no end in a crowd counts: it can't know
+///   yet which requests end well, and one that many callers send is under every end of the crowd;
 /// - a request that ended well a moment before is no suspect: one that many callers send at a time
 ///   is under way at each back end, and so under every end;
 /// - memory is bounded, however many requests end back ends.
@@ -53,7 +53,7 @@
 
 class RequestQuarantine {
  public:
-  /// @param started  when this process began to see how requests end.
+  /// @param started  of this process; the least time: it has learnt what ends well.
   explicit RequestQuarantine(QuarantineOptions options = {}, TimePoint started = TimePoint::min());
 
   /// Seen by this gateway.
@@ -111,6 +111,8 @@
 
   QuarantineOptions options_;
   TimePoint started_;
+  /// From then on this process knows what ends well; none while it has not seen a whole answer.
+  std::optional<TimePoint> learnt_at_;
   std::map<RequestFingerprint, Record> records_;
   std::set<RequestFingerprint> pardoned_;
   /// Requests that this gateway has seen to end well.
--- a/tests/gateway/requests/crash_containment_test.cpp
+++ b/tests/gateway/requests/crash_containment_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(no_bystander_is_refused_while_engines_end_on_their_own);
   CPPUNIT_TEST(a_request_that_many_send_is_served_while_others_end_engines);
   CPPUNIT_TEST(engines_that_end_together_after_all_gateways_began_anew_convict_nobody);
+  CPPUNIT_TEST(engines_that_end_soon_after_they_are_back_convict_nobody);
   CPPUNIT_TEST(a_zone_without_power_convicts_nobody);
   CPPUNIT_TEST(a_gateway_that_begins_anew_knows_within_a_second);
   CPPUNIT_TEST(a_gateway_that_was_cut_off_knows_soon_after);
@@ -164,6 +165,49 @@
     }
   }
 
+  /// Gateways start, engines are back a while later, and end together once more.
+  /// @param new_gateways  so many of three begin anew; the others know what ends well.
+  static void check_end_after_start(std::uint32_t seed, std::size_t new_gateways,
+                                    Duration engines_served_for) {
+    CrashWorldOptions options;
+    options.seed = seed;
+    options.zones = 1;
+    options.gateways_per_zone = 3;
+    options.engines_per_zone = 3;
+    options.ordinary_per_s = 0;
+    CrashWorld world{options};
+    std::size_t asked = 0;
+    const auto poll = [&](Duration span) {
+      for (const TimePoint end = world.now() + span; world.now() < end; ++asked) {
+        world.ask(asked % 3, "poll");
+        world.run(milliseconds(10));
+      }
+    };
+    poll(seconds(3));
+    world.end_engines(0);
+    for (std::size_t gateway = 0; gateway < new_gateways; ++gateway) world.restart_gateway(gateway);
+    poll(CrashWorld::kDownFor + engines_served_for);
+    world.end_engines(0);
+    poll(seconds(3));
+    const std::string what = "seed " + std::to_string(seed) + ", new " +
+                             std::to_string(new_gateways) + ", engines served for " +
+                             std::to_string(to_milliseconds(engines_served_for)) + " ms";
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{0}, world.quarantined_at("poll"));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, world.ordinary().quarantined);
+  }
+
+  // A gateway learns what ends well from answers, not from time: engines that are back seconds
+  // after the gateways have answered nobody until then.
+  void engines_that_end_soon_after_they_are_back_convict_nobody() {
+    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+      for (const std::size_t new_gateways : {1U, 2U, 3U}) {
+        for (const int served_for_ms : {50, 150, 250, 400, 700, 1200, 2000, 3000}) {
+          check_end_after_start(seed, new_gateways, milliseconds(served_for_ms));
+        }
+      }
+    }
+  }
+
   void a_zone_without_power_convicts_nobody() {
     CrashWorld world{CrashWorldOptions{}};
     world.run(seconds(2));
--- a/tests/support/crash_world.cpp
+++ b/tests/support/crash_world.cpp
@@ -15,7 +15,6 @@
 constexpr std::uint64_t kStepsPerSweep = 50;
 /// From the begin of a request to the end of its engine, as was seen.
 constexpr Duration kCrashAfter = milliseconds(50);
-constexpr Duration kDownFor = milliseconds(2500);
 constexpr std::uint32_t kSlots = 16;
 constexpr int kEndless = 1000000;
 constexpr int kOrdinaryRetries = 3;
--- a/tests/support/crash_world.h
+++ b/tests/support/crash_world.h
@@ -38,6 +38,9 @@
 
 class CrashWorld {
  public:
+  /// From an engine's end until it is back.
+  static constexpr Duration kDownFor = milliseconds(2500);
+
   explicit CrashWorld(const CrashWorldOptions& options);
   ~CrashWorld();
 
