Tell a gateway that starts again of the others again

Found by reading the change: a gateway that had told another one of the zone's others did not tell its next process; where the contact does not read the list itself, that process heard of no reader, replaced the contact after 1.0 to 1.3 s and read the list from the store. a_gateway_that_starts_again_is_told_of_the_others_again failed before, passes now. Two that have no list do not answer each other: at a common start that would go round for ever.

--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -96,8 +96,11 @@
   send_digest(peer_id(gateway));
 }
 
-void FleetLinks::welcome(PeerId newcomer) {
-  if (!welcomed_.insert(newcomer).second) return;
+void FleetLinks::welcome(PeerId newcomer, std::uint64_t its_list_revision) {
+  const bool first_time = welcomed_.insert(newcomer).second;
+  // Another process of that gateway has no list. Two that have none do not answer each other.
+  const bool started_again = its_list_revision == 0 && list_revision_ > 0;
+  if (!first_time && !started_again) return;
   wire::GatewayListT message;
   for (const auto& [peer, gateway] : gateways_) {
     if (peer == newcomer || gateway.zone != zone_) continue;
@@ -465,7 +468,7 @@
 void FleetLinks::on_digest(PeerId peer, const wire::GatewayDigest& digest) {
   note_gateway(digest.address()->str(), text_of(digest.zone()));
   if (near(peer)) {
-    welcome(peer);
+    welcome(peer, digest.list_revision());
     listener_.on_near_gateway(peer, digest.reads_store());
     // A change reaches each gateway from the readers: only without any list others are asked, too.
     if (digest.reads_store() || list_revision_ == 0) {
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -149,7 +149,7 @@
   /// @return whether it was not known before.
   bool note_gateway(const std::string& address, const std::string& zone);
   /// A gateway of the zone that has just started knows no other one.
-  void welcome(PeerId newcomer);
+  void welcome(PeerId newcomer, std::uint64_t its_list_revision);
   /// Asks another gateway for a newer configuration when it is time.
   void catch_up();
 
--- a/tests/gateway/peers/fleet_links_agents_test.cpp
+++ b/tests/gateway/peers/fleet_links_agents_test.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "common/hash.h"
 #include "gateway/peers/fleet_links.h"
 #include "support/scripted_server.h"
 
@@ -43,6 +44,7 @@
 class FleetLinksAgentsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetLinksAgentsTest);
   CPPUNIT_TEST(what_was_named_while_a_link_was_lost_is_told_again);
+  CPPUNIT_TEST(a_gateway_that_starts_again_is_told_of_the_others_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,7 +74,43 @@
     CPPUNIT_ASSERT_EQUAL(told, told_count_);  // Not again on a link that stands.
   }
 
+  // Its former process was told; the contact that it asks may read no list itself.
+  void a_gateway_that_starts_again_is_told_of_the_others_again() {
+    const std::uint16_t port = free_port();
+    const Address own{"127.0.0.1", port};
+    Metrics metrics;
+    KnowingListener listener;
+    FleetLinks links(own, "z1", {}, metrics, listener);
+    CPPUNIT_ASSERT(links.start());
+    links.set_list_revision(7);
+    auto neighbour = listening_agent({"127.0.0.12", port});
+    greet(*neighbour, {"127.0.0.12", port}, own, 7);
+    run_until([&] { return links.known_gateways().size() == 1; });
+    auto newcomer = listening_agent({"127.0.0.13", port});
+    for (int start = 1; start <= 2; ++start) {
+      greet(*newcomer, {"127.0.0.13", port}, own, 0);
+      run_until([&] { return gateway_lists_ >= start; });
+    }
+    // One that knows the list is told once.
+    const int told = gateway_lists_;
+    greet(*newcomer, {"127.0.0.13", port}, own, 7);
+    const int digests = digests_;
+    run_until([&] { return digests_ > digests; });
+    CPPUNIT_ASSERT_EQUAL(told, gateway_lists_);
+  }
+
  private:
+  static void greet(PeerLinks& from, const Address& address, const Address& to,
+                    std::uint64_t list_revision) {
+    wire::GatewayDigestT digest;
+    digest.gateway = digest.address = address.to_string();
+    digest.zone = "z1";
+    digest.list_revision = list_revision;
+    const PeerId peer = stable_hash(to.to_string());
+    from.set_address(peer, to);
+    from.send(peer, digest);
+  }
+
   static std::uint16_t free_port() {
     const ScriptedServer gone;
     return gone.address().port;
@@ -95,6 +133,8 @@
 
   void on_frame(const wire::Frame& frame) {
     if (frame.body_type() == wire::Body::ReportSubscription) ++subscriptions_;
+    if (frame.body_type() == wire::Body::GatewayList) ++gateway_lists_;
+    if (frame.body_type() == wire::Body::GatewayDigest) ++digests_;
     if (frame.body_type() != wire::Body::WeightsNamed) return;
     told_versions_.insert(frame.body_as_WeightsNamed()->version());
     ++told_count_;
@@ -102,6 +142,8 @@
 
   Metrics agent_metrics_;
   int subscriptions_ = 0;
+  int gateway_lists_ = 0;
+  int digests_ = 0;
   std::size_t told_count_ = 0;
   std::set<std::uint64_t> told_versions_;
 };
