Let agents draw no weights before they know others

An agent that was started anew waits for its zone's gateways to tell the list, and alone it takes each chunk for its own to draw. Now it draws nothing until it knows others, for 10 s at most.

--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kBacklogInterval = milliseconds(8);
 /// Between two reports that are sent only for another limit of the engine.
 constexpr Duration kLimitReportInterval = milliseconds(100);
+/// Neither gateways nor the store name other engines within so long: weights are drawn all the
+/// same.
+constexpr Duration kPeersLimit = seconds(10);
 /// New subscriptions are gathered for so long before gateways are told of each other.
 constexpr Duration kGatewayListInterval = milliseconds(300);
 constexpr Duration kSubscriptionLifetime = seconds(6);
@@ -70,6 +73,7 @@
                                  "the address cannot be bound"});
   }
   feed_->start(*this);
+  peers_timer_.start_once(kPeersLimit, [this] { go_on_without_peers(); });
   poll_timer_.start_repeating(settings_.report_interval, [this] { poll_engine(); });
   tick_timer_.start_once(kTickInterval, [this] { tick(); });
   sweep_timer_.start_repeating(kSweepInterval, [this] {
@@ -136,6 +140,7 @@
             [this] { send_report(true); }, [this] { return dealer_.unread() > 0; },
             [this](const std::string& kind, const std::string& line) { log_line(kind, line); }});
     stager->set_peers(peers_);
+    if (!peers_overdue_) stager->wait_for_peers();
     stager->on_load(load_);
     const auto named = named_.find(model.name);
     if (named != named_.end()) stager->on_named(named->second);
@@ -174,6 +179,12 @@
   if (step == Step::apply) update_peers();
 }
 
+void HostDaemon::go_on_without_peers() {
+  peers_overdue_ = true;
+  if (peers_.empty()) log_line("peers", "peers count=0 state=OVERDUE");
+  for (const auto& [model, stager] : stagers_) stager->stop_waiting_for_peers();
+}
+
 void HostDaemon::update_peers() {
   std::set<StagingPeer> peers;
   for (const BackendRecord& engine : engine_list_.records()) {
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -86,6 +86,7 @@
   void on_reader_heard(PeerId gateway, std::uint64_t list_revision);
   void on_backend_changes(PeerId gateway, const BackendChanges& changes);
   /// The engines of the list are this agent's peers.
+  void go_on_without_peers();
   void update_peers();
   void tick();
   void tick_soon();
@@ -107,6 +108,8 @@
   std::map<std::string, std::unique_ptr<ModelStager>> stagers_;
   std::map<std::string, std::uint64_t> named_;
   std::set<StagingPeer> peers_;
+  bool peers_overdue_ = false;
+  Timer peers_timer_;
   std::map<PeerId, Subscriber> subscribers_;
   std::set<PeerId> new_subscribers_;  ///< Of whom the others were not told yet.
   EngineList engine_list_;
--- a/src/host/staging/model_stager.cpp
+++ b/src/host/staging/model_stager.cpp
@@ -294,7 +294,7 @@
   settle_inherited(now);
   begin_next(now);
   if (next_ && current_is_done_with(now)) change_over_to_next();
-  start_transfers(now);
+  if (!waits_for_peers_) start_transfers(now);
   const bool copies_needed = claim_ == EngineClaim::undecided || !current_->transferring();
   if (!copies_needed) inventory_.drop_bytes();
   engine_stager_.set_source(engine_source());
@@ -305,7 +305,7 @@
     // Beside a version that is nearly here the next one takes what is left of the links.
     const bool second = &download == next_.get() && !current_->complete();
     download.set_sharers(second ? 2 : 1);
-    download.on_tick(now);
+    if (!waits_for_peers_) download.on_tick(now);
   });
   engine_stager_.on_tick(now);
 }
@@ -320,6 +320,7 @@
 void ModelStager::set_peers(const std::set<StagingPeer>& peers) {
   if (peers == peers_) return;
   peers_ = peers;
+  waits_for_peers_ = false;
   agents_.clear();
   for (const StagingPeer& peer : peers_) {
     const PeerId agent = staging_peer_id(peer.address);
--- a/src/host/staging/model_stager.h
+++ b/src/host/staging/model_stager.h
@@ -37,6 +37,10 @@
   /// `version` was named.
   void on_named(std::uint64_t version);
   void set_peers(const std::set<StagingPeer>& peers);
+  /// Nothing is drawn until peers are known: alone, each agent would draw whole copies from the
+  /// origin.
+  void wait_for_peers() { waits_for_peers_ = peers_.empty(); }
+  void stop_waiting_for_peers() { waits_for_peers_ = false; }
   void on_load(const LoadReport& report);
   void on_frame(PeerId peer, const wire::Frame& frame);
   void on_peer_lost(PeerId peer);
@@ -105,6 +109,7 @@
   EngineStager engine_stager_;
   TimePoint began_{};
   std::set<StagingPeer> peers_;
+  bool waits_for_peers_ = false;
   std::vector<PeerId> agents_;  ///< Ids of `peers_`.
   /// What lay at the engine when this process began, and what may be pending there since before.
   StagedInventory inventory_;
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -233,6 +233,7 @@
         super().__init__()
         self.newest = 1
         self.sent = []
+        self.manifests = 0  # Answers with one.
         self.spoil = set()
 
     async def handle(self, writer, method, target, headers, body):
@@ -241,6 +242,7 @@
         version = int(query.get("version", [self.newest])[0])
         _, action, model = url.path.split("/")
         if action == "manifest":
+            self.manifests += 1
             digests = [hashlib.sha256(piece(version, n)).hexdigest() for n in range(CHUNKS)]
             answer(writer, 200, {"model": model, "version": version, "chunkBytes": CHUNK_BYTES,
                                  "layers": LAYERS, "digests": digests})
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -597,6 +597,24 @@
             return answer.headers.get("x-pumicemast-weight-versions") == "2"
         await self.platform.wait(on_new_weights)
 
+    async def test_an_agent_that_knows_no_other_one_draws_nothing(self):
+        """Agents that were started anew drew whole copies from the origin before they had heard of
+        those beside engines that hold the weights."""
+        self.platform.gateway.send_signal(signal.SIGSTOP)
+        agent = self.platform.processes[0]
+        agent.kill()
+        agent.wait()
+        engine = self.platform.engines[0]
+        engine.version, engine.staged = 0, {}  # Its machine was without power.
+        before = (len(self.platform.origin.sent), self.platform.origin.manifests)
+        self.platform.run_host(0, engine)
+        await asyncio.sleep(2)
+        after = (len(self.platform.origin.sent), self.platform.origin.manifests)
+        self.platform.gateway.send_signal(signal.SIGCONT)
+        self.assertEqual(before, after)
+        await self.platform.wait(lambda: engine.version == 1, limit=10)
+        self.assertEqual(before[0], len(self.platform.origin.sent))
+
     async def test_no_connection_rests_at_the_origin(self):
         # What machines that lost power leave open there would shut everyone out.
         self.platform.origin.newest = 2
