--- /dev/null
+++ b/src/gateway/peers/configuration_exchange.cpp
@@ -0,0 +1,105 @@
+#include "gateway/peers/configuration_exchange.h"
+
+namespace pumicemast {
+namespace {
+
+/// While a newer configuration is known elsewhere, it is looked so often whether to ask for it.
+constexpr Duration kCatchUpInterval = milliseconds(50);
+
+}  // namespace
+
+ConfigurationExchange::ConfigurationExchange(PeerId self, PeerLinks& links, Metrics& metrics,
+                                             Callbacks callbacks)
+    : links_(links),
+      metrics_(metrics),
+      callbacks_(std::move(callbacks)),
+      catch_up_(self),
+      download_(self) {}
+
+void ConfigurationExchange::on_in_force(std::uint64_t version, const std::string& document) {
+  version_ = version;
+  catch_up_.on_in_force(version);
+  download_.on_in_force(version);
+  shelf_.keep(version, document);
+}
+
+void ConfigurationExchange::on_heard(PeerId gateway, std::uint64_t version) {
+  const bool near = callbacks_.near(gateway);
+  catch_up_.on_heard(gateway, version, near, loop_now());
+  if (near) send_requests(download_.on_heard(gateway, version));
+  if (!timer_.active()) catch_up();
+}
+
+Duration ConfigurationExchange::known_elsewhere_for(std::uint64_t version) const {
+  const auto first = catch_up_.first_heard(version);
+  return first ? loop_now() - *first : Duration::zero();
+}
+
+void ConfigurationExchange::catch_up() {
+  if (const auto gateway = catch_up_.next_request(loop_now())) {
+    metrics_.count("pumicemast_gateway_configuration_fetches_total",
+                   {{"zone", callbacks_.near(*gateway) ? "own" : "other"}});
+    send_requests(download_.begin(*gateway, catch_up_.version_at(*gateway)));
+  }
+  if (catch_up_.behind()) timer_.start_once(kCatchUpInterval, [this] { catch_up(); });
+}
+
+void ConfigurationExchange::send_requests(const ConfigurationPieceRequests& requests) {
+  for (const ConfigurationPieceRequest& piece : requests) {
+    wire::ConfigurationRequestT request;
+    request.known_version = version_;
+    request.pieces = true;
+    request.version = piece.version;
+    request.offset = piece.offset;
+    links_.send(piece.gateway, request);
+  }
+}
+
+void ConfigurationExchange::on_request(PeerId peer, const wire::ConfigurationRequest& request) {
+  if (version_ <= request.known_version()) return;
+  wire::ConfigurationDocumentT message;
+  if (!request.pieces()) {
+    // A gateway of an earlier release: it knows no pieces.
+    if (shelf_.newest() == nullptr) return;
+    message.version = version_;
+    message.document = *shelf_.newest();
+    send_document(peer, message);
+    return;
+  }
+  const auto piece = shelf_.piece(request.version(), request.offset());
+  if (!piece) return;
+  message.version = piece->version;
+  message.document = std::string(piece->bytes);
+  message.document_bytes = piece->document_bytes;
+  message.offset = piece->offset;
+  send_document(peer, message);
+}
+
+void ConfigurationExchange::send_document(PeerId peer,
+                                          const wire::ConfigurationDocumentT& message) {
+  metrics_.count("pumicemast_gateway_configuration_sent_bytes_total",
+                 {{"zone", callbacks_.near(peer) ? "own" : "other"}},
+                 static_cast<double>(message.document.size()));
+  links_.send(peer, message);
+}
+
+void ConfigurationExchange::on_document(PeerId peer, const wire::ConfigurationDocument& message) {
+  FetchedConfiguration fetched;
+  fetched.gateway = callbacks_.address_text(peer);
+  fetched.version = message.version();
+  if (message.document_bytes() == 0) {
+    fetched.document = message.document()->str();
+    callbacks_.on_fetched(fetched);
+    return;
+  }
+  send_requests(download_.on_piece({message.version(), message.document_bytes(), message.offset(),
+                                    message.document()->string_view()}));
+  if (download_.progressed()) catch_up_.on_progress(loop_now());
+  auto whole = download_.take_whole();
+  if (!whole) return;
+  fetched.version = download_.version();
+  fetched.document = std::move(*whole);
+  callbacks_.on_fetched(fetched);
+}
+
+}  // namespace pumicemast
--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -24,8 +24,6 @@
 /// Further gateways, drawn by lot, that hear of a change at once: with all of them the messages
 /// of one change would grow with the square of their number.
 constexpr std::size_t kNewsFanOut = 5;
-/// While a newer configuration is known elsewhere, it is looked so often whether to ask for it.
-constexpr Duration kCatchUpInterval = milliseconds(50);
 /// Engines are described to the agents of the zone every so many ticks, and to others, which have
 /// gateways of their own, more rarely.
 constexpr std::uint64_t kDescriptionTicks = 4;
@@ -46,8 +44,12 @@
       links_(own_address_.to_string(), metrics,
              {[this](PeerId peer, const wire::Frame& frame) { on_frame(peer, frame); },
               [this](PeerId peer) { on_agent_lost(peer); }, [](PeerId) {}}),
-      catch_up_(peer_id(own_address_)),
-      download_(peer_id(own_address_)),
+      configurations_(peer_id(own_address_), links_, metrics,
+                      {[this](const FetchedConfiguration& fetched) {
+                         listener_.on_other_configuration(fetched);
+                       },
+                       [this](PeerId peer) { return near(peer); },
+                       [this](PeerId peer) { return address_text(peer); }}),
       random_(static_cast<std::minstd_rand::result_type>(peer_id(own_address_))) {
   links_.set_unanswered_limit(kUnansweredLimit);
   links_.set_queue_limit(kQueueLimitBytes);
@@ -76,6 +78,11 @@
   return is_new;
 }
 
+std::string FleetLinks::address_text(PeerId gateway) const {
+  const auto found = gateways_.find(gateway);
+  return found == gateways_.end() ? "-" : found->second.address.to_string();
+}
+
 bool FleetLinks::near(PeerId gateway) const {
   const auto found = gateways_.find(gateway);
   return found != gateways_.end() && found->second.zone == zone_;
@@ -83,12 +90,12 @@
 
 void FleetLinks::set_store_reachable(bool reachable) {
   store_reachable_ = reachable;
-  catch_up_.set_reads_store(reads_store_ && store_reachable_);
+  configurations_.set_reads_store(reads_store_ && store_reachable_);
 }
 
 void FleetLinks::set_reads_store(bool reads) {
   reads_store_ = reads;
-  catch_up_.set_reads_store(reads_store_ && store_reachable_);
+  configurations_.set_reads_store(reads_store_ && store_reachable_);
 }
 
 void FleetLinks::greet(const Address& gateway) {
@@ -267,32 +274,12 @@
   return gateways;
 }
 
-void FleetLinks::on_configuration_in_force(std::uint64_t version, const std::string& document) {
-  catch_up_.on_in_force(version);
-  download_.on_in_force(version);
-  shelf_.keep(version, document);
-}
-
-Duration FleetLinks::known_elsewhere_for(std::uint64_t version) const {
-  const auto first = catch_up_.first_heard(version);
-  return first ? loop_now() - *first : Duration::zero();
-}
-
 std::size_t FleetLinks::bytes_queued_to_gateways() const {
   std::size_t bytes = 0;
   for (const auto& [peer, gateway] : gateways_) bytes += links_.queued_bytes(peer);
   return bytes;
 }
 
-void FleetLinks::catch_up() {
-  if (const auto gateway = catch_up_.next_request(loop_now())) {
-    metrics_.count("pumicemast_gateway_configuration_fetches_total",
-                   {{"zone", near(*gateway) ? "own" : "other"}});
-    send_requests(download_.begin(*gateway, catch_up_.version_at(*gateway)));
-  }
-  if (catch_up_.behind()) catch_up_timer_.start_once(kCatchUpInterval, [this] { catch_up(); });
-}
-
 void FleetLinks::tell_weights_named(const std::string& model, std::uint64_t version) {
   wire::WeightsNamedT message;
   message.model = model;
@@ -360,10 +347,10 @@
       listener_.on_permit_answer(peer, decode(*frame.body_as_PermitAnswer(), loop_now()));
       return;
     case wire::Body::ConfigurationRequest:
-      on_configuration_request(peer, *frame.body_as_ConfigurationRequest());
+      configurations_.on_request(peer, *frame.body_as_ConfigurationRequest());
       return;
     case wire::Body::ConfigurationDocument:
-      on_configuration_document(peer, *frame.body_as_ConfigurationDocument());
+      configurations_.on_document(peer, *frame.body_as_ConfigurationDocument());
       return;
     default:
       return;
@@ -405,66 +392,6 @@
   }
 }
 
-void FleetLinks::send_requests(const ConfigurationPieceRequests& requests) {
-  for (const ConfigurationPieceRequest& piece : requests) {
-    wire::ConfigurationRequestT request;
-    request.known_version = listener_.own_knowledge().configuration_version;
-    request.pieces = true;
-    request.version = piece.version;
-    request.offset = piece.offset;
-    links_.send(piece.gateway, request);
-  }
-}
-
-void FleetLinks::on_configuration_request(PeerId peer, const wire::ConfigurationRequest& request) {
-  const std::uint64_t version = listener_.own_knowledge().configuration_version;
-  if (version <= request.known_version()) return;
-  wire::ConfigurationDocumentT message;
-  if (!request.pieces()) {
-    // A gateway of an earlier release: it knows no pieces.
-    if (shelf_.newest() == nullptr) return;
-    message.version = version;
-    message.document = *shelf_.newest();
-    send_configuration(peer, message);
-    return;
-  }
-  const auto piece = shelf_.piece(request.version(), request.offset());
-  if (!piece) return;
-  message.version = piece->version;
-  message.document = std::string(piece->bytes);
-  message.document_bytes = piece->document_bytes;
-  message.offset = piece->offset;
-  send_configuration(peer, message);
-}
-
-void FleetLinks::send_configuration(PeerId peer, const wire::ConfigurationDocumentT& message) {
-  metrics_.count("pumicemast_gateway_configuration_sent_bytes_total",
-                 {{"zone", near(peer) ? "own" : "other"}},
-                 static_cast<double>(message.document.size()));
-  links_.send(peer, message);
-}
-
-void FleetLinks::on_configuration_document(PeerId peer,
-                                           const wire::ConfigurationDocument& message) {
-  const auto gateway = gateways_.find(peer);
-  FetchedConfiguration fetched;
-  fetched.gateway = gateway == gateways_.end() ? "-" : gateway->second.address.to_string();
-  fetched.version = message.version();
-  if (message.document_bytes() == 0) {
-    fetched.document = message.document()->str();
-    listener_.on_other_configuration(fetched);
-    return;
-  }
-  send_requests(download_.on_piece({message.version(), message.document_bytes(), message.offset(),
-                                    message.document()->string_view()}));
-  if (download_.progressed()) catch_up_.on_progress(loop_now());
-  auto whole = download_.take_whole();
-  if (!whole) return;
-  fetched.version = download_.version();
-  fetched.document = std::move(*whole);
-  listener_.on_other_configuration(fetched);
-}
-
 void FleetLinks::on_digest(PeerId peer, const wire::GatewayDigest& digest) {
   note_gateway(digest.address()->str(), text_of(digest.zone()));
   if (near(peer)) {
@@ -480,9 +407,7 @@
   if (verdict_pull_.should_ask(peer, digest.crash_verdicts(), own_verdicts, loop_now())) {
     links_.send(peer, wire::CrashVerdictsRequestT{});
   }
-  catch_up_.on_heard(peer, knowledge.configuration_version, near(peer), loop_now());
-  if (near(peer)) send_requests(download_.on_heard(peer, knowledge.configuration_version));
-  if (!catch_up_timer_.active()) catch_up();
+  configurations_.on_heard(peer, knowledge.configuration_version);
   listener_.on_other_knowledge(knowledge);
 }
 
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -19,9 +19,7 @@
 #include "gateway/backends/backend_pool.h"
 #include "gateway/backends/engine_subset.h"
 #include "gateway/backends/weight_targets.h"
-#include "gateway/configuration/configuration_catch_up.h"
-#include "gateway/configuration/configuration_download.h"
-#include "gateway/configuration/configuration_shelf.h"
+#include "gateway/peers/configuration_exchange.h"
 #include "gateway/peers/gateway_digest.h"
 #include "gateway/quarantine/crash_news.h"
 #include "gateway/quarantine/verdict_pull.h"
@@ -30,13 +28,6 @@
 
 namespace pumicemast {
 
-/// A configuration that was fetched from another gateway.
-struct FetchedConfiguration {
-  std::uint64_t version = 0;
-  std::string document;
-  std::string gateway;  ///< The address of the one that sent the last piece.
-};
-
 /// Agents exchange weights with those beside other engines; of plain services they need nothing.
 enum class ListScope { all, engines };
 
@@ -98,9 +89,13 @@
   /// Whether the platform's store answers this gateway.
   void set_store_reachable(bool reachable);
   /// `version` is in force here; other gateways may fetch `document`.
-  void on_configuration_in_force(std::uint64_t version, const std::string& document);
+  void on_configuration_in_force(std::uint64_t version, const std::string& document) {
+    configurations_.on_in_force(version, document);
+  }
   /// For how long another gateway has been known to have `version` or a newer one.
-  Duration known_elsewhere_for(std::uint64_t version) const;
+  Duration known_elsewhere_for(std::uint64_t version) const {
+    return configurations_.known_elsewhere_for(version);
+  }
   /// Bytes to other gateways that the system has not taken yet.
   std::size_t bytes_queued_to_gateways() const;
   /// Tells the agent beside `engine` how many prompt tokens this gateway's requests wait to be
@@ -124,6 +119,8 @@
   };
   void tick();
   bool near(PeerId gateway) const;
+  /// "-" where it is not known.
+  std::string address_text(PeerId gateway) const;
   /// Those that this one tells regularly.
   std::set<PeerId> regular_gateways() const;
   /// Those that hear of a change at once: the regular ones and some drawn by lot, if connected.
@@ -141,17 +138,11 @@
   void on_report(const wire::EngineReport& message);
   void on_gateway_list(const wire::GatewayList& list);
   void on_list_request(PeerId peer, const wire::BackendListRequest& request);
-  void on_configuration_request(PeerId peer, const wire::ConfigurationRequest& request);
-  void on_configuration_document(PeerId peer, const wire::ConfigurationDocument& message);
-  void send_configuration(PeerId peer, const wire::ConfigurationDocumentT& message);
-  void send_requests(const ConfigurationPieceRequests& requests);
   void on_digest(PeerId peer, const wire::GatewayDigest& digest);
   /// @return whether it was not known before.
   bool note_gateway(const std::string& address, const std::string& zone);
   /// A gateway of the zone that has just started knows no other one.
   void welcome(PeerId newcomer, std::uint64_t its_list_revision);
-  /// Asks another gateway for a newer configuration when it is time.
-  void catch_up();
 
   Address own_address_;
   std::string zone_;
@@ -165,9 +156,7 @@
   std::map<PeerId, Gateway> gateways_;
   std::set<PeerId> welcomed_;  ///< Gateways of the zone that have been told of the others.
   std::map<Address, wire::EngineDescriptionT> descriptions_;
-  ConfigurationCatchUp catch_up_;
-  ConfigurationDownload download_;
-  ConfigurationShelf shelf_;
+  ConfigurationExchange configurations_;
   VerdictPull verdict_pull_;
   bool reads_store_ = false;
   bool store_reachable_ = false;
@@ -175,7 +164,6 @@
   std::minstd_rand random_;
   std::uint64_t tick_count_ = 0;
   Timer timer_;
-  Timer catch_up_timer_;
 };
 
 }  // namespace pumicemast
