--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -41,6 +41,7 @@
   std::uint32_t attempts = 1;  ///< Maximum number of back ends that one request is sent to.
   bool is_public = false;      ///< Needs no API key.
   bool resumable = false;
+  std::vector<std::string> allowed_regions;  ///< Where requests may run; empty: anywhere.
 };
 
 /// A model that an engine service serves.
@@ -86,6 +87,8 @@
   std::string name;
   std::vector<std::string> keys;
   std::optional<int> priority;  ///< Overrides the route's priority.
+  /// Where the tenant's requests may run, in addition to the route's restriction; empty: anywhere.
+  std::vector<std::string> allowed_regions{};
 };
 
 struct CallerLimits {
--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -24,7 +24,7 @@
 bool BackendPool::is_eligible(const Backend& backend, const BackendRequirements& requirements,
                               TimePoint now) const {
   const BackendRecord& record = backend.record;
-  if (record.service != requirements.service->name || record.draining) return false;
+  if (record.draining || !serves(backend, requirements)) return false;
   if (now < backend.backoff_until || !usable(backend, now)) return false;
   if (!requirements.service->engine) return true;
   if (!subscribed(backend)) return false;
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -19,6 +19,7 @@
 
 BackendPool::BackendPool(BackendPoolOptions options)
     : options_(std::move(options)),
+      placement_(options_.regions_of_zones),
       random_(static_cast<std::minstd_rand::result_type>(options_.seed)) {}
 
 BackendPool::Backend* BackendPool::find(const std::string& id) {
@@ -236,17 +237,37 @@
   return {id, found == backends_.end() ? 0 : found->second.record.started_at_ms};
 }
 
-bool BackendPool::has_weights(const std::string& service, std::uint64_t lowest_version,
-                              TimePoint now) const {
+bool BackendPool::serves(const Backend& backend, const BackendRequirements& requirements) const {
+  return backend.record.service == requirements.service->name &&
+         placement_.allows(backend.record.zone, requirements.allowed_regions);
+}
+
+bool BackendPool::has_weights(const BackendRequirements& requirements, TimePoint now) const {
   return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
     const Backend& backend = entry.second;
     const BackendRecord& record = backend.record;
-    return record.service == service && !record.draining && subscribed(backend) &&
+    return serves(backend, requirements) && !record.draining && subscribed(backend) &&
            usable(backend, now) && record.weight_version != 0 &&
-           record.weight_version >= lowest_version;
+           record.weight_version >= requirements.lowest_version;
   });
 }
 
+ZoneVerdict BackendPool::placement_of(const BackendRequirements& requirements) const {
+  if (requirements.allowed_regions.unrestricted() && !placement_.evacuations().any())
+    return ZoneVerdict::allowed;
+  std::optional<ZoneVerdict> result;
+  for (const auto& [id, backend] : backends_) {
+    const BackendRecord& record = backend.record;
+    if (record.service != requirements.service->name || record.draining || backend.removed)
+      continue;
+    const ZoneVerdict verdict = placement_.judge(record.zone, requirements.allowed_regions);
+    if (verdict == ZoneVerdict::allowed) return verdict;
+    // An evacuation ends, so it is the more useful reason to state.
+    if (!result || verdict == ZoneVerdict::evacuated) result = verdict;
+  }
+  return result.value_or(ZoneVerdict::allowed);
+}
+
 bool BackendPool::known_alive(const std::string& id, TimePoint now) const {
   const auto found = backends_.find(id);
   return found != backends_.end() && has_fresh_report(found->second, now) &&
@@ -287,10 +308,10 @@
   return now < backend.usable_until && has_fresh_report(backend, now) && backend.report.alive;
 }
 
-bool BackendPool::has_limited_backend(const std::string& service) const {
+bool BackendPool::has_limited_backend(const BackendRequirements& requirements) const {
   return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
     const Backend& backend = entry.second;
-    return backend.record.service == service && !backend.record.draining && !backend.removed &&
+    return serves(backend, requirements) && !backend.record.draining && !backend.removed &&
            limits_.limited(entry.first);
   });
 }
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -20,11 +20,13 @@
 #include "fleet/fleet_configuration.h"
 #include "gateway/backends/backend_limits.h"
 #include "gateway/backends/backend_permits.h"
+#include "locality/placement_rules.h"
 
 namespace pumicemast {
 
 struct BackendPoolOptions {
   std::string zone;  ///< Zone of this gateway; back ends in the same zone are preferred.
+  RegionsOfZones regions_of_zones;
   std::uint64_t seed = 1;
   /// Cost of sending to another zone, in milliseconds; added to the predicted wait there.
   double other_zone_ms = 35;
@@ -61,6 +63,7 @@
 /// Requirements of a request on its back end.
 struct BackendRequirements {
   const ServiceProfile* service = nullptr;
+  AllowedRegions allowed_regions;
   double prompt_tokens = 0;
   double answer_tokens = 0;  ///< Response length that the caller expects; 0 when not stated.
   std::uint64_t lowest_version = 0;     ///< Oldest weights that may run the request.
@@ -140,8 +143,14 @@
   bool leaving(const std::string& id) const;
   /// The incarnation that the list names for this id.
   BackendIncarnation incarnation_of(const std::string& id) const;
-  /// Whether a back end of `service` has weights of `lowest_version` or newer, at any load.
-  bool has_weights(const std::string& service, std::uint64_t lowest_version, TimePoint now) const;
+  /// Whether a back end where the request may run has new enough weights, at any load.
+  bool has_weights(const BackendRequirements& requirements, TimePoint now) const;
+  /// `allowed` if a back end of the service, at any load, is in a zone where the request may run, or
+  /// if the service has none at all; otherwise why the request may run at none of them.
+  ZoneVerdict placement_of(const BackendRequirements& requirements) const;
+  /// The zones where requests may run.
+  PlacementRules& placement() { return placement_; }
+  const PlacementRules& placement() const { return placement_; }
   /// Whether a current report of its agent says that the back end is alive.
   bool known_alive(const std::string& id, TimePoint now) const;
   /// Back ends that are draining or removed, in the order of their departure; sent to other
@@ -161,8 +170,8 @@
   const BackendLimits& limits() const { return limits_; }
   /// This gateway's permits for back ends with a limit.
   BackendPermits& permits() { return permits_; }
-  /// Whether a back end of `service` that is in service limits its requests.
-  bool has_limited_backend(const std::string& service) const;
+  /// Whether a back end in service where the request may run limits its requests.
+  bool has_limited_backend(const BackendRequirements& requirements) const;
   /// Maximum number of idle connections that this gateway keeps open to one back end: its part of
   /// the connections that the back end accepts in total. Idle connections take those from other
   /// callers.
@@ -194,6 +203,8 @@
   void record_departure(const std::string& id, std::uint64_t revision);
   bool has_departed(const BackendRecord& record) const;
   bool usable(const Backend& backend, TimePoint now) const;
+  /// Whether the back end belongs to the service and the request may run in its zone.
+  bool serves(const Backend& backend, const BackendRequirements& requirements) const;
   bool subscribed(const Backend& backend) const;
   bool has_fresh_report(const Backend& backend, TimePoint now) const;
   bool path_delayed(const Backend& backend, TimePoint now) const;
@@ -241,6 +252,7 @@
                         const BackendRequirements& requirements, TimePoint now) const;
 
   BackendPoolOptions options_;
+  PlacementRules placement_;
   std::map<std::string, Backend> backends_;
   std::map<Address, std::string> ids_by_address_;
   std::set<std::string> changed_backlogs_;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <sstream>
 
+#include "locality/region_settings.h"
+
 namespace pumicemast {
 
 namespace {
@@ -38,6 +40,10 @@
   result.name = settings.required_string("process", "name");
   result.zone = settings.required_string("process", "zone");
   result.zones = count_zones(settings.string_or("process", "zones", ""));
+  result.regions_of_zones = read_regions_of_zones(settings);
+  const Duration evacuation_bound =
+      settings.milliseconds_or("membership", "evacuation_bound_ms", 0, {0, kDurationMs.maximum});
+  if (evacuation_bound > Duration::zero()) result.evacuation_bound = evacuation_bound;
   result.charts = settings.required_string("process", "charts");
   result.stop_grace = settings.milliseconds_or("process", "stop_grace_ms", 8000, kDurationMs);
   result.callers_listen = settings.required_address("listen", "callers");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 /// Validated settings of a gateway.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "common/settings.h"
 #include "common/time.h"
 #include "gateway/quarantine/request_fingerprint.h"
+#include "locality/placement_rules.h"
 
 namespace pumicemast {
 
@@ -17,6 +19,10 @@
   std::string name;
   std::string zone;
   std::uint32_t zones = 1;  ///< Number of zones of the whole deployment.
+  RegionsOfZones regions_of_zones;
+  /// Time within which an evacuated zone must get no new requests; empty when operators evacuate no
+  /// zones.
+  std::optional<Duration> evacuation_bound;
   std::string charts;
   Address callers_listen;
   Address ready_listen;
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -12,6 +12,7 @@
 BackendPoolOptions pool_options(const GatewaySettings& settings) {
   BackendPoolOptions options;
   options.zone = settings.zone;
+  options.regions_of_zones = settings.regions_of_zones;
   options.seed = stable_hash(settings.name);
   return options;
 }
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -53,6 +53,8 @@
   deadline_passed,
   stopping,
   quarantined,  ///< Back ends have crashed while running it.
+  region_not_allowed,  ///< No back end is in a region where it may run.
+  zone_evacuated,      ///< All back ends where it may run are in evacuated zones.
 };
 const char* to_string(RefusalReason reason);
 
--- a/src/gateway/requests/request_authorizer.cpp
+++ b/src/gateway/requests/request_authorizer.cpp
@@ -7,6 +7,13 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 
+AllowedRegions restrictions_of(const RouteRule& route, const TenantRule* tenant) {
+  AllowedRegions allowed;
+  allowed.restrict_to(route.allowed_regions);
+  if (tenant != nullptr) allowed.restrict_to(tenant->allowed_regions);
+  return allowed;
+}
+
 }  // namespace
 
 const std::string& RequestAuthorizer::pick_service(const RouteRule& route) {
@@ -23,6 +30,13 @@
   return route.services.back().service;
 }
 
+std::optional<AllowedRegions> RequestAuthorizer::allowed_regions(const RouteTable& routes,
+                                                                 const RequestMetadata& request) {
+  const RouteRule* route = routes.match(request.host, request.target);
+  if (route == nullptr) return std::nullopt;
+  return restrictions_of(*route, routes.tenant_for_key(request.api_key));
+}
+
 AuthorizationResult RequestAuthorizer::authorize(const RouteTable* routes,
                                                  const RequestMetadata& request) {
   AuthorizationResult result;
@@ -44,6 +58,7 @@
     result.refusal = {kStatusUnauthorized, RefusalReason::no_key};
     return result;
   }
+  result.allowed_regions = restrictions_of(*result.route, tenant);
   result.service = routes->service(pick_service(*result.route));
   if (result.service == nullptr) {
     result.refusal = {kStatusUnavailable, RefusalReason::no_backend};
--- a/src/gateway/requests/request_authorizer.h
+++ b/src/gateway/requests/request_authorizer.h
@@ -9,6 +9,7 @@
 
 #include "gateway/requests/forwarder_actions.h"
 #include "gateway/requests/route_table.h"
+#include "locality/allowed_regions.h"
 
 namespace pumicemast {
 
@@ -24,6 +25,7 @@
   const ServiceProfile* service = nullptr;  ///< Null when refused.
   std::string tenant;                       ///< Empty when the request has none.
   int priority = 0;
+  AllowedRegions allowed_regions;
   std::optional<RequestRefusal> refusal;
 };
 
@@ -34,6 +36,9 @@
 
   /// @param routes  the current configuration; null before the first one has been received.
   AuthorizationResult authorize(const RouteTable* routes, const RequestMetadata& request);
+  /// The regions in which the request may run under `routes`; empty when no route matches.
+  static std::optional<AllowedRegions> allowed_regions(const RouteTable& routes,
+                                                       const RequestMetadata& request);
 
  private:
   const std::string& pick_service(const RouteRule& route);
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -38,6 +38,15 @@
       retries_(options.retry_ratio, options.retry_reserve),
       authorizer_(options.seed) {}
 
+void RequestForwarder::set_routes(RouteTablePointer routes) {
+  routes_ = std::move(routes);
+  if (!routes_) return;
+  for (auto& [number, session] : sessions_) {
+    const auto allowed = RequestAuthorizer::allowed_regions(*routes_, session.request);
+    if (allowed) session.allowed_regions = *allowed;
+  }
+}
+
 void RequestForwarder::on_request(RequestNumber number, RequestMetadata request, TimePoint now,
                                   ForwarderActions& actions) {
   ++counters_.requests;
@@ -49,6 +58,7 @@
   session.route = authorization.route;
   session.service = authorization.service;
   session.tenant = authorization.tenant;
+  session.allowed_regions = authorization.allowed_regions;
   session.fingerprint = fingerprint_for(session.request.content, session.tenant);
   session.priority = authorization.priority;
   if (authorization.route != nullptr) planner_.plan_times(session);
@@ -66,6 +76,10 @@
     refuse(number, session, kStatusUnavailable, RefusalReason::quarantined, {}, now, actions);
     return;
   }
+  if (const auto excluded = placement_refusal(planner_.backend_requirements(session, now))) {
+    refuse_before_sending(number, session, {kStatusUnavailable, *excluded}, now, actions);
+    return;
+  }
   retries_.for_service(session.service->name).on_first_attempt();
   if (session.returning) ++counters_.returning;
   if (session.service->engine && !session.returning) ++counters_.engine_first_attempts;
@@ -89,9 +103,22 @@
   refuse(number, session, refusal.status, refusal.reason, retry_after, now, actions);
 }
 
+std::optional<RefusalReason> RequestForwarder::placement_refusal(
+    const BackendRequirements& requirements) const {
+  switch (pool_.placement_of(requirements)) {
+    case ZoneVerdict::allowed:
+      return std::nullopt;
+    case ZoneVerdict::region_not_allowed:
+      return RefusalReason::region_not_allowed;
+    case ZoneVerdict::evacuated:
+      return RefusalReason::zone_evacuated;
+  }
+  return std::nullopt;
+}
+
 bool RequestForwarder::must_yield(const RequestSession& session, TimePoint now) const {
   return session.returning && session.service->engine &&
-         overload_.is_overloaded(session.service->name, now);
+         overload_.is_overloaded(session.capacity_group(), now);
 }
 
 bool RequestForwarder::dispatch(RequestNumber number, RequestSession& session, TimePoint now,
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -64,7 +64,8 @@
                    ForwarderOptions options);
 
   /// Sets the current configuration; null before the first one has been received.
-  void set_routes(RouteTablePointer routes) { routes_ = std::move(routes); }
+  /// The regions that it allows also hold for retries of requests in progress.
+  void set_routes(RouteTablePointer routes);
   /// Sets this gateway's part of the unearned retries that all gateways share.
   void set_retry_allowance(const RetryAllowance& allowance) { retries_.set_allowance(allowance); }
   const RetryBudgets& retries() const { return retries_; }
@@ -121,6 +122,9 @@
                              ForwarderActions& actions);
   /// Whether a returning caller's request has to leave the remaining capacity to other requests:
   /// they can still be answered in time, it hardly can.
+  /// Why no back end may run the request, if all of them are outside the zones that its placement
+  /// allows.
+  std::optional<RefusalReason> placement_refusal(const BackendRequirements& requirements) const;
   bool must_yield(const RequestSession& session, TimePoint now) const;
   /// @return whether the request was sent or has ended.
   bool dispatch(RequestNumber number, RequestSession& session, TimePoint now,
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -84,21 +84,20 @@
   } else if (!session.waiting) {
     check_attempt(number, session, now, actions);
   } else if (now >= session.wait_until) {
-    if (!session.returning) overload_.on_avoidable_refusal(session.service->name, now);
+    if (!session.returning) overload_.on_avoidable_refusal(session.capacity_group(), now);
     give_up(number, session, refusal_reason_after_wait(session, now), now, actions);
   }
 }
 
 RefusalReason RequestForwarder::refusal_reason_after_wait(const RequestSession& session,
                                                           TimePoint now) const {
-  const bool no_backend_chosen = session.last_reason == RefusalReason::no_backend;
-  if (no_backend_chosen && pool_.has_limited_backend(session.service->name)) {
-    return RefusalReason::rate_limited;
-  }
-  if (!no_backend_chosen || !session.service->engine) return session.last_reason;
-  const std::uint64_t lowest = targets_.lowest_allowed(session.request.model, now);
-  if (pool_.has_weights(session.service->name, lowest, now)) return RefusalReason::no_capacity;
-  return lowest > 0 ? RefusalReason::weights_stale : RefusalReason::no_backend;
+  if (session.last_reason != RefusalReason::no_backend) return session.last_reason;
+  const BackendRequirements requirements = planner_.backend_requirements(session, now);
+  if (const auto excluded = placement_refusal(requirements)) return *excluded;
+  if (pool_.has_limited_backend(requirements)) return RefusalReason::rate_limited;
+  if (!session.service->engine) return RefusalReason::no_backend;
+  if (pool_.has_weights(requirements, now)) return RefusalReason::no_capacity;
+  return requirements.lowest_version > 0 ? RefusalReason::weights_stale : RefusalReason::no_backend;
 }
 
 void RequestForwarder::end_at_deadline(RequestNumber number, RequestSession& session, TimePoint now,
--- a/src/gateway/requests/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -15,9 +15,9 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * fraction));
 }
 
-/// Key of the callers of a service whose requests have the same route timeout.
+/// Key of the callers who compete for the same capacity with the same route timeout.
 std::string caller_group(const RequestSession& session) {
-  return session.service->name + "/" + std::to_string(to_milliseconds(session.route->timeout));
+  return session.capacity_group() + "/" + std::to_string(to_milliseconds(session.route->timeout));
 }
 
 }  // namespace
@@ -52,6 +52,7 @@
                                                          TimePoint now) const {
   BackendRequirements requirements;
   requirements.service = session.service;
+  requirements.allowed_regions = session.allowed_regions;
   requirements.prompt_tokens = session.request.prompt_tokens;
   requirements.answer_tokens = session.request.answer_tokens;
   requirements.lowest_version = targets_.lowest_allowed(session.request.model, now);
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -28,6 +28,10 @@
       return "stopping";
     case RefusalReason::quarantined:
       return "quarantined";
+    case RefusalReason::region_not_allowed:
+      return "region_not_allowed";
+    case RefusalReason::zone_evacuated:
+      return "zone_evacuated";
   }
   return "unknown";
 }
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -10,6 +10,7 @@
 #include "gateway/requests/event_splitter.h"
 #include "gateway/requests/forwarder_actions.h"
 #include "gateway/requests/route_table.h"
+#include "locality/allowed_regions.h"
 
 namespace pumicemast {
 
@@ -49,6 +50,7 @@
   const RouteRule* route = nullptr;
   const ServiceProfile* service = nullptr;
   std::string tenant;
+  AllowedRegions allowed_regions;
   RequestFingerprint fingerprint;  ///< Of the content and the tenant.
   int priority = 0;
   TimePoint arrived{};
@@ -87,6 +89,9 @@
   Duration naming_age = Duration::zero();  ///< Of the newest weights, at the last send.
   /// Whether the request may run more than once.
   bool repeatable() const;
+  /// Key of the requests that share the same capacity: those of the same service and allowed
+  /// regions. Requires a service.
+  std::string capacity_group() const { return service->name + allowed_regions.key(); }
   RequestSummary summarize(const char* outcome, const char* reason, int status,
                            TimePoint now) const;
 
--- a/src/host/host_settings.cpp
+++ b/src/host/host_settings.cpp
@@ -1,6 +1,6 @@
 #include "host/host_settings.h"
 
-#include <sstream>
+#include "locality/region_settings.h"
 
 namespace pumicemast {
 
@@ -11,14 +11,7 @@
   result.zone = settings.required_string("process", "zone");
   result.region = settings.required_string("process", "region");
   result.charts = settings.required_string("process", "charts");
-  std::istringstream pairs(settings.string_or("process", "regions", ""));
-  for (std::string pair; std::getline(pairs, pair, ';');) {
-    const std::size_t colon = pair.find(':');
-    settings.require(colon != std::string::npos, "process", "regions",
-                     "\"" + pair + "\" is not ZONE:REGION");
-    if (colon == std::string::npos) continue;
-    result.regions_of_zones[pair.substr(0, colon)] = pair.substr(colon + 1);
-  }
+  result.regions_of_zones = read_regions_of_zones(settings);
   result.internal_address = settings.required_address("listen", "internal");
   result.metrics_listen = settings.required_address("listen", "metrics");
   result.engine = settings.required_address("engine", "address");
--- a/src/host/host_settings.h
+++ b/src/host/host_settings.h
@@ -1,11 +1,11 @@
 /// Validated settings of the agent beside an engine.
 #pragma once
 
-#include <map>
 #include <string>
 
 #include "common/settings.h"
 #include "common/time.h"
+#include "locality/placement_rules.h"
 
 namespace pumicemast {
 
@@ -15,7 +15,7 @@
   std::string name;
   std::string zone;
   std::string region;
-  std::map<std::string, std::string> regions_of_zones;
+  RegionsOfZones regions_of_zones;
   std::string charts;
   Address internal_address;  ///< For connections of agents and gateways.
   Address metrics_listen;
--- a/tests/gateway/backends/backend_pool_test.cpp
+++ b/tests/gateway/backends/backend_pool_test.cpp
@@ -105,7 +105,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), choose());
     harness.pool.set_subscribed_engines({});
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());
-    CPPUNIT_ASSERT(!harness.pool.has_weights(requirements.service->name, 0, harness.now));
+    CPPUNIT_ASSERT(!harness.pool.has_weights(requirements, harness.now));
   }
 
   /// One of three engines reports, which is half of the two subscribed ones: the other subscribed
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -20,6 +20,7 @@
   static BackendPoolOptions pool_options() {
     BackendPoolOptions options;
     options.zone = "z1";
+    options.regions_of_zones = {{"z1", "r1"}, {"z2", "r2"}};
     return options;
   }
 
