--- a/src/fleet/feeds.h
+++ b/src/fleet/feeds.h
@@ -11,6 +11,7 @@
 #include "fleet/backend_record.h"
 #include "fleet/contact_registry.h"
 #include "fleet/fleet_configuration.h"
+#include "locality/zone_evacuations.h"
 
 namespace pumicemast {
 
@@ -32,6 +33,8 @@
   /// as it happened.
   virtual void on_weights_named(const std::string& model, std::uint64_t version,
                                 Duration maximum_age) = 0;
+  /// The evacuated zones, when they were first read and after each change.
+  virtual void on_evacuations(const EvacuationSnapshot& snapshot) = 0;
   /// The list of back ends can be read again, or no longer; called before the data that was read.
   virtual void on_list_reachable(bool reachable) = 0;
   /// The platform's store answers again, or no longer.
--- a/src/fleet/fleet_configuration.h
+++ b/src/fleet/fleet_configuration.h
@@ -76,8 +76,15 @@
   std::uint32_t maximum_connections = 1;
 };
 
+/// What a back end of a service bears after its start.
+struct ColdStartProfile {
+  Duration duration = Duration::zero();
+  double requests_per_second = 0;  ///< From all gateways together.
+};
+
 struct ServiceProfile {
   std::string name;
+  std::optional<ColdStartProfile> cold_start;  ///< Empty when new back ends bear the full load.
   std::uint32_t maximum_connections = 64;  ///< Accepted by one back end from all callers together.
   std::optional<EngineProfile> engine;
   std::optional<OriginProfile> origin;
--- a/src/fleet/rate_limit.h
+++ b/src/fleet/rate_limit.h
@@ -22,6 +22,14 @@
   bool is_limited() const { return per_second.has_value(); }
 };
 
+/// A limit that applies while a back end is cold.
+struct ColdLimit {
+  double per_second = 0;
+  TimePoint until{};
+
+  bool operator==(const ColdLimit&) const = default;
+};
+
 /// Keeps the newest observation of one back end's limit.
 class RateLimitTracker {
  public:
--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -140,7 +140,7 @@
 bool BackendPool::may_send(const std::string& id, const Backend& backend,
                            const BackendRequirements& requirements, TimePoint now) const {
   // Urgent requests need a permit, too: a back end that limits its requests counts all of them.
-  if (limits_.limited(id)) return permits_.held(id, now);
+  if (needs_permit(id, backend, now)) return permits_.held(id, now);
   return has_credit(backend, requirements, now);
 }
 
@@ -198,7 +198,7 @@
   double best_cost = 0;
   for_each_candidate(requirements, excluded, now,
                      [&](const std::string& id, const Backend& backend, double wait_ms) {
-                       if (!limits_.limited(id) || !permits_.can_request(id, now)) return;
+                       if (!needs_permit(id, backend, now) || !permits_.can_request(id, now)) return;
                        const double cost = wait_ms + routing_penalty_ms(backend, requirements);
                        if (best && cost >= best_cost) return;
                        best_cost = cost;
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -172,7 +172,7 @@
   if (backend == nullptr) return;
   ++backend->in_flight;
   backend->sent.push_back(now);
-  if (limits_.limited(id)) permits_.use(id, now);
+  permits_.use(id, now);
   backend->pending_prompt_tokens += prompt_tokens;
   if (prompt_tokens > 0) changed_backlogs_.insert(id);
 }
@@ -316,6 +316,29 @@
   });
 }
 
+bool BackendPool::has_cold_backend(const BackendRequirements& requirements, TimePoint now) const {
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
+    const Backend& backend = entry.second;
+    return serves(backend, requirements) && !backend.record.draining && !backend.removed &&
+           cold_limit(backend.record, now);
+  });
+}
+
+void BackendPool::set_cold_starts(std::map<std::string, ColdStartProfile> by_service) {
+  cold_starts_ = std::move(by_service);
+}
+
+std::optional<ColdLimit> BackendPool::cold_limit(const BackendRecord& record, TimePoint now) const {
+  if (now >= record.cold_until) return std::nullopt;
+  const auto profile = cold_starts_.find(record.service);
+  if (profile == cold_starts_.end()) return std::nullopt;
+  return ColdLimit{profile->second.requests_per_second, record.cold_until};
+}
+
+bool BackendPool::needs_permit(const std::string& id, const Backend& backend, TimePoint now) const {
+  return limits_.limited(id) || cold_limit(backend.record, now);
+}
+
 std::size_t BackendPool::max_idle_connections(const ServiceProfile& service) const {
   const double share = service.maximum_connections / std::max(1.0, options_.gateway_count);
   return std::min(static_cast<std::size_t>(share), kMaximumIdleConnections);
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -172,6 +172,12 @@
   BackendPermits& permits() { return permits_; }
   /// Whether a back end in service where the request may run limits its requests.
   bool has_limited_backend(const BackendRequirements& requirements) const;
+  /// Whether a back end in service where the request may run is cold.
+  bool has_cold_backend(const BackendRequirements& requirements, TimePoint now) const;
+  /// Sets what the back ends of each service bear while they are cold.
+  void set_cold_starts(std::map<std::string, ColdStartProfile> by_service);
+  /// The limit of a back end that is cold; empty when it is not.
+  std::optional<ColdLimit> cold_limit(const BackendRecord& record, TimePoint now) const;
   /// Maximum number of idle connections that this gateway keeps open to one back end: its part of
   /// the connections that the back end accepts in total. Idle connections take those from other
   /// callers.
@@ -216,8 +222,10 @@
                     TimePoint now) const;
   /// Number of occupied slots of an engine, as far as it is known or estimated here.
   double occupied_slots(const Backend& backend, TimePoint now) const;
-  /// Whether this gateway may send there now: with a permit if the back end has a limit, else with
-  /// a credit of its agent.
+  /// Whether a request needs a permit: the back end advertises a limit, or is cold.
+  bool needs_permit(const std::string& id, const Backend& backend, TimePoint now) const;
+  /// Whether this gateway may send there now: with a permit if one is needed, else with a credit of
+  /// the engine's agent.
   bool may_send(const std::string& id, const Backend& backend,
                 const BackendRequirements& requirements, TimePoint now) const;
   /// Whether a credit is left. Agents divide the free capacity of their engines among gateways as
@@ -257,6 +265,7 @@
   std::map<Address, std::string> ids_by_address_;
   std::set<std::string> changed_backlogs_;
   BackendLimits limits_;
+  std::map<std::string, ColdStartProfile> cold_starts_;  ///< By service.
   BackendPermits permits_;
   std::optional<std::set<Address>> subscribed_engines_;
   std::map<std::string, std::uint64_t> departures_;  ///< Revisions by id.
--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -146,11 +146,11 @@
 }
 
 void FleetLinks::relay_changes(const BackendChanges& to_gateways, const BackendChanges& to_agents) {
-  const wire::BackendChangesT gateway_message = encode(to_gateways);
+  const wire::BackendChangesT gateway_message = encode(to_gateways, loop_now());
   for (const auto& [peer, gateway] : gateways_) {
     if (gateway.zone == zone_ && links_.connected(peer)) links_.send(peer, gateway_message);
   }
-  const wire::BackendChangesT agent_message = encode(to_agents);
+  const wire::BackendChangesT agent_message = encode(to_agents, loop_now());
   for (const auto& [peer, engine] : agents_) {
     if (engine.zone == zone_) links_.send(peer, agent_message);
   }
@@ -311,7 +311,7 @@
   if (list_revision_ <= request.known_revision()) return;
   if (links_.queued_bytes() > kListQueueLimitBytes) return;
   const ListScope scope = is_agent(peer) ? ListScope::engines : ListScope::all;
-  links_.send(peer, encode(listener_.own_backend_list(scope)));
+  links_.send(peer, encode(listener_.own_backend_list(scope), loop_now()));
 }
 
 void FleetLinks::on_frame(PeerId peer, const wire::Frame& frame) {
@@ -332,7 +332,7 @@
       on_digest(peer, *frame.body_as_GatewayDigest());
       return;
     case wire::Body::BackendChanges:
-      listener_.on_backend_changes(peer, decode(*frame.body_as_BackendChanges()));
+      listener_.on_backend_changes(peer, decode(*frame.body_as_BackendChanges(), loop_now()));
       return;
     case wire::Body::BackendListRequest:
       on_list_request(peer, *frame.body_as_BackendListRequest());
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -50,6 +50,14 @@
   return std::nullopt;
 }
 
+std::map<std::string, ColdStartProfile> cold_starts_of(const FleetConfiguration& configuration) {
+  std::map<std::string, ColdStartProfile> by_service;
+  for (const ServiceProfile& service : configuration.services) {
+    if (service.cold_start) by_service[service.name] = *service.cold_start;
+  }
+  return by_service;
+}
+
 }  // namespace
 
 FleetState::FleetState(const GatewaySettings& settings, FleetFeed& feed, GatewayLog& log,
@@ -104,6 +112,8 @@
                     source + " from=" + from + " bytes=" + std::to_string(document.size()) +
                     " lag_ms=" + std::to_string(to_milliseconds(lag)) +
                     " routes=" + std::to_string(configuration.routes.size()) + " state=IN_FORCE");
+  report_unknown_regions(configuration);
+  pool_.set_cold_starts(cold_starts_of(configuration));
   routes_ = std::make_shared<RouteTable>(std::move(configuration));
   callbacks_.on_routes(routes_);
   // The configuration defines which back ends are engines, whose agents report to this gateway. The
@@ -270,6 +280,51 @@
   links_.gossip_now();
 }
 
+// ---- where requests may run ----
+
+void FleetState::on_evacuations(const EvacuationSnapshot& snapshot) {
+  apply_evacuations(snapshot, "store");
+}
+
+void FleetState::apply_evacuations(const EvacuationSnapshot& snapshot, const char* source) {
+  if (!pool_.placement().evacuations().apply(snapshot)) return;
+  log_evacuations(source);
+  links_.gossip_now();
+}
+
+void FleetState::log_evacuations(const char* source) {
+  const PlacementRules& placement = pool_.placement();
+  const EvacuationSnapshot& snapshot = placement.evacuations().snapshot();
+  std::string names;
+  for (const std::string& zone : snapshot.zones) {
+    names += (names.empty() ? "" : ",") + zone;
+    if (!placement.knows_zone(zone)) report_locality_finding("evacuated_zone", zone);
+  }
+  if (placement.all_zones_evacuated()) report_locality_finding("all_zones_evacuated", names);
+  log_.log_line("evacuations", "evacuations zones=" + (names.empty() ? "-" : names) +
+                                   " revision=" + std::to_string(snapshot.revision) +
+                                   " source=" + source);
+  metrics_.gauge("pumicemast_gateway_evacuated_zones", {},
+                 static_cast<double>(snapshot.zones.size()));
+}
+
+void FleetState::report_unknown_regions(const FleetConfiguration& configuration) {
+  std::set<std::string> unknown;
+  const auto add_unknown = [this, &unknown](const std::vector<std::string>& regions) {
+    for (const std::string& region : regions) {
+      if (!pool_.placement().knows_region(region)) unknown.insert(region);
+    }
+  };
+  for (const RouteRule& route : configuration.routes) add_unknown(route.allowed_regions);
+  for (const TenantRule& tenant : configuration.tenants) add_unknown(tenant.allowed_regions);
+  for (const std::string& region : unknown) report_locality_finding("allowed_region", region);
+}
+
+void FleetState::report_locality_finding(const char* kind, const std::string& name) {
+  metrics_.count("pumicemast_gateway_locality_findings_total", {{"kind", kind}});
+  log_.log_line("locality", std::string("locality finding=") + kind + " name=" + name);
+}
+
 void FleetState::on_reader_status(PeerId gateway, bool reads) {
   store_reader_.on_reader_status(gateway, reads);
 }
@@ -404,6 +459,7 @@
     pool_.limits().on_reported(advertised.backend.id, advertised.limit, LimitSource::gateway);
   }
   propagate_limits();
+  apply_evacuations(state.evacuations, "gateway");
 }
 
 GossipState FleetState::own_gossip_state() {
@@ -412,6 +468,7 @@
   state.leaving.assign(pool_.recent_departures().begin(), pool_.recent_departures().end());
   state.weights = targets_.known_versions(loop_now());
   state.limits = limits_to_advertise();
+  state.evacuations = pool_.placement().evacuations().snapshot();
   state.crash_verdicts = quarantine_.verdict_digest(loop_now());
   return state;
 }
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -75,6 +75,7 @@
   void on_backend_removed(const std::string& id, std::uint64_t revision) override;
   void on_backends_current(std::uint64_t revision) override;
   void on_weights_named(const std::string& model, std::uint64_t version, Duration oldest) override;
+  void on_evacuations(const EvacuationSnapshot& snapshot) override;
   void on_list_reachable(bool reachable) override;
   void on_store_reachable(bool reachable) override;
   // FleetLinksListener
@@ -94,6 +95,11 @@
   void on_permit_request(PeerId gateway, const PermitRequest& request) override;
   void on_permit_answer(PeerId issuer, const PermitAnswer& answer) override;
 
+  void apply_evacuations(const EvacuationSnapshot& snapshot, const char* source);
+  void log_evacuations(const char* source);
+  /// Logs and counts the regions of the configuration in which no zone is.
+  void report_unknown_regions(const FleetConfiguration& configuration);
+  void report_locality_finding(const char* kind, const std::string& name);
   void on_reader_change(bool reads);
   /// The whole list of back ends is known, from the store or from another gateway.
   void on_list_known();
--- a/src/gateway/peers/gateway_digest.cpp
+++ b/src/gateway/peers/gateway_digest.cpp
@@ -55,6 +55,8 @@
   add_leaving(message, state.leaving);
   add_weights(message, state.weights);
   add_limits(message, state.limits, now);
+  message.evacuation_revision = state.evacuations.revision;
+  message.evacuated_zones.assign(state.evacuations.zones.begin(), state.evacuations.zones.end());
   return message;
 }
 
@@ -79,6 +81,10 @@
           {{entry->id()->str(), entry->started_at_ms()}, decode(entry->limit(), now)});
     }
   }
+  state.evacuations.revision = digest.evacuation_revision();
+  if (digest.evacuated_zones() != nullptr) {
+    for (const auto* zone : *digest.evacuated_zones()) state.evacuations.zones.insert(zone->str());
+  }
   return state;
 }
 
--- a/src/gateway/peers/gateway_digest.h
+++ b/src/gateway/peers/gateway_digest.h
@@ -8,6 +8,7 @@
 #include "gateway/backends/backend_pool.h"
 #include "gateway/backends/weight_targets.h"
 #include "generated/wire_generated.h"
+#include "locality/zone_evacuations.h"
 
 namespace pumicemast {
 
@@ -24,6 +25,7 @@
   std::vector<NamedWeights> weights;
   std::uint64_t crash_verdicts = 0;     ///< Digest of the requests in quarantine.
   std::vector<AdvertisedLimit> limits;  ///< Limits of back ends without agents.
+  EvacuationSnapshot evacuations;
 };
 
 /// Encodes the state; the caller adds the sender's fields.
--- a/src/gateway/peers/permit_exchange.cpp
+++ b/src/gateway/peers/permit_exchange.cpp
@@ -74,6 +74,9 @@
 PermitAnswer PermitExchange::issue(const PermitRequest& request, TimePoint now) {
   Issuer& issuer = issuers_[BackendIncarnation{request.backend, request.started_at_ms}];
   issuer.last_request_at = now;
+  const BackendRecord* record = pool_.record_of(request.backend);
+  const auto cold = record == nullptr ? std::nullopt : pool_.cold_limit(*record, now);
+  if (cold) issuer.permits.set_cold_limit(*cold, now);
   return issuer.permits.on_request(request, now);
 }
 
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -46,6 +46,7 @@
   no_key,
   no_capacity,
   rate_limited,     ///< The rate limits stated by back ends are used up for now.
+  backend_cold,     ///< The back ends that could run it are cold and bear no more for now.
   no_backend,       ///< The service has no usable back end.
   weights_stale,    ///< No back end has weights as new as required.
   backend_refused,  ///< The back ends tried refused it.
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -95,6 +95,7 @@
   const BackendRequirements requirements = planner_.backend_requirements(session, now);
   if (const auto excluded = placement_refusal(requirements)) return *excluded;
   if (pool_.has_limited_backend(requirements)) return RefusalReason::rate_limited;
+  if (pool_.has_cold_backend(requirements, now)) return RefusalReason::backend_cold;
   if (!session.service->engine) return RefusalReason::no_backend;
   if (pool_.has_weights(requirements, now)) return RefusalReason::no_capacity;
   return requirements.lowest_version > 0 ? RefusalReason::weights_stale : RefusalReason::no_backend;
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -28,6 +28,8 @@
       return "stopping";
     case RefusalReason::quarantined:
       return "quarantined";
+    case RefusalReason::backend_cold:
+      return "backend_cold";
     case RefusalReason::region_not_allowed:
       return "region_not_allowed";
     case RefusalReason::zone_evacuated:
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -85,8 +85,9 @@
 class HostListener {
  public:
   virtual ~HostListener() = default;
-  /// The engine's profile and the origin of its weights.
-  virtual void on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) = 0;
+  /// The profile of the engine's service, which has an engine profile, and the origin of its
+  /// weights.
+  virtual void on_engine_profile(const ServiceProfile& service, const OriginProfile& origin) = 0;
   /// The full list of back ends at `revision`.
   virtual void on_backend_list(const std::vector<BackendRecord>& records,
                                std::uint64_t revision) = 0;
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -125,7 +125,9 @@
   if (log_budget_.admit(kind, loop_now())) LOG(INFO) << line;
 }
 
-void HostDaemon::on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) {
+void HostDaemon::on_engine_profile(const ServiceProfile& service, const OriginProfile& origin) {
+  const EngineProfile& profile = *service.engine;
+  cold_start_ = service.cold_start;
   if (!origin_) origin_ = origin_factory_->make(origin);
   capacity_.slots = profile.slots;
   capacity_.prefill_chunk_tokens = profile.prefill_chunk_tokens;
@@ -190,6 +192,7 @@
 void HostDaemon::update_peers() {
   std::set<StagingPeer> peers;
   for (const BackendRecord& engine : engine_list_.records()) {
+    if (engine.address == settings_.engine) limit_cold_engine(engine.cold_until);
     if (engine.service != settings_.service || engine.draining) continue;
     const auto region = settings_.regions_of_zones.find(engine.zone);
     peers.insert({Address{engine.address.host, settings_.internal_address.port}, engine.zone,
@@ -232,7 +235,7 @@
       return;
     }
     case wire::Body::BackendChanges:
-      on_backend_changes(peer, decode(*frame.body_as_BackendChanges()));
+      on_backend_changes(peer, decode(*frame.body_as_BackendChanges(), loop_now()));
       return;
     default:
       for (const auto& [model, stager] : stagers_) stager->on_frame(peer, frame);
@@ -271,13 +274,13 @@
 }
 
 void HostDaemon::report_limit_change() {
-  if (!permits_.take_changed()) return;
+  const TimePoint now = loop_now();
+  if (!permits_.take_changed(now)) return;
   const RateLimit& limit = permits_.limit();
   const std::string rate = limit.is_limited() ? std::to_string(*limit.per_second) : "-";
   log_line("limit", "engine limit_per_s=" + rate +
-                        (limit.is_limited() ? " state=LIMITED" : " state=UNLIMITED"));
+                        (permits_.limited(now) ? " state=LIMITED" : " state=UNLIMITED"));
   metrics_.gauge("pumicemast_host_limit_requests_per_second", {}, limit.per_second.value_or(-1));
-  const TimePoint now = loop_now();
   if (now - limit_reported_at_ < kLimitReportInterval) return;
   limit_reported_at_ = now;
   send_report(true);
@@ -300,13 +303,15 @@
   const auto origin = parse_address(description.origin()->str());
   const bool known = origin_ != nullptr;
   if (known || !origin || description.service()->str() != settings_.service) return;
-  EngineProfile profile;
+  ServiceProfile service;
+  service.name = settings_.service;
+  EngineProfile& profile = service.engine.emplace();
   profile.slots = description.slots();
   profile.layers = description.layers();
   if (description.models() != nullptr) {
     for (const auto* model : *description.models()) profile.models.push_back({model->str(), {}});
   }
-  on_engine_profile(profile, {*origin, 1});
+  on_engine_profile(service, {*origin, 1});
 }
 
 void HostDaemon::on_subscription(PeerId peer, const wire::ReportSubscription& subscription) {
@@ -369,12 +374,17 @@
   const bool engine_restarted = load_.started_at_ms != 0 && report.started_at_ms != 0 &&
                                 load_.started_at_ms != report.started_at_ms;
   if (engine_restarted) permits_.on_restarted(loop_now());
+  if (engine_restarted && cold_start_) limit_cold_engine(loop_now() + cold_start_->duration);
   load_ = report;
   report_limit_change();
   send_report(false);
   for (const auto& [model, stager] : stagers_) stager->on_load(report);
 }
 
+void HostDaemon::limit_cold_engine(TimePoint until) {
+  if (cold_start_) permits_.set_cold_limit({cold_start_->requests_per_second, until}, loop_now());
+}
+
 LoadReport HostDaemon::current_load(TimePoint now) {
   LoadReport report = load_;
   for (const auto& [model, stager] : stagers_) {
@@ -458,7 +468,7 @@
   }
   capacity_.occupied = report.running + report.queued;
   // Under a rate limit permits replace credits, also at gateways that do not know of the limit yet.
-  if (permits_.limit().is_limited())
+  if (permits_.limited(loop_now()))
     capacity_.occupied = std::max(capacity_.occupied, capacity_.slots);
   return credit_allocator_.allocate(capacity_, gateways);
 }
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -59,7 +59,7 @@
   std::map<PeerId, std::uint32_t> allocate_credits(const LoadReport& report,
                                                    ReportAudience audience);
 
-  void on_engine_profile(const EngineProfile& profile, const OriginProfile& origin) override;
+  void on_engine_profile(const ServiceProfile& service, const OriginProfile& origin) override;
   void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
   void on_weights_named(const std::string& model, std::uint64_t version) override;
 
@@ -69,6 +69,8 @@
   void on_prompt_backlog(PeerId peer, const wire::PromptBacklog& backlog);
   /// A gateway needs permits for an engine whose rate limit applies to all gateways together.
   void on_permit_request(PeerId peer, const PermitRequest& request);
+  /// Limits the requests to the engine until its cold phase ends.
+  void limit_cold_engine(TimePoint until);
   /// Reports a changed rate limit to all gateways.
   void report_limit_change();
   void send_backlogs();
@@ -120,6 +122,7 @@
   EngineCapacity capacity_;
   ReportSchedule schedule_;
   PermitIssuer permits_;
+  std::optional<ColdStartProfile> cold_start_;
   TimePoint limit_reported_at_{};
   std::optional<TimePoint> stop_requested_;
   Timer poll_timer_;
--- a/src/limits/permit_issuer.cpp
+++ b/src/limits/permit_issuer.cpp
@@ -19,15 +19,16 @@
 }  // namespace
 
 PermitAnswer PermitIssuer::on_request(const PermitRequest& request, TimePoint now) {
+  end_expired_cold_limit(now);
   on_limit(request.limit, now);
   if (request.returned > 0) bucket_.put_back(request.returned);
   update_grants(now);
   for (const TimePoint asked_at : request.given_back) reclaim({request.gateway, asked_at});
   PermitAnswer answer{request.backend, request.asked_at, false, Duration::zero(), limit()};
   if (!request.wanted) return answer;
-  answer.granted = !limit().is_limited() || bucket_.try_take(1, now);
+  answer.granted = !limited(now) || bucket_.try_take(1, now);
   if (!answer.granted) answer.retry_after = bucket_.time_until(1, now);
-  if (answer.granted && limit().is_limited()) {
+  if (answer.granted && limited(now)) {
     grants_[{request.gateway, request.asked_at}] = {now, bucket_.level(now)};
   }
   return answer;
@@ -52,16 +53,42 @@
 
 void PermitIssuer::on_limit(const RateLimit& limit, TimePoint now) {
   if (limit.observed_at < restarted_at_) return;
-  const bool was_limited = limit_tracker_.limit().is_limited();
+  const bool was_limited = limited(now);
   if (!limit_tracker_.on_observed(limit)) return;
   changed_ = true;
-  if (!limit.is_limited()) return;
-  // The bucket starts empty: requests that gateways sent without permits are still in transit.
-  if (!was_limited) {
-    bucket_ = TokenBucket();
-    grants_.clear();
-  }
-  bucket_.configure(std::max(kMinimumRate, *limit.per_second * kIssuedShare), kBurst, now);
+  if (!was_limited) reset_bucket();
+  configure_bucket(now);
+}
+
+void PermitIssuer::set_cold_limit(const ColdLimit& limit, TimePoint now) {
+  if (limit.until <= now || limit == cold_limit_) return;
+  if (!limited(now)) reset_bucket();
+  changed_ = changed_ || !cold_limit_;
+  cold_limit_ = limit;
+  configure_bucket(now);
+}
+
+void PermitIssuer::end_expired_cold_limit(TimePoint now) {
+  if (!cold_limit_ || now < cold_limit_->until) return;
+  cold_limit_.reset();
+  changed_ = true;
+  configure_bucket(now);
+}
+
+void PermitIssuer::reset_bucket() {
+  // It starts empty: requests that gateways sent without permits are still in transit.
+  bucket_ = TokenBucket();
+  grants_.clear();
+}
+
+void PermitIssuer::configure_bucket(TimePoint now) {
+  std::optional<double> rate = limit().per_second;
+  if (cold_limit_) rate = std::min(rate.value_or(cold_limit_->per_second), cold_limit_->per_second);
+  if (rate) bucket_.configure(std::max(kMinimumRate, *rate * kIssuedShare), kBurst, now);
+}
+
+bool PermitIssuer::limited(TimePoint now) const {
+  return limit().is_limited() || (cold_limit_ && now < cold_limit_->until);
 }
 
 void PermitIssuer::on_restarted(TimePoint now) {
@@ -71,7 +98,8 @@
   restarted_at_ = now;
 }
 
-bool PermitIssuer::take_changed() {
+bool PermitIssuer::take_changed(TimePoint now) {
+  end_expired_cold_limit(now);
   const bool changed = changed_;
   changed_ = false;
   return changed;
--- a/src/limits/permit_issuer.h
+++ b/src/limits/permit_issuer.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,10 +48,16 @@
   PermitAnswer on_request(const PermitRequest& request, TimePoint now);
   /// The back end's process was restarted: it has advertised no limit yet.
   void on_restarted(TimePoint now);
+  /// The back end is cold. A limit that has ended already is ignored.
+  void set_cold_limit(const ColdLimit& limit, TimePoint now);
 
+  /// The limit that the back end advertises.
   const RateLimit& limit() const { return limit_tracker_.limit(); }
-  /// Whether the limit has changed since the last call.
-  bool take_changed();
+  /// Whether requests need permits: the back end advertises a limit, or is cold.
+  bool limited(TimePoint now) const;
+  /// Whether the advertised limit has changed, or a cold phase has begun or ended, since the last
+  /// call.
+  bool take_changed(TimePoint now);
 
  private:
   using RequestKey = std::pair<std::uint64_t, TimePoint>;  ///< The gateway and its asked_at.
@@ -59,10 +66,15 @@
     double highest_level = 0;  ///< Highest level of the bucket since the grant.
   };
   void on_limit(const RateLimit& limit, TimePoint now);
+  void end_expired_cold_limit(TimePoint now);
+  void reset_bucket();
+  /// Applies the lowest of the limits in force.
+  void configure_bucket(TimePoint now);
   void update_grants(TimePoint now);
   void reclaim(const RequestKey& key);
 
   RateLimitTracker limit_tracker_;
+  std::optional<ColdLimit> cold_limit_;
   TokenBucket bucket_;
   std::map<RequestKey, Grant> grants_;  ///< Grants of the last kGrantRetention.
   TimePoint restarted_at_{};
--- a/src/locality/placement_rules.cpp
+++ b/src/locality/placement_rules.cpp
@@ -18,4 +18,10 @@
                      [&region](const auto& entry) { return entry.second == region; });
 }
 
+bool PlacementRules::all_zones_evacuated() const {
+  return !regions_of_zones_.empty() &&
+         std::all_of(regions_of_zones_.begin(), regions_of_zones_.end(),
+                     [this](const auto& entry) { return evacuations_.evacuated(entry.first); });
+}
+
 }  // namespace pumicemast
--- a/src/locality/placement_rules.h
+++ b/src/locality/placement_rules.h
@@ -33,6 +33,7 @@
   }
   bool knows_zone(const std::string& zone) const { return regions_of_zones_.contains(zone); }
   bool knows_region(const std::string& region) const;
+  bool all_zones_evacuated() const;
 
   ZoneEvacuations& evacuations() { return evacuations_; }
   const ZoneEvacuations& evacuations() const { return evacuations_; }
--- a/src/transport/backend_list_messages.cpp
+++ b/src/transport/backend_list_messages.cpp
@@ -1,13 +1,23 @@
 #include "transport/backend_list_messages.h"
 
+#include <algorithm>
+
 #include "common/log.h"
 
 namespace pumicemast {
 namespace {
 
+/// Upper bound of a cold phase, in milliseconds: one hour.
+constexpr std::int64_t kMaximumColdTimeMs = 3'600'000;
+
 std::string text_of(const flatbuffers::String* text) { return text == nullptr ? "" : text->str(); }
 
-std::unique_ptr<wire::BackendEntryT> encode(const BackendChange& change) {
+std::uint32_t cold_left_ms(TimePoint cold_until, TimePoint now) {
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(to_milliseconds(cold_until - now), 0, kMaximumColdTimeMs));
+}
+
+std::unique_ptr<wire::BackendEntryT> encode(const BackendChange& change, TimePoint now) {
   auto entry = std::make_unique<wire::BackendEntryT>();
   entry->id = change.record.id;
   entry->revision = change.record.revision;
@@ -20,21 +30,24 @@
   entry->draining = change.record.draining;
   entry->weight_version = change.record.weight_version;
   entry->started_at_ms = change.record.started_at_ms;
+  entry->cold_left_ms = cold_left_ms(change.record.cold_until, now);
   return entry;
 }
 
 }  // namespace
 
-wire::BackendChangesT encode(const BackendChanges& changes) {
+wire::BackendChangesT encode(const BackendChanges& changes, TimePoint now) {
   wire::BackendChangesT message;
   message.base = changes.base;
   message.revision = changes.revision;
   message.whole = changes.complete;
-  for (const BackendChange& change : changes.entries) message.entries.push_back(encode(change));
+  for (const BackendChange& change : changes.entries) {
+    message.entries.push_back(encode(change, now));
+  }
   return message;
 }
 
-BackendChanges decode(const wire::BackendChanges& message) {
+BackendChanges decode(const wire::BackendChanges& message, TimePoint now) {
   BackendChanges changes;
   changes.base = message.base();
   changes.revision = message.revision();
@@ -58,6 +71,8 @@
       change.record.draining = entry->draining();
       change.record.weight_version = entry->weight_version();
       change.record.started_at_ms = entry->started_at_ms();
+      const std::int64_t cold_ms = std::min<std::int64_t>(entry->cold_left_ms(), kMaximumColdTimeMs);
+      change.record.cold_until = now + milliseconds(cold_ms);
     }
     changes.entries.push_back(std::move(change));
   }
--- a/src/transport/backend_list_messages.h
+++ b/src/transport/backend_list_messages.h
@@ -6,8 +6,9 @@
 
 namespace pumicemast {
 
-wire::BackendChangesT encode(const BackendChanges& changes);
+/// @param now  the message states times relative to this one.
+wire::BackendChangesT encode(const BackendChanges& changes, TimePoint now);
 /// Skips entries without a valid address and keeps the others.
-BackendChanges decode(const wire::BackendChanges& message);
+BackendChanges decode(const wire::BackendChanges& message, TimePoint now);
 
 }  // namespace pumicemast
--- a/tests/gateway/backends/backend_pool_test.cpp
+++ b/tests/gateway/backends/backend_pool_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(an_unsubscribed_engine_gets_nothing);
   CPPUNIT_TEST(unsubscribed_engines_do_not_count_as_silent);
   CPPUNIT_TEST(idle_connections_leave_room_for_all_gateways);
+  CPPUNIT_TEST(a_cold_back_end_is_used_with_permits_only);
   CPPUNIT_TEST_SUITE_END();
 
   tests::GatewayHarness harness;
@@ -44,6 +45,28 @@
   BackendRequirements requirements;
 
  public:
+  void a_cold_back_end_is_used_with_permits_only() {
+    harness.add_backend("p1", "plain", 1);
+    BackendRecord record = harness.pool.records().front();
+    record.cold_until = harness.now + seconds(3);
+    record.revision = ++harness.revision;
+    harness.pool.on_record(record);
+    requirements.service = &configuration.services[1];
+    CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());  // Its service has no cold rate.
+    harness.pool.set_cold_starts({{"plain", {seconds(3), 5}}});
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose());
+    CPPUNIT_ASSERT(harness.pool.has_cold_backend(requirements, harness.now));
+    harness.pool.request_permit(requirements, {}, 1, harness.now);
+    const auto messages = harness.pool.permits().take_messages(harness.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, messages.size());
+    harness.pool.permits().on_answer({"p1", messages[0].asked_at, true, {}, {}}, harness.now);
+    CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
+    harness.pool.on_sent("p1", 0, harness.now);
+    CPPUNIT_ASSERT_EQUAL(std::string(), choose());
+    harness.now += seconds(3);
+    CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
+  }
+
   // A back end accepts a limited number of connections from all callers together and resets the
   // rest. The idle connections of 149 gateways used up that number, so that new requests were
   // reset.
--- a/tests/gateway/peers/backend_list_relay_test.cpp
+++ b/tests/gateway/peers/backend_list_relay_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 #include <map>
 #include <random>
 
@@ -22,12 +24,14 @@
   return result;
 }
 
+constexpr TimePoint kNow{seconds(100)};
+
 /// The changes as a receiver decodes them.
 BackendChanges encode_and_decode(const BackendChanges& changes) {
   flatbuffers::FlatBufferBuilder builder;
-  const wire::BackendChangesT message = encode(changes);
+  const wire::BackendChangesT message = encode(changes, kNow);
   builder.Finish(wire::BackendChanges::Pack(builder, &message));
-  return decode(*flatbuffers::GetRoot<wire::BackendChanges>(builder.GetBufferPointer()));
+  return decode(*flatbuffers::GetRoot<wire::BackendChanges>(builder.GetBufferPointer()), kNow);
 }
 
 }  // namespace
@@ -41,6 +45,7 @@
   CPPUNIT_TEST(requests_for_the_whole_list_are_spaced);
   CPPUNIT_TEST(two_readers_at_different_revisions_agree);
   CPPUNIT_TEST(an_entry_without_an_address_is_skipped_alone);
+  CPPUNIT_TEST(a_cold_phase_is_relayed_relative_to_the_clock_of_the_receiver);
   CPPUNIT_TEST(an_agent_follows_gateways_despite_lost_messages);
   CPPUNIT_TEST(an_agent_reads_the_store_again_without_gateway_updates);
   CPPUNIT_TEST(an_outdated_store_answer_undoes_nothing);
@@ -108,14 +113,33 @@
     CPPUNIT_ASSERT(follower.on_changes({14, 17, false, {}}) == Step::apply);
   }
 
+  void a_cold_phase_is_relayed_relative_to_the_clock_of_the_receiver() {
+    BackendRecord cold = record("a", 1);
+    cold.cold_until = kNow + milliseconds(2500);
+    BackendRecord warm = record("b", 2);
+    warm.cold_until = kNow - seconds(5);
+    wire::BackendChangesT message =
+        encode(BackendChanges{0, 5, true, {{cold, false}, {warm, false}}}, kNow);
+    message.entries.push_back(std::make_unique<wire::BackendEntryT>(*message.entries[0]));
+    message.entries.back()->cold_left_ms = std::numeric_limits<std::uint32_t>::max();
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::BackendChanges::Pack(builder, &message));
+    const TimePoint receiver_now{seconds(7)};
+    const BackendChanges received = decode(
+        *flatbuffers::GetRoot<wire::BackendChanges>(builder.GetBufferPointer()), receiver_now);
+    CPPUNIT_ASSERT(received.entries[0].record.cold_until == receiver_now + milliseconds(2500));
+    CPPUNIT_ASSERT(received.entries[1].record.cold_until <= receiver_now);
+    CPPUNIT_ASSERT(received.entries[2].record.cold_until <= receiver_now + seconds(3600));
+  }
+
   void an_entry_without_an_address_is_skipped_alone() {
     const BackendChanges changes{0, 5, true, {{record("a", 1), false}, {record("b", 2), false}}};
-    wire::BackendChangesT message = encode(changes);
+    wire::BackendChangesT message = encode(changes, kNow);
     message.entries[0]->address = "nowhere";
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::BackendChanges::Pack(builder, &message));
     const BackendChanges received =
-        decode(*flatbuffers::GetRoot<wire::BackendChanges>(builder.GetBufferPointer()));
+        decode(*flatbuffers::GetRoot<wire::BackendChanges>(builder.GetBufferPointer()), kNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received.entries.size());
     CPPUNIT_ASSERT_EQUAL(std::string("b"), received.entries[0].record.id);
   }
--- a/tests/limits/permit_issuer_test.cpp
+++ b/tests/limits/permit_issuer_test.cpp
@@ -20,6 +20,9 @@
   CPPUNIT_TEST(the_newest_reported_limit_applies);
   CPPUNIT_TEST(observations_from_before_a_restart_are_ignored);
   CPPUNIT_TEST(messages_are_independent_of_the_clock);
+  CPPUNIT_TEST(a_cold_back_end_gets_its_cold_rate_until_the_phase_ends);
+  CPPUNIT_TEST(the_lower_of_the_advertised_and_the_cold_limit_holds);
+  CPPUNIT_TEST(a_cold_phase_that_has_ended_is_ignored);
   CPPUNIT_TEST_SUITE_END();
 
   PermitIssuer issuer;
@@ -30,14 +33,52 @@
   }
 
  public:
+  std::size_t granted_within(Duration span) {
+    std::size_t granted = 0;
+    for (const TimePoint end = now + span; now < end; now += milliseconds(10)) {
+      if (ask({}, {}).granted) ++granted;
+    }
+    return granted;
+  }
+
+  void a_cold_back_end_gets_its_cold_rate_until_the_phase_ends() {
+    const TimePoint until = now + seconds(4);
+    issuer.set_cold_limit({10, until}, now);
+    CPPUNIT_ASSERT(issuer.limited(now) && issuer.take_changed(now) && !issuer.take_changed(now));
+    const std::size_t granted = granted_within(seconds(4));
+    CPPUNIT_ASSERT(granted <= 42 && granted >= 34);
+    CPPUNIT_ASSERT(!issuer.limited(now) && issuer.take_changed(now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, granted_within(seconds(1)));
+    // It may become cold again.
+    issuer.set_cold_limit({10, now + seconds(2)}, now);
+    CPPUNIT_ASSERT(issuer.take_changed(now) && granted_within(seconds(2)) <= 22);
+  }
+
+  void the_lower_of_the_advertised_and_the_cold_limit_holds() {
+    ask(4, now);
+    issuer.set_cold_limit({10, now + seconds(5)}, now);
+    CPPUNIT_ASSERT(granted_within(seconds(5)) <= 22);
+    issuer.set_cold_limit({2, now + seconds(5)}, now);
+    CPPUNIT_ASSERT(granted_within(seconds(5)) <= 12);
+    // The advertised limit holds on.
+    const std::size_t granted = granted_within(seconds(5));
+    CPPUNIT_ASSERT(granted <= 22 && granted >= 17);
+  }
+
+  void a_cold_phase_that_has_ended_is_ignored() {
+    issuer.set_cold_limit({10, now}, now);
+    issuer.set_cold_limit({10, TimePoint{}}, now);
+    CPPUNIT_ASSERT(!issuer.limited(now) && !issuer.take_changed(now));
+  }
+
   void without_a_limit_everything_is_granted() {
     for (int count = 0; count < 100; ++count) CPPUNIT_ASSERT(ask({}, {}).granted);
-    CPPUNIT_ASSERT(!issuer.take_changed());
+    CPPUNIT_ASSERT(!issuer.take_changed(now));
   }
 
   void nothing_is_granted_right_after_a_limit_is_learnt() {
     CPPUNIT_ASSERT(!ask(1, now).granted);
-    CPPUNIT_ASSERT(issuer.take_changed() && !issuer.take_changed());
+    CPPUNIT_ASSERT(issuer.take_changed(now) && !issuer.take_changed(now));
     now += milliseconds(1100);
     CPPUNIT_ASSERT(ask({}, {}).granted);
     CPPUNIT_ASSERT(!ask({}, {}).granted);
@@ -130,7 +171,7 @@
     ask(1, now);
     now += seconds(1);
     issuer.on_restarted(now);
-    CPPUNIT_ASSERT(issuer.take_changed());
+    CPPUNIT_ASSERT(issuer.take_changed(now));
     CPPUNIT_ASSERT(ask(1, now - milliseconds(100)).granted);
     CPPUNIT_ASSERT(!ask(1, now + milliseconds(100)).granted);
   }
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -50,11 +50,46 @@
   CPPUNIT_TEST(a_malformed_entry_yields_no_runner);
   CPPUNIT_TEST(invalid_bytes_affect_only_their_entry);
   CPPUNIT_TEST(values_of_wrong_types_are_tolerated);
+  CPPUNIT_TEST(reads_the_allowed_regions_of_routes_and_tenants);
+  CPPUNIT_TEST(reads_cold_phases_and_clamps_invalid_ones);
   CPPUNIT_TEST_SUITE_END();
 
   GatewayTranslation translation;
 
  public:
+  void reads_the_allowed_regions_of_routes_and_tenants() {
+    const auto configuration = read_configuration(json::parse(R"({"version": 1,
+        "routes": [{"allowedRegions": ["a", 7, null, "b"]}, {"allowedRegions": []}, {},
+                   {"allowedRegions": "a"}],
+        "tenants": [{"name": "t", "allowedRegions": ["b"]}, {"name": "u"}]})"));
+    CPPUNIT_ASSERT(configuration.has_value());
+    const std::vector<std::string> both{"a", "b"};
+    CPPUNIT_ASSERT(both == configuration->routes[0].allowed_regions);
+    for (const std::size_t route : {1U, 2U, 3U})
+      CPPUNIT_ASSERT(configuration->routes[route].allowed_regions.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), configuration->tenants[0].allowed_regions.at(0));
+    CPPUNIT_ASSERT(configuration->tenants[1].allowed_regions.empty());
+  }
+
+  void reads_cold_phases_and_clamps_invalid_ones() {
+    CPPUNIT_ASSERT(read_cold_time(json::parse(R"({"coldLeftMs": 1500})")) == milliseconds(1500));
+    for (const char* entry : {"{}", R"({"coldLeftMs": 0})", R"({"coldLeftMs": -5})",
+                              R"({"coldLeftMs": "9"})", R"({"coldLeftMs": null})", "[]"})
+      CPPUNIT_ASSERT(read_cold_time(json::parse(entry)) == Duration::zero());
+    CPPUNIT_ASSERT(read_cold_time(json::parse(R"({"coldLeftMs": 1e300})")) == seconds(60));
+    const auto configuration = read_configuration(json::parse(R"({"version": 1, "services": [
+        {"name": "a", "coldPerS": 14.0, "coldStartS": 3.0}, {"name": "b", "coldPerS": 0.0},
+        {"name": "c", "coldPerS": -2}, {"name": "d", "coldPerS": "x"},
+        {"name": "e", "coldPerS": 1e300, "coldStartS": -4}, {"name": "f"}]})"));
+    CPPUNIT_ASSERT(configuration.has_value());
+    const auto& services = configuration->services;
+    CPPUNIT_ASSERT(services[0].cold_start->duration == seconds(3));
+    CPPUNIT_ASSERT_EQUAL(14.0, services[0].cold_start->requests_per_second);
+    for (const std::size_t service : {1U, 2U, 3U, 5U})
+      CPPUNIT_ASSERT(!services[service].cold_start.has_value());
+    CPPUNIT_ASSERT(services[4].cold_start->duration == Duration::zero());
+  }
+
   void reads_the_request_fields_used_by_the_gateway() {
     const RequestMetadata request = translation.read_request(read(kRequest));
     CPPUNIT_ASSERT_EQUAL(std::string("9c41"), request.id);
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -48,6 +48,12 @@
         self.processes = []
         self.gateway_ports = {}
         self.environment = None  # Of the started processes; None inherits the one of the test.
+        self.zones = {}  # By back end; z1 for the others.
+        self.cold_left_ms = {}  # By back end.
+        self.evacuations = False  # Whether gateways follow evacuations.
+        self.route_fields = {}  # Of every route.
+        self.tenant_fields = {}
+        self.plain_fields = {}  # Of the plain service.
 
     async def start(self):
         self.store, self.origin = Store(), Origin()
@@ -71,16 +77,17 @@
         routes = [self.route("/chat/", "stream", "engines", 2, resumable=True),
                   self.route("/write/", "unsafe", "plain", 1),
                   self.route("/read/", "safe", "plain", 2), *extra]
+        routes = [{**route, **self.route_fields} for route in routes]
         engine = {"slots": self.slots, "step_ms": 10, "read_per_s": 20000, "stride": 5, "layers": 4,
                   "chunks": CHUNKS, "chunkBytes": 4096, "models": [{"name": "m", "warmS": 0.1}]}
         services = [{"name": "engines", "maxConns": 50, "engine": engine},
-                    {"name": "plain", "maxConns": 50},
+                    {"name": "plain", "maxConns": 50, **self.plain_fields},
                     {"name": "origin", "origin": f"127.0.0.1:{self.origin.port}", "maxConns": 9}]
         self.store.put("config", "main", {
             "version": version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536,
                        "headerTimeoutMs": header_timeout_ms, "idleTimeoutMs": 15000},
-            "tenants": [{"name": "acme", "apiKeys": ["key"]}]})
+            "tenants": [{"name": "acme", "apiKeys": ["key"], **self.tenant_fields}]})
 
     @staticmethod
     def route(prefix, kind, service, attempts, resumable=False):
@@ -90,9 +97,14 @@
 
     def register(self, backend, service, state="ready"):
         self.store.put("servers", backend.identity, {
-            "service": service, "address": f"{backend.host}:{backend.port}", "zone": "z1",
+            "service": service, "address": f"{backend.host}:{backend.port}",
+            "zone": self.zones.get(backend.identity, "z1"),
+            "coldLeftMs": self.cold_left_ms.get(backend.identity, 0),
             "slots": self.slots, "state": state, "models": [], "layers": None})
 
+    def locality_settings(self):
+        return "[membership]\nevacuation_bound_ms=3000\n" if self.evacuations else ""
+
     def launch(self, name, program, settings, stdout=None):
         path = self.folder / f"{name}.ini"
         path.write_text(settings)
@@ -131,6 +143,7 @@
 name=gateway
 zone=z1
 zones=z1;z2;z3;
+regions=z1:r1;z2:r2;z3:r3;
 charts={ROOT}/charts
 stop_grace_ms=6000
 [listen]
@@ -138,7 +151,7 @@
 ready=127.0.0.1:{self.ready_port}
 metrics=127.0.0.1:{self.metrics_port}
 internal=127.0.0.1:{self.internal}
-[weights]
+{self.locality_settings()}[weights]
 changeover_ms=3000
 changeover_margin_ms=500
 [log]
@@ -155,19 +168,22 @@
         """A second gateway of the zone."""
         self.second_metrics = free_port()
         self.second_ready = free_port()
+        self.second_callers = free_port()
         return self.launch("gateway2", "pumicemast-gateway", f"""
 [process]
 name=gateway2
 zone=z1
+regions=z1:r1;z2:r2;z3:r3;
 charts={ROOT}/charts
 stop_grace_ms=6000
 [listen]
-callers=127.0.0.2:{free_port()}
+callers=127.0.0.2:{self.second_callers}
 ready=127.0.0.2:{self.second_ready}
 metrics=127.0.0.1:{self.second_metrics}
 internal=127.0.0.2:{self.internal}
 [membership]
 seeds={seeds}
+evacuation_bound_ms={3000 if self.evacuations else 0}
 [weights]
 changeover_ms=3000
 changeover_margin_ms=500
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -294,7 +294,7 @@
   after(network_delay(), [this, index, engine, incarnation, request] {
     PermitIssuer& issuer = engines_[engine]->issuer;
     const PermitAnswer answer = issuer.on_request(request, now_);
-    if (issuer.take_changed()) {
+    if (issuer.take_changed(now_)) {
       for (std::size_t other = 0; other < gateways_.size(); ++other)
         send_load_report(engine, other);
     }
