--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -35,7 +35,8 @@
   std::uint64_t revision = 0;
   /// Weight version of which all layers are held and served; 0 for none, or for a plain service.
   std::uint64_t weight_version = 0;
-  /// When its start-up phase ends, during which it bears fewer requests; in the past when it is over.
+  /// When its start-up phase ends, during which it bears fewer requests; in the past when it is
+  /// over.
   TimePoint cold_until{};
 };
 
--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -28,6 +28,7 @@
   if (now < backend.backoff_until || !usable(backend, now)) return false;
   if (!requirements.service->engine) return true;
   if (!subscribed(backend)) return false;
+  if (!expected_to_report(backend, now) && !has_fresh_report(backend, now)) return false;
   if (record.weight_version == 0 || record.weight_version < requirements.lowest_version)
     return false;
   return !has_fresh_report(backend, now) || (backend.report.alive && !backend.report.busy);
@@ -118,7 +119,7 @@
   std::size_t measured = 0;
   for (const auto& [id, backend] : backends_) {
     if (backend.record.service != requirements.service->name || backend.removed) continue;
-    if (!subscribed(backend)) continue;
+    if (!expected_to_report(backend, now)) continue;
     ++engines;
     if (has_fresh_report(backend, now)) ++reporting;
     if (backend.path_measured_at != TimePoint{}) ++measured;
@@ -193,12 +194,14 @@
 void BackendPool::request_permit(const BackendRequirements& requirements,
                                  const std::set<std::string>& excluded, std::size_t waiting,
                                  TimePoint now) {
+  unmet_request_ = true;
   if (permits_.outstanding(now) >= waiting) return;
   std::optional<std::string> best;
   double best_cost = 0;
   for_each_candidate(requirements, excluded, now,
                      [&](const std::string& id, const Backend& backend, double wait_ms) {
-                       if (!needs_permit(id, backend, now) || !permits_.can_request(id, now)) return;
+                       if (!needs_permit(id, backend, now) || !permits_.can_request(id, now))
+                         return;
                        const double cost = wait_ms + routing_penalty_ms(backend, requirements);
                        if (best && cost >= best_cost) return;
                        best_cost = cost;
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peers/fleet_state.h"
 
+#include <algorithm>
+
 #include "common/event_loop.h"
 #include "common/hash.h"
 
@@ -43,8 +45,7 @@
   description.usual_prompt_tokens = static_cast<float>(service.engine->usual_prompt_tokens);
   if (service.cold_start) {
     description.cold_per_second = static_cast<float>(service.cold_start->requests_per_second);
-    description.cold_ms =
-        static_cast<std::uint32_t>(to_milliseconds(service.cold_start->duration));
+    description.cold_ms = static_cast<std::uint32_t>(to_milliseconds(service.cold_start->duration));
   }
   for (const ModelProfile& model : service.engine->models) {
     description.models.push_back(model.name);
@@ -58,6 +59,18 @@
   return std::nullopt;
 }
 
+/// Whether the requests of a route or a tenant may not run in `zone`.
+bool excludes_zone(const FleetConfiguration& configuration, const PlacementRules& placement,
+                   const std::string& zone) {
+  const auto excludes = [&](const auto& rule) {
+    AllowedRegions allowed;
+    allowed.restrict_to(rule.allowed_regions);
+    return placement.judge(zone, allowed) == ZoneVerdict::region_not_allowed;
+  };
+  return std::any_of(configuration.routes.begin(), configuration.routes.end(), excludes) ||
+         std::any_of(configuration.tenants.begin(), configuration.tenants.end(), excludes);
+}
+
 std::map<std::string, ColdStartProfile> cold_starts_of(const FleetConfiguration& configuration) {
   std::map<std::string, ColdStartProfile> by_service;
   for (const ServiceProfile& service : configuration.services) {
@@ -122,6 +135,7 @@
                     " routes=" + std::to_string(configuration.routes.size()) + " state=IN_FORCE");
   report_unknown_regions(configuration);
   pool_.set_cold_starts(cold_starts_of(configuration));
+  remote_demand_.set_required(excludes_zone(configuration, pool_.placement(), zone_));
   routes_ = std::make_shared<RouteTable>(std::move(configuration));
   callbacks_.on_routes(routes_);
   // The configuration defines which back ends are engines, whose agents report to this gateway. The
@@ -309,9 +323,8 @@
     if (!placement.knows_zone(zone)) report_locality_finding("evacuated_zone", zone);
   }
   if (placement.all_zones_evacuated()) report_locality_finding("all_zones_evacuated", names);
-  log_.log_line("evacuations", "evacuations zones=" + (names.empty() ? "-" : names) +
-                                   " revision=" + std::to_string(snapshot.revision) +
-                                   " source=" + source);
+  log_.log_line("evacuations", "evacuations zones=" + (names.empty() ? "-" : names) + " revision=" +
+                                   std::to_string(snapshot.revision) + " source=" + source);
   metrics_.gauge("pumicemast_gateway_evacuated_zones", {},
                  static_cast<double>(snapshot.zones.size()));
 }
@@ -365,6 +378,22 @@
   pool_.on_path_delay(engine, round_trip_time, loop_now());
 }
 
+void FleetState::set_demand(double requests_per_s) {
+  demand_ = requests_per_s;
+  links_.set_demand(requests_per_s);
+}
+
+void FleetState::update_remote_demand(TimePoint now) {
+  remote_demand_.on_own_zone_credits(pool_.own_zone_credits(now), demand_, now);
+  if (pool_.take_unmet_request()) remote_demand_.on_unmet_request(now);
+  const bool needed = remote_demand_.needed(now);
+  if (needed != remote_reports_needed_)
+    metrics_.gauge("pumicemast_gateway_remote_reports", {}, needed ? 1 : 0);
+  remote_reports_needed_ = needed;
+  links_.set_remote_reports_needed(needed);
+  pool_.set_remote_standby(!needed, now);
+}
+
 void FleetState::send_backlogs() {
   for (const PromptBacklog& backlog : pool_.take_changed_backlogs()) {
     links_.send_backlog(backlog.address, backlog.pending_tokens);
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -53,7 +53,7 @@
   backend_failed,   ///< It may have run; its response was lost or invalid.
   deadline_passed,
   stopping,
-  quarantined,  ///< Back ends have crashed while running it.
+  quarantined,         ///< Back ends have crashed while running it.
   region_not_allowed,  ///< No back end is in a region where it may run.
   zone_evacuated,      ///< All back ends where it may run are in evacuated zones.
 };
--- a/src/host/credits/report_schedule.h
+++ b/src/host/credits/report_schedule.h
@@ -29,9 +29,9 @@
  public:
   explicit ReportSchedule(ReportScheduleOptions options = {}) : options_(options) {}
 
-  /// A gateway has subscribed. The next report goes to all gateways; it is not sent at once, because
-  /// after a common start hundreds of gateways subscribe within a second, and a report to all for
-  /// each of them would saturate the links.
+  /// A gateway has subscribed. The next report goes to all gateways; it is not sent at once,
+  /// because after a common start hundreds of gateways subscribe within a second, and a report to
+  /// all for each of them would saturate the links.
   void on_subscribed() { has_new_subscriber_ = true; }
   /// Decides which gateways get `report` and records it as sent to them.
   /// @param has_free_slots  the engine can accept another request.
--- a/src/locality/region_settings.h
+++ b/src/locality/region_settings.h
@@ -6,8 +6,8 @@
 
 namespace pumicemast {
 
-/// Reads `regions` in section `process`: `ZONE:REGION` pairs separated by `;`. A malformed pair is a
-/// finding.
+/// Reads `regions` in section `process`: `ZONE:REGION` pairs separated by `;`. A malformed pair is
+/// a finding.
 RegionsOfZones read_regions_of_zones(Settings& settings);
 
 }  // namespace pumicemast
--- a/src/transport/backend_list_messages.cpp
+++ b/src/transport/backend_list_messages.cpp
@@ -71,7 +71,8 @@
       change.record.draining = entry->draining();
       change.record.weight_version = entry->weight_version();
       change.record.started_at_ms = entry->started_at_ms();
-      const std::int64_t cold_ms = std::min<std::int64_t>(entry->cold_left_ms(), kMaximumColdTimeMs);
+      const std::int64_t cold_ms =
+          std::min<std::int64_t>(entry->cold_left_ms(), kMaximumColdTimeMs);
       change.record.cold_until = now + milliseconds(cold_ms);
     }
     changes.entries.push_back(std::move(change));
