--- a/tests/commands/command_session_test.cpp
+++ b/tests/commands/command_session_test.cpp
@@ -8,6 +8,7 @@
 #include "commands/command_executor.h"
 #include "support/backends.h"
 #include "support/memory_object_store.h"
+#include "support/source_folders.h"
 
 namespace pumicemast {
 namespace {
@@ -43,7 +44,7 @@
 
  private:
   void compare(const std::string& name) {
-    const std::string base = std::string(PUMICEMAST_SESSIONS) + "/" + name;
+    const std::string base = tests::sessions_folder() + "/" + name;
     const std::string transcript = run_script(read_file(base + ".script"));
     if (std::getenv(kUpdateVariable) != nullptr) std::ofstream(base + ".golden") << transcript;
     CPPUNIT_ASSERT_EQUAL(read_file(base + ".golden"), transcript);
--- a/tests/common/state_chart_test.cpp
+++ b/tests/common/state_chart_test.cpp
@@ -39,7 +39,7 @@
 
   void refuses_another_charts_file() {
     Findings findings;
-    StateChart::load(std::string(PUMICEMAST_CHARTS) + "/lease.ini", {"replica", {"FOLLOWING"}, {}},
+    StateChart::load(tests::charts_folder() + "/lease.ini", {"replica", {"FOLLOWING"}, {}},
                      findings);
     CPPUNIT_ASSERT(!findings.empty());
   }
