--- a/src/gateway/peers/permit_exchange.cpp
+++ b/src/gateway/peers/permit_exchange.cpp
@@ -39,7 +39,8 @@
                         0,
                         pool_.limits().limit_of(record.id),
                         call.given_back,
-                        self_};
+                        self_,
+                        pool_.cold_limit(record, now)};
   if (const auto agent = links_.agent_of(record.address)) {
     links_.send(*agent, request);
     return;
@@ -67,16 +68,14 @@
                                     0,
                                     pool_.limits().limit_of(backend),
                                     {},
-                                    self_});
+                                    self_,
+                                    pool_.cold_limit(*record, now)});
   return true;
 }
 
 PermitAnswer PermitExchange::issue(const PermitRequest& request, TimePoint now) {
   Issuer& issuer = issuers_[BackendIncarnation{request.backend, request.started_at_ms}];
   issuer.last_request_at = now;
-  const BackendRecord* record = pool_.record_of(request.backend);
-  const auto cold = record == nullptr ? std::nullopt : pool_.cold_limit(*record, now);
-  if (cold) issuer.permits.set_cold_limit(*cold, now);
   return issuer.permits.on_request(request, now);
 }
 
--- a/src/limits/permit_issuer.cpp
+++ b/src/limits/permit_issuer.cpp
@@ -21,6 +21,7 @@
 PermitAnswer PermitIssuer::on_request(const PermitRequest& request, TimePoint now) {
   end_expired_cold_limit(now);
   on_limit(request.limit, now);
+  if (request.cold_limit) set_cold_limit(*request.cold_limit, now);
   if (request.returned > 0) bucket_.put_back(request.returned);
   update_grants(now);
   for (const TimePoint asked_at : request.given_back) reclaim({request.gateway, asked_at});
--- a/src/limits/permit_issuer.h
+++ b/src/limits/permit_issuer.h
@@ -32,6 +32,9 @@
   /// be used. May be sent more than once.
   std::vector<TimePoint> given_back{};
   std::uint64_t gateway = 0;  ///< The sender; distinguishes requests with the same asked_at.
+  /// As known to the gateway. The issuer may not know it: an agent that has just started has not
+  /// received the list of back ends yet.
+  std::optional<ColdLimit> cold_limit{};
 };
 
 struct PermitAnswer {
--- a/src/transport/permit_messages.cpp
+++ b/src/transport/permit_messages.cpp
@@ -8,6 +8,10 @@
 
 std::int64_t ticks(TimePoint time) { return time.time_since_epoch().count(); }
 
+/// Upper bounds of what another process states about a cold phase.
+constexpr std::int64_t kMaximumColdTimeMs = 3'600'000;
+constexpr double kMaximumColdRate = 1e6;
+
 TimePoint from_ticks(std::int64_t ticks) { return TimePoint(Duration(ticks)); }
 
 }  // namespace
@@ -40,6 +44,11 @@
   message.returned = request.returned;
   message.limit = encode(request.limit, now);
   for (const TimePoint asked_at : request.given_back) message.given_back.push_back(ticks(asked_at));
+  if (request.cold_limit) {
+    message.cold_per_second = request.cold_limit->per_second;
+    message.cold_left_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        to_milliseconds(request.cold_limit->until - now), 0, kMaximumColdTimeMs));
+  }
   return message;
 }
 
@@ -56,6 +65,12 @@
       request.given_back.push_back(from_ticks(asked_at));
     }
   }
+  // Written so that NaN means that the back end is not cold.
+  if (message.cold_per_second() > 0) {
+    const auto left_ms = std::min<std::int64_t>(message.cold_left_ms(), kMaximumColdTimeMs);
+    request.cold_limit = ColdLimit{std::min(message.cold_per_second(), kMaximumColdRate),
+                                   now + milliseconds(left_ms)};
+  }
   return request;
 }
 
--- a/tests/limits/permit_issuer_test.cpp
+++ b/tests/limits/permit_issuer_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(a_cold_back_end_gets_its_cold_rate_until_the_phase_ends);
   CPPUNIT_TEST(the_lower_of_the_advertised_and_the_cold_limit_holds);
   CPPUNIT_TEST(a_cold_phase_that_has_ended_is_ignored);
+  CPPUNIT_TEST(an_issuer_that_has_just_started_learns_of_a_cold_phase_from_requests);
   CPPUNIT_TEST_SUITE_END();
 
   PermitIssuer issuer;
@@ -65,6 +66,26 @@
     CPPUNIT_ASSERT(granted <= 22 && granted >= 17);
   }
 
+  // After all machines of a fleet had lost power, 31 gateways knew that an engine was cold and
+  // asked its agent, which did not know it yet and granted them all: 31 requests within a second.
+  void an_issuer_that_has_just_started_learns_of_a_cold_phase_from_requests() {
+    const ColdLimit cold{14, now + seconds(3)};
+    std::size_t granted = 0;
+    for (std::uint64_t gateway = 1; gateway <= 31; ++gateway) {
+      PermitRequest request{"e1", 1, now, true, 0, {}, {}, gateway, cold};
+      const wire::PermitRequestT message = encode(request, now);
+      flatbuffers::FlatBufferBuilder builder;
+      builder.Finish(wire::PermitRequest::Pack(builder, &message));
+      PermitRequest received =
+          decode(*flatbuffers::GetRoot<wire::PermitRequest>(builder.GetBufferPointer()), now);
+      received.gateway = gateway;
+      if (issuer.on_request(received, now).granted) ++granted;
+      now += milliseconds(30);
+    }
+    CPPUNIT_ASSERT(granted <= 14 + 2);
+    CPPUNIT_ASSERT(granted >= 8);
+  }
+
   void a_cold_phase_that_has_ended_is_ignored() {
     issuer.set_cold_limit({10, now}, now);
     issuer.set_cold_limit({10, TimePoint{}}, now);
