Show what back ends announce in their responses

A back end may say in any response that it is leaving, and in a refusal for how long it wants no other request from the gateway. Neither was visible to an operator, so that the hypotheses of the incident could be told apart by the platform's records alone.

The adapter decodes both into BackendNotice; the pool remembers them for each incarnation, in BackendDepartures and BackendPushbacks. Log lines tell when a back end announces either, and gauges tell how many requests were sent to it nevertheless. No decision uses them yet.

Values that cannot be read are counted and change nothing; a pause is taken up to 300 s, so that one wrong response does not take a back end away for good.

--- /dev/null
+++ b/src/gateway/backends/backend_departures.h
@@ -0,0 +1,42 @@
+/// Remembers which back ends are leaving or gone, and how that became known.
+///
+/// A decision core: no I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "fleet/backend_record.h"
+
+namespace pumicemast {
+
+/// A back end that is draining or removed, and the list revision that showed it.
+struct BackendDeparture {
+  std::string id;
+  std::uint64_t revision = 0;
+};
+
+class BackendDepartures {
+ public:
+  /// The list of `revision` shows that the back end is draining or removed.
+  void on_listed(const std::string& id, std::uint64_t revision);
+  /// The back end itself has said that it is leaving.
+  /// @return whether that is new.
+  bool on_announced(const BackendIncarnation& backend);
+  /// Whether the back end has left since this record.
+  bool covers(const BackendRecord& record) const;
+  bool announced(const BackendIncarnation& backend) const;
+  std::size_t announced_count() const { return announced_.size(); }
+  /// The departures shown by the list, in the order in which they became known.
+  const std::deque<BackendDeparture>& recent() const { return order_; }
+
+ private:
+  std::map<std::string, std::uint64_t> revisions_;  ///< By id.
+  std::deque<BackendDeparture> order_;
+  std::deque<BackendIncarnation> announced_;  ///< Newest last.
+};
+
+}  // namespace pumicemast
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -1,11 +1,11 @@
 #include "gateway/backends/backend_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pumicemast {
 namespace {
 
-constexpr std::size_t kMaximumRememberedDepartures = 64;
 constexpr std::size_t kMaximumIdleConnections = 24;
 
 /// Whether the engine's process ended between two reports of one agent.
@@ -27,23 +27,6 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
-void BackendPool::record_departure(const std::string& id, std::uint64_t revision) {
-  const auto [known, inserted] = departures_.emplace(id, revision);
-  if (!inserted) {
-    known->second = std::max(known->second, revision);
-    return;
-  }
-  departure_order_.push_back({id, revision});
-  if (departure_order_.size() <= kMaximumRememberedDepartures) return;
-  departures_.erase(departure_order_.front().id);
-  departure_order_.pop_front();
-}
-
-bool BackendPool::has_departed(const BackendRecord& record) const {
-  const auto departure = departures_.find(record.id);
-  return departure != departures_.end() && departure->second >= record.revision;
-}
-
 void BackendPool::on_record(const BackendRecord& record) {
   Backend& backend = backends_[record.id];
   if (record.revision < backend.record.revision) return;
@@ -59,9 +42,9 @@
       backend.has_report ? backend.record.weight_version : record.weight_version;
   backend.record = record;
   backend.record.weight_version = version;
-  backend.record.draining = record.draining || has_departed(record);
+  backend.record.draining = record.draining || departures_.covers(record);
   backend.removed = false;
-  if (record.draining) record_departure(record.id, record.revision);
+  if (record.draining) departures_.on_listed(record.id, record.revision);
   ids_by_address_[record.address] = record.id;
 }
 
@@ -83,10 +66,11 @@
   const TimePoint reachable_since = list_reachable_ ? list_reachable_since_ : now;
   backend->removed = true;
   backend->usable_until = may_have_expired ? reachable_since + options_.outage_expiry_grace : now;
-  if (!may_have_expired) record_departure(id, std::max(revision, backend->record.revision));
+  if (!may_have_expired) departures_.on_listed(id, std::max(revision, backend->record.revision));
 }
 
 void BackendPool::sweep(TimePoint now) {
+  pushbacks_.sweep(now);
   std::erase_if(backends_, [&](const auto& entry) {
     const Backend& backend = entry.second;
     if (!backend.removed || now < backend.usable_until || backend.in_flight > 0) return false;
@@ -103,7 +87,7 @@
 void BackendPool::on_leaving(const std::string& id, std::uint64_t revision) {
   Backend* backend = find(id);
   if (backend != nullptr && backend->record.revision > revision) return;
-  record_departure(id, revision);
+  departures_.on_listed(id, revision);
   if (backend != nullptr) backend->record.draining = true;
 }
 
@@ -172,6 +156,9 @@
   if (backend == nullptr) return;
   ++backend->in_flight;
   backend->sent.push_back(now);
+  const BackendIncarnation incarnation{id, backend->record.started_at_ms};
+  if (departures_.announced(incarnation)) ++notice_counters_.sends_to_leaving;
+  if (pushbacks_.paused(incarnation, now)) ++notice_counters_.sends_while_paused;
   permits_.use(id, now);
   backend->pending_prompt_tokens += prompt_tokens;
   if (prompt_tokens > 0) changed_backlogs_.insert(id);
@@ -227,6 +214,23 @@
   }
 }
 
+void BackendPool::on_notice(const BackendIncarnation& backend, const BackendNotice& notice,
+                            TimePoint now) {
+  notice_counters_.invalid_fields += notice.invalid_fields;
+  if (notice.leaving && departures_.on_announced(backend)) {
+    notice_changes_.push_back({backend.id, true, std::nullopt});
+  }
+  if (!notice.pushback) return;
+  ++notice_counters_.pushbacks;
+  if (pushbacks_.on_pushback(backend, *notice.pushback, now)) {
+    notice_changes_.push_back({backend.id, false, notice.pushback});
+  }
+}
+
+std::vector<NoticeChange> BackendPool::take_notice_changes() {
+  return std::exchange(notice_changes_, {});
+}
+
 bool BackendPool::leaving(const std::string& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() || found->second.record.draining || found->second.removed;
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -16,10 +16,13 @@
 #include <vector>
 
 #include "common/time.h"
+#include "fleet/backend_notice.h"
 #include "fleet/backend_record.h"
 #include "fleet/fleet_configuration.h"
+#include "gateway/backends/backend_departures.h"
 #include "gateway/backends/backend_limits.h"
 #include "gateway/backends/backend_permits.h"
+#include "gateway/backends/backend_pushbacks.h"
 #include "locality/placement_rules.h"
 
 namespace pumicemast {
@@ -54,10 +57,19 @@
   double gateway_count = 7;
 };
 
-/// A back end that is draining or removed, and the list revision that showed it.
-struct BackendDeparture {
-  std::string id;
-  std::uint64_t revision = 0;
+/// What back ends have said about themselves in responses, and what was sent to them nevertheless.
+struct NoticeCounters {
+  std::uint64_t pushbacks = 0;           ///< Refusals that asked for a pause.
+  std::uint64_t invalid_fields = 0;      ///< Fields that could not be read.
+  std::uint64_t sends_to_leaving = 0;    ///< Requests sent after the announcement of leaving.
+  std::uint64_t sends_while_paused = 0;  ///< Requests sent within a pause.
+};
+
+/// A back end has announced its leaving, or has asked for a pause.
+struct NoticeChange {
+  std::string backend;
+  bool leaving = false;
+  std::optional<Duration> pushback;
 };
 
 /// Requirements of a request on its back end.
@@ -126,6 +138,13 @@
   void on_success(const std::string& id);
   /// The back end refused a request, for example as full: its load differs from what is known here.
   void on_refusal(const std::string& id, TimePoint now);
+  /// Handles what a response of the back end says about the back end itself.
+  void on_notice(const BackendIncarnation& backend, const BackendNotice& notice, TimePoint now);
+  /// Returns the changes by notices since the last call.
+  std::vector<NoticeChange> take_notice_changes();
+  const NoticeCounters& notice_counters() const { return notice_counters_; }
+  const BackendDepartures& departures() const { return departures_; }
+  const BackendPushbacks& pushbacks() const { return pushbacks_; }
 
   /// Returns the back end with the lowest cost (predicted wait plus routing penalty) among those
   /// that may take the request now.
@@ -153,9 +172,6 @@
   const PlacementRules& placement() const { return placement_; }
   /// Whether a current report of its agent says that the back end is alive.
   bool known_alive(const std::string& id, TimePoint now) const;
-  /// Back ends that are draining or removed, in the order of their departure; sent to other
-  /// gateways.
-  const std::deque<BackendDeparture>& recent_departures() const { return departure_order_; }
   std::vector<BackendRecord> records() const;
   /// The records of back ends that are in the list.
   std::vector<BackendRecord> listed_records() const;
@@ -206,8 +222,6 @@
 
   Backend* find(const std::string& id);
   static void reset_for_new_incarnation(Backend& backend);
-  void record_departure(const std::string& id, std::uint64_t revision);
-  bool has_departed(const BackendRecord& record) const;
   bool usable(const Backend& backend, TimePoint now) const;
   /// Whether the back end belongs to the service and the request may run in its zone.
   bool serves(const Backend& backend, const BackendRequirements& requirements) const;
@@ -268,8 +282,10 @@
   std::map<std::string, ColdStartProfile> cold_starts_;  ///< By service.
   BackendPermits permits_;
   std::optional<std::set<Address>> subscribed_engines_;
-  std::map<std::string, std::uint64_t> departures_;  ///< Revisions by id.
-  std::deque<BackendDeparture> departure_order_;
+  BackendDepartures departures_;
+  BackendPushbacks pushbacks_;
+  NoticeCounters notice_counters_;
+  std::vector<NoticeChange> notice_changes_;
   TimePoint list_reachable_since_{};  ///< When the list last became readable again.
   bool list_reachable_ = true;
   std::minstd_rand random_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -204,7 +204,7 @@
   }
   const bool events = field_value(head, "Content-Type").starts_with(event_stream_type());
   forwarder_.on_response_head(number, metadata, events, loop_now());
-  fleet_.propagate_limits();
+  fleet_.propagate_backend_changes();
   return true;
 }
 
@@ -436,10 +436,13 @@
     figures.retry_gateways = fleet_.gateways_sharing_retries(loop_now());
     figures.limited_backends = fleet_.pool().limits().limited().size();
     figures.unreadable_limits = fleet_.pool().limits().unreadable();
+    figures.leaving_backends = fleet_.pool().departures().announced_count();
+    figures.paused_backends = fleet_.pool().pushbacks().paused_count(loop_now());
     figures.quarantined_requests = fleet_.quarantine().list(loop_now()).size();
     metrics_.update(forwarder_.counters(), figures);
     metrics_.update(forwarder_.retries());
     metrics_.update(fleet_.pool().permits().counters());
+    metrics_.update(fleet_.pool().notice_counters());
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
   if (path == "/quarantine") return {kStatusOk, "text/plain", quarantine_page()};
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -68,9 +68,21 @@
   set("pumicemast_gateway_limited_backends", static_cast<double>(figures.limited_backends));
   set("pumicemast_gateway_unreadable_limits", static_cast<double>(figures.unreadable_limits));
   set("pumicemast_gateway_limited_sends", static_cast<double>(counters.limited_sends));
+  set("pumicemast_gateway_leaving_backends", static_cast<double>(figures.leaving_backends));
+  set("pumicemast_gateway_paused_backends", static_cast<double>(figures.paused_backends));
   set("pumicemast_gateway_retry_gateways", static_cast<double>(figures.retry_gateways));
 }
 
+void GatewayMetrics::update(const NoticeCounters& notices) {
+  const auto set = [this](const char* name, std::uint64_t count) {
+    metrics_.gauge(name, {}, static_cast<double>(count));
+  };
+  set("pumicemast_gateway_pushbacks", notices.pushbacks);
+  set("pumicemast_gateway_invalid_notices", notices.invalid_fields);
+  set("pumicemast_gateway_sends_to_leaving", notices.sends_to_leaving);
+  set("pumicemast_gateway_sends_while_paused", notices.sends_while_paused);
+}
+
 void GatewayMetrics::update(const PermitCounters& permits) {
   const auto set = [this](const char* result, std::uint64_t count) {
     metrics_.gauge("pumicemast_gateway_permits", {{"result", result}}, static_cast<double>(count));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -18,6 +18,8 @@
   std::size_t quarantined_requests = 0;
   std::size_t limited_backends = 0;     ///< Back ends that state a rate limit for all gateways.
   std::uint64_t unreadable_limits = 0;  ///< Responses with an invalid rate limit.
+  std::size_t leaving_backends = 0;     ///< Have announced in responses that they are leaving.
+  std::size_t paused_backends = 0;      ///< Have asked this gateway for a pause.
   std::uint64_t retry_gateways = 0;     ///< Estimated to share the retries; 0 when unknown.
 };
 
@@ -30,6 +32,7 @@
   void update(const ForwarderCounters& counters, const GatewayGauges& figures);
   void update(const RetryBudgets& retries);
   void update(const PermitCounters& permits);
+  void update(const NoticeCounters& notices);
   std::string serialize() const { return metrics_.serialize(); }
   Metrics& registry() { return metrics_; }
 
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -275,7 +275,16 @@
                              (named ? " state=LIMITED" : " state=UNLIMITED"));
 }
 
-void FleetState::propagate_limits() {
+void FleetState::log_notice(const NoticeChange& change) {
+  const std::string subject = "backend id=" + change.backend;
+  if (change.leaving) log_.log_line("notice", subject + " state=LEAVING source=response");
+  if (!change.pushback) return;
+  log_.log_line("notice", subject + " state=PAUSED source=response pause_ms=" +
+                              std::to_string(to_milliseconds(*change.pushback)));
+}
+
+void FleetState::propagate_backend_changes() {
+  for (const NoticeChange& change : pool_.take_notice_changes()) log_notice(change);
   bool gossip_needed = false;
   for (const LimitChange& change : pool_.limits().take_changes()) {
     log_limit(change);
@@ -309,7 +318,7 @@
 
 void FleetState::on_permit_answer(PeerId issuer, const PermitAnswer& answer) {
   permits_.on_answer(issuer, answer);
-  propagate_limits();
+  propagate_backend_changes();
 }
 
 void FleetState::gossip_crashes() {
@@ -333,7 +342,7 @@
 
 void FleetState::on_engine_report(const Address& engine, const LoadReport& report) {
   const auto ended = pool_.on_report(engine, report, loop_now());
-  propagate_limits();
+  propagate_backend_changes();
   if (ended) callbacks_.on_engine_ended(*ended);
   retry_share_.on_gateway_count(report.gateways, loop_now());
   retry_share_.on_largest_zone_gateway_count(report.largest_zone_gateways, loop_now());
@@ -357,14 +366,14 @@
     if (pool_.incarnation_of(advertised.backend.id) != advertised.backend) continue;
     pool_.limits().on_reported(advertised.backend.id, advertised.limit, LimitSource::gateway);
   }
-  propagate_limits();
+  propagate_backend_changes();
   apply_evacuations(state.evacuations, "gateway");
 }
 
 GossipState FleetState::own_gossip_state() {
   GossipState state;
   state.configuration_version = routes_ ? routes_->version() : 0;
-  state.leaving.assign(pool_.recent_departures().begin(), pool_.recent_departures().end());
+  state.leaving.assign(pool_.departures().recent().begin(), pool_.departures().recent().end());
   state.weights = targets_.known_versions(loop_now());
   state.limits = limits_to_advertise();
   state.evacuations = pool_.placement().evacuations().snapshot();
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -45,8 +45,9 @@
   /// Reports to agents how many prompt tokens of this gateway are pending at their engines, where
   /// that has changed.
   void send_backlogs();
-  /// Logs changed rate limits of back ends, and sends them to the agents or gossips them.
-  void propagate_limits();
+  /// Logs what responses of back ends have changed: their announcements and pauses, and their rate
+  /// limits, which are sent to the agents or gossiped.
+  void propagate_backend_changes();
   /// Requests the permits that are due. When no request waits, returns the unused ones.
   void exchange_permits(bool requests_wait);
   void set_demand(double requests_per_s) { links_.set_demand(requests_per_s); }
@@ -118,6 +119,7 @@
                            bool assumed);
 
   void log_limit(const LimitChange& change);
+  void log_notice(const NoticeChange& change);
   std::vector<AdvertisedLimit> limits_to_advertise() const;
 
   std::string zone_;
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -10,6 +10,7 @@
 
 #include "common/settings.h"
 #include "common/time.h"
+#include "fleet/backend_notice.h"
 #include "fleet/rate_limit.h"
 #include "gateway/quarantine/request_fingerprint.h"
 
@@ -38,6 +39,7 @@
   bool replaced = false;  ///< Another incarnation of the back end is using the address.
   bool success = false;
   ResponseRateLimit rate_limit;
+  BackendNotice notice;
 };
 
 enum class RefusalReason {
--- a/tests/gateway/backends/backend_pool_test.cpp
+++ b/tests/gateway/backends/backend_pool_test.cpp
@@ -157,7 +157,7 @@
     harness.add_backend("p1", "plain", 1);
     harness.pool.on_removed("p1", ++harness.revision, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.pool.recent_departures().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.pool.departures().recent().size());
   }
 
   void an_entry_that_expired_in_an_outage_is_used_while_its_agent_reports() {
@@ -169,7 +169,7 @@
     harness.pool.on_removed("e1", ++harness.revision, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), choose());
     CPPUNIT_ASSERT(
-        harness.pool.recent_departures().empty());  // Other gateways must not be told that it left.
+        harness.pool.departures().recent().empty());  // Other gateways must not be told that it left.
     harness.now += milliseconds(1900);
     harness.report_load(1, 4, 1);
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), choose());
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -41,6 +41,10 @@
   CPPUNIT_TEST(reads_the_rate_limit_of_a_runner);
   CPPUNIT_TEST(an_invalid_rate_limit_is_ignored);
   CPPUNIT_TEST(the_rate_limit_of_another_runner_is_ignored);
+  CPPUNIT_TEST(reads_that_a_runner_is_leaving_from_any_response);
+  CPPUNIT_TEST(reads_the_pause_that_a_refusing_runner_asks_for);
+  CPPUNIT_TEST(invalid_notices_are_ignored_and_counted);
+  CPPUNIT_TEST(the_notices_of_another_runner_are_ignored);
   CPPUNIT_TEST(reads_a_configuration);
   CPPUNIT_TEST(the_prefill_rate_has_two_spellings);
   CPPUNIT_TEST(a_non_positive_prefill_rate_is_ignored);
@@ -189,6 +193,50 @@
     CPPUNIT_ASSERT(limit.readable && !limit.per_second);
   }
 
+  BackendNotice notice(const std::string& status, const std::string& fields) {
+    return facts(status + " X", fields).notice;
+  }
+
+  void reads_that_a_runner_is_leaving_from_any_response() {
+    for (const char* status : {"200", "404", "429", "500", "503"})
+      CPPUNIT_ASSERT(notice(status, "Server-Leaving: 1\r\n").leaving);
+    CPPUNIT_ASSERT(!notice("200", "").leaving);
+    CPPUNIT_ASSERT(notice("200", "server-leaving: 1\r\nServer-Leaving: 0\r\n").leaving);
+  }
+
+  void reads_the_pause_that_a_refusing_runner_asks_for() {
+    const auto pause = [this](const std::string& status, const std::string& fields) {
+      return notice(status, fields).pushback;
+    };
+    CPPUNIT_ASSERT(pause("503", "Retry-After: 3\r\n") == seconds(3));
+    CPPUNIT_ASSERT(pause("503", "Retry-After: 0.25\r\n") == milliseconds(250));
+    CPPUNIT_ASSERT(pause("503", "Retry-After: 2\r\nRetry-After: 5\r\n") == seconds(5));
+    CPPUNIT_ASSERT(pause("503", "Retry-After: 86400\r\n") == seconds(300));
+    CPPUNIT_ASSERT(!pause("503", "Retry-After: 0\r\n"));
+    CPPUNIT_ASSERT(!pause("503", ""));
+    for (const char* status : {"200", "429", "500"})
+      CPPUNIT_ASSERT(!pause(status, "Retry-After: 3\r\n"));
+  }
+
+  void invalid_notices_are_ignored_and_counted() {
+    for (const char* value :
+         {"-1", "nan", "inf", "1e300", "3 s", "0x3", "", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+      const auto read = notice("503", std::string("Retry-After: ") + value + "\r\n");
+      CPPUNIT_ASSERT_MESSAGE(value, !read.pushback);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 1U, read.invalid_fields);
+    }
+    for (const char* value : {"0", "2", "", "yes"}) {
+      const auto read = notice("200", std::string("Server-Leaving: ") + value + "\r\n");
+      CPPUNIT_ASSERT_MESSAGE(value, !read.leaving);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 1U, read.invalid_fields);
+    }
+  }
+
+  void the_notices_of_another_runner_are_ignored() {
+    const auto read = notice("421", "Server-Leaving: 1\r\nRetry-After: 3\r\n");
+    CPPUNIT_ASSERT(!read.leaving && !read.pushback);
+  }
+
   void reads_a_configuration() {
     const json document = json::parse(tests::kConfiguration);
     const auto configuration = read_configuration(document);
