--- /dev/null
+++ b/tests/gateway/requests/backend_notice_test.cpp
@@ -0,0 +1,154 @@
+#include "fleet/backend_notice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/gateway_harness.h"
+
+namespace pumicemast {
+
+/// What a back end says of itself in its responses binds the gateway that receives them.
+class BackendNoticeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BackendNoticeTest);
+  CPPUNIT_TEST(a_back_end_that_announces_its_leaving_gets_no_new_request);
+  CPPUNIT_TEST(an_announced_leaving_outlasts_list_entries_that_say_ready);
+  CPPUNIT_TEST(an_announced_leaving_ends_with_its_incarnation);
+  CPPUNIT_TEST(a_back_end_that_asks_for_a_pause_gets_no_request_until_its_end);
+  CPPUNIT_TEST(a_retry_respects_a_pause);
+  CPPUNIT_TEST(an_earlier_pause_does_not_shorten_a_later_one);
+  CPPUNIT_TEST(a_restarted_back_end_is_not_paused);
+  CPPUNIT_TEST(a_pause_outlasts_a_lapsed_list_entry);
+  CPPUNIT_TEST_SUITE_END();
+
+  tests::GatewayHarness harness;
+
+  static BackendNotice leaving() {
+    BackendNotice notice;
+    notice.leaving = true;
+    return notice;
+  }
+  static BackendNotice pause(Duration duration) {
+    BackendNotice notice;
+    notice.pushback = duration;
+    return notice;
+  }
+  /// Sends a request and lets its back end refuse it with a request for a pause.
+  /// @return the back end.
+  std::string refuse_with_pause(const std::string& target, Duration duration) {
+    const RequestNumber request = harness.send_request(target);
+    const std::string backend = harness.sent_to();
+    harness.receive_head(request, 503, true, false, pause(duration));
+    harness.complete_response(request);
+    return backend;
+  }
+  /// The back ends that the next requests are sent to, each of which is answered at once.
+  std::set<std::string> recipients(const std::string& target) {
+    std::set<std::string> backends;
+    for (int count = 0; count < 20; ++count) {
+      const RequestNumber request = harness.send_request(target);
+      if (!harness.sent_to().empty()) backends.insert(harness.sent_to());
+      harness.receive_head(request, 200);
+      harness.complete_response(request);
+    }
+    return backends;
+  }
+
+ public:
+  void setUp() override {
+    harness.configure();
+    harness.add_backend("p1", "plain", 1);
+    harness.add_backend("p2", "plain", 2);
+  }
+
+  void a_back_end_that_announces_its_leaving_gets_no_new_request() {
+    const RequestNumber request = harness.send_request("/read/1");
+    const std::string left = harness.sent_to();
+    harness.receive_head(request, 200, false, false, leaving());
+    harness.complete_response(request);
+    const std::set<std::string> others = recipients("/read/2");
+    CPPUNIT_ASSERT(!others.empty());
+    CPPUNIT_ASSERT(!others.contains(left));
+  }
+
+  void an_announced_leaving_outlasts_list_entries_that_say_ready() {
+    const RequestNumber request = harness.send_request("/read/1");
+    const std::string left = harness.sent_to();
+    harness.receive_head(request, 200, false, false, leaving());
+    harness.complete_response(request);
+    harness.add_backend(left, "plain", left == "p1" ? 1 : 2);  // A newer entry.
+    CPPUNIT_ASSERT(!recipients("/read/2").contains(left));
+    // The entry lapses while the list is unreadable, and comes back.
+    harness.pool.on_removed(left, ++harness.revision, harness.now);
+    harness.now += seconds(10);
+    harness.pool.sweep(harness.now);
+    harness.add_backend(left, "plain", left == "p1" ? 1 : 2);
+    CPPUNIT_ASSERT(!recipients("/read/3").contains(left));
+  }
+
+  void an_announced_leaving_ends_with_its_incarnation() {
+    const RequestNumber request = harness.send_request("/read/1");
+    const std::string left = harness.sent_to();
+    harness.receive_head(request, 200, false, false, leaving());
+    harness.complete_response(request);
+    BackendRecord restarted = *harness.pool.record_of(left);
+    restarted.started_at_ms = 5;
+    restarted.revision = ++harness.revision;
+    restarted.draining = false;
+    harness.pool.on_record(restarted);
+    CPPUNIT_ASSERT(recipients("/read/2").contains(left));
+  }
+
+  void a_back_end_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    const std::string paused = refuse_with_pause("/write/1", seconds(3));
+    harness.now += milliseconds(500);
+    CPPUNIT_ASSERT(!recipients("/read/2").contains(paused));
+    harness.now += milliseconds(2400);
+    CPPUNIT_ASSERT(!recipients("/read/3").contains(paused));
+    harness.now += milliseconds(200);
+    CPPUNIT_ASSERT(recipients("/read/4").contains(paused));
+  }
+
+  void a_retry_respects_a_pause() {
+    refuse_with_pause("/write/1", seconds(3));
+    harness.now += milliseconds(500);
+    const RequestNumber request = harness.send_request("/read/1");
+    CPPUNIT_ASSERT(!harness.sent_to().empty());
+    harness.fail_attempt(request, AttemptFailure::connection_lost);
+    CPPUNIT_ASSERT_EQUAL(std::string(), harness.sent_to());
+  }
+
+  void an_earlier_pause_does_not_shorten_a_later_one() {
+    const RequestNumber first = harness.send_request("/write/1");
+    const std::string paused = harness.sent_to();
+    RequestNumber second = harness.send_request("/write/2");
+    while (harness.sent_to() != paused) second = harness.send_request("/write/2");
+    harness.receive_head(first, 503, true, false, pause(seconds(3)));
+    harness.complete_response(first);
+    harness.receive_head(second, 503, true, false, pause(milliseconds(100)));
+    harness.complete_response(second);
+    harness.now += seconds(2);
+    CPPUNIT_ASSERT(!recipients("/read/2").contains(paused));
+  }
+
+  void a_restarted_back_end_is_not_paused() {
+    const std::string paused = refuse_with_pause("/write/1", seconds(30));
+    BackendRecord restarted = *harness.pool.record_of(paused);
+    restarted.started_at_ms = 5;
+    restarted.revision = ++harness.revision;
+    harness.pool.on_record(restarted);
+    harness.now += seconds(1);
+    CPPUNIT_ASSERT(recipients("/read/2").contains(paused));
+  }
+
+  void a_pause_outlasts_a_lapsed_list_entry() {
+    const std::string paused = refuse_with_pause("/write/1", seconds(30));
+    harness.pool.on_removed(paused, ++harness.revision, harness.now);
+    harness.now += seconds(10);
+    harness.pool.sweep(harness.now);
+    harness.add_backend(paused, "plain", paused == "p1" ? 1 : 2);
+    CPPUNIT_ASSERT(!recipients("/read/2").contains(paused));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendNoticeTest);
+
+}  // namespace pumicemast
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -280,11 +280,20 @@
         self.mode = "whole"
         self.event_gap = 0.02
         self.events = 10
+        self.leaving = False  # Announced in all responses.
+        self.pause_s = None  # Pause that refusals ask for, if any.
 
-    def head(self, headers, extra=()):
+    def notices(self, status):
+        """Headers about the back end itself."""
+        fields = {"Server-Leaving": 1} if self.leaving else {}
+        if status == 503 and self.pause_s is not None:
+            fields["Retry-After"] = self.pause_s
+        return fields
+
+    def head(self, headers, extra=(), status=200):
         return {"X-Pumicemast-Request-Id": headers.get("x-pumicemast-request-id", ""),
                 "X-Pumicemast-Response-Signature": f"sig-{self.identity}",
-                "X-Pumicemast-Weight-Versions": self.version, **dict(extra)}
+                "X-Pumicemast-Weight-Versions": self.version, **self.notices(status), **dict(extra)}
 
     async def handle(self, writer, method, target, headers, body):
         url = urlsplit(target)
@@ -327,10 +336,10 @@
 
     # Methods that subclasses may override.
     async def handle_report(self, writer):
-        send_response(writer, 200, self.report())
+        send_response(writer, 200, self.report(), self.notices(200))
 
     async def handle_order(self, writer, order):
-        send_response(writer, self.activate(order))
+        send_response(writer, self.activate(order), headers=self.notices(200))
 
     def stage(self, number, data):
         self.staged[number] = data
@@ -350,7 +359,7 @@
             return
         if self.mode == "shed":
             send_response(writer, 503, b"",
-                          self.head(headers, {"X-Pumicemast-Not-Executed": 1}.items()))
+                          self.head(headers, {"X-Pumicemast-Not-Executed": 1}.items(), 503))
             return
         self.requests.append(headers)
         self.on_request_started(headers)
--- a/tests/processes/rate_limit_test.py
+++ b/tests/processes/rate_limit_test.py
@@ -15,10 +15,9 @@
 import unittest
 
 from platform_standin import Backend
-from platform_test import ENGINES, ROOT, Platform, free_port
 from process_test import known_failures
+from three_gateways import GATEWAYS, ThreeGatewayPlatform
 
-GATEWAYS = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
 WINDOW_S = 4.0
 # Time until all gateways keep a limit that was sent to one of them.
 SETTLE_S = 1.0
@@ -35,8 +34,8 @@
         self.arrivals = []
         self.running = 0
 
-    def head(self, headers, extra=()):
-        fields = super().head(headers, extra)
+    def head(self, headers, extra=(), status=200):
+        fields = super().head(headers, extra, status)
         if self.limit is not None:
             fields["Server-Limit"] = self.limit
         return fields
@@ -62,59 +61,8 @@
         return sum(1 for at in self.arrivals if since <= at <= until)
 
 
-class RateLimitedPlatform(Platform):
-    """Three gateways in front of two engines and two plain services that may send limits."""
-
-    slots = 24  # Enough that requests are refused only because of a rate limit.
-
-    async def start(self):
-        await super().start()
-        for backend in [*self.plain, *self.engines]:
-            await backend.stop()
-        plain = [RateLimitedBackend(f"p{n}") for n in (1, 2)]
-        engines = [RateLimitedBackend(f"e{n}", host, "m", 1) for n, host in enumerate(ENGINES, 1)]
-        for backend, replaced in zip([*plain, *engines], [*self.plain, *self.engines]):
-            backend.port = replaced.port
-            await backend.start()
-        self.plain, self.engines = plain, engines
-        self.caller_ports = {GATEWAYS[0]: self.callers}
-        self.metrics_ports = {GATEWAYS[0]: self.metrics_port}
-        for host in GATEWAYS[1:]:
-            self.caller_ports[host], self.metrics_ports[host] = free_port(), free_port()
-            self.run_another_gateway(host)
-        for host in GATEWAYS:
-            await self.wait(lambda host=host: self.serves(host, "/chat/1"))
-            await self.wait(lambda host=host: self.serves(host, "/read/1"))
-
-    def run_another_gateway(self, host):
-        return self.launch(f"gateway-{host}", "pumicemast-gateway", f"""
-[process]
-name=gateway-{host}
-zone=z1
-charts={ROOT}/charts
-stop_grace_ms=6000
-[listen]
-callers={host}:{self.caller_ports[host]}
-ready={host}:{free_port()}
-metrics={host}:{self.metrics_ports[host]}
-internal={host}:{self.internal}
-[membership]
-seeds={GATEWAYS[0]}:{self.internal}
-[weights]
-changeover_ms=3000
-changeover_margin_ms=500
-[log]
-decisions=failures
-[platform]
-store=127.0.0.1:{self.store.port}
-""")
-
-    async def serves(self, host, target):
-        try:
-            response = await self.call("POST", target, host=host, port=self.caller_ports[host])
-            return response.status == 200 and response.complete
-        except OSError:
-            return False
+class RateLimitedPlatform(ThreeGatewayPlatform):
+    backend_class = RateLimitedBackend
 
 
 class RateLimitTest(unittest.IsolatedAsyncioTestCase):
@@ -133,23 +81,7 @@
         return asyncio.get_running_loop().time()
 
     async def load(self, target, rate, seconds):
-        """Sends requests at a fixed rate, without waiting for responses, to all gateways in turn.
-
-        Returns the responses and the duration of each in seconds.
-        """
-        async def call_one(number):
-            host = GATEWAYS[number % len(GATEWAYS)]
-            started_at = self.now()
-            response = await self.platform.call("POST", target, host=host,
-                                                port=self.platform.caller_ports[host])
-            return response, self.now() - started_at
-
-        calls = []
-        begin = self.now()
-        for number in range(int(rate * seconds)):
-            await asyncio.sleep(max(0, begin + number / rate - self.now()))
-            calls.append(asyncio.create_task(call_one(number)))
-        return await asyncio.gather(*calls)
+        return await self.platform.load(target, rate, seconds)
 
     async def load_limited(self, backends, target, limit, rate, seconds):
         """Sets the limit of all `backends` and runs load.
--- a/tests/soak/soak_engine.py
+++ b/tests/soak/soak_engine.py
@@ -37,8 +37,8 @@
         self.checks.on_limited_arrival(self)
         await super().run(writer, method, target, headers)
 
-    def head(self, headers, extra=()):
-        fields = super().head(headers, extra)
+    def head(self, headers, extra=(), status=200):
+        fields = super().head(headers, extra, status)
         if self.limit is not None:
             fields["Server-Limit"] = self.limit
             self.checks.on_limit_sent(self)
@@ -155,7 +155,7 @@
     async def handle_report(self, writer):
         report = self.report()
         await asyncio.sleep(self.report_delay)
-        send_response(writer, 200, report)
+        send_response(writer, 200, report, self.notices(200))
 
     def report(self):
         return {**super().report(), "busy": self.busy, "running": self.running}
@@ -176,7 +176,8 @@
 
     def refuse(self, writer, headers, status):
         self.checks.on_arrival(self.service, headers.get("x-pumicemast-request-id", ""))
-        send_response(writer, status, b"", self.head(headers, {"X-Pumicemast-Not-Executed": 1}.items()))
+        send_response(writer, status, b"",
+                      self.head(headers, {"X-Pumicemast-Not-Executed": 1}.items(), status))
 
     async def run_counted(self, writer, method, target, headers):
         incarnation = self.incarnation
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -103,8 +103,10 @@
     return number;
   }
 
-  void receive_head(RequestNumber request, int status, bool not_run = false, bool events = false) {
+  void receive_head(RequestNumber request, int status, bool not_run = false, bool events = false,
+                    const BackendNotice& notice = {}) {
     ResponseMetadata metadata;
+    metadata.notice = notice;
     metadata.status = status;
     metadata.not_run = not_run;
     metadata.success = status >= 200 && status < 300;
