Send nothing to a back end that has announced its leaving in a response

Callers saw nothing; the back end got requests until it ended, and those that were running at its end would have been cut off.

Cause: a back end's leaving was taken from the list alone. While the store is away the list cannot say it, and the responses that do were relayed unread. The incident's gateway sent requests 2,232 and 2,490 ms after it had relayed the announcement (bound 2,000 ms).

An announcement now counts as a departure of that incarnation, before any entry of the list, older or newer: an incarnation that leaves does not come back. It ends with the incarnation, so that an address or an id that is used again is not affected; 421 concerns another back end and is not read.

Ruled out: requests that were under way (they reached the engine 3 ms after the gateway got them), and a record that undoes the announcement (there was none).

Failed before: a_back_end_that_announces_its_leaving_gets_no_new_request, an_announced_leaving_outlasts_list_entries_that_say_ready and two process tests with the store away; they pass now.

--- a/src/gateway/backends/backend_departures.cpp
+++ b/src/gateway/backends/backend_departures.cpp
@@ -31,6 +31,7 @@
 }
 
 bool BackendDepartures::covers(const BackendRecord& record) const {
+  if (announced({record.id, record.started_at_ms})) return true;
   const auto departure = revisions_.find(record.id);
   return departure != revisions_.end() && departure->second >= record.revision;
 }
--- a/src/gateway/backends/backend_departures.h
+++ b/src/gateway/backends/backend_departures.h
@@ -23,10 +23,11 @@
  public:
   /// The list of `revision` shows that the back end is draining or removed.
   void on_listed(const std::string& id, std::uint64_t revision);
-  /// The back end itself has said that it is leaving.
+  /// The back end itself has said that it is leaving. This holds until the incarnation ends,
+  /// whatever the list says: the list may be unreadable or older.
   /// @return whether that is new.
   bool on_announced(const BackendIncarnation& backend);
-  /// Whether the back end has left since this record.
+  /// Whether the back end of this record is leaving or gone, whatever the record says.
   bool covers(const BackendRecord& record) const;
   bool announced(const BackendIncarnation& backend) const;
   std::size_t announced_count() const { return announced_.size(); }
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -217,9 +217,7 @@
 void BackendPool::on_notice(const BackendIncarnation& backend, const BackendNotice& notice,
                             TimePoint now) {
   notice_counters_.invalid_fields += notice.invalid_fields;
-  if (notice.leaving && departures_.on_announced(backend)) {
-    notice_changes_.push_back({backend.id, true, std::nullopt});
-  }
+  if (notice.leaving) on_announced_leaving(backend);
   if (!notice.pushback) return;
   ++notice_counters_.pushbacks;
   if (pushbacks_.on_pushback(backend, *notice.pushback, now)) {
@@ -227,6 +225,15 @@
   }
 }
 
+void BackendPool::on_announced_leaving(const BackendIncarnation& backend) {
+  if (!departures_.on_announced(backend)) return;
+  notice_changes_.push_back({backend.id, true, std::nullopt});
+  Backend* known = find(backend.id);
+  if (known != nullptr && known->record.started_at_ms == backend.started_at_ms) {
+    known->record.draining = true;
+  }
+}
+
 std::vector<NoticeChange> BackendPool::take_notice_changes() {
   return std::exchange(notice_changes_, {});
 }
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -222,6 +222,7 @@
 
   Backend* find(const std::string& id);
   static void reset_for_new_incarnation(Backend& backend);
+  void on_announced_leaving(const BackendIncarnation& backend);
   bool usable(const Backend& backend, TimePoint now) const;
   /// Whether the back end belongs to the service and the request may run in its zone.
   bool serves(const Backend& backend, const BackendRequirements& requirements) const;
