Let all gateways know at once that a back end has announced its leaving

An announcement bound only the gateway that had relayed it. The drain time of a back end runs for all callers: the other gateways learned of it from the list, which the store could not give, and sent 30 requests later than 2 s after the announcement in a test of three gateways.

Agents read the announcement in the responses of their engines, report it at once like any change of availability, and have no credits to give for such an engine; a report binds while it is current, since it may be about an earlier process at the address. Gateways send the announcements of the last 10 s in their digests, at once when one is new; a receiver takes one for the named incarnation alone, and only of a back end that it knows.

Cost: about 40 bytes a leaving back end and digest for 10 s; nothing otherwise.

--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -61,7 +61,8 @@
   std::int64_t started_at_ms = 0;
   /// How many of `gateways` are in the zone that has the most of them.
   std::uint32_t largest_zone_gateways = 0;
-  RateLimit limit;  ///< As known to the agent.
+  RateLimit limit;       ///< As known to the agent.
+  bool leaving = false;  ///< The engine announces to its agent that it is leaving.
 };
 
 }  // namespace pumicemast
--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -30,7 +30,10 @@
   if (!subscribed(backend)) return false;
   if (record.weight_version == 0 || record.weight_version < requirements.lowest_version)
     return false;
-  return !has_fresh_report(backend, now) || (backend.report.alive && !backend.report.busy);
+  if (!has_fresh_report(backend, now)) return true;
+  // The report may still be about an earlier process at the address, so it binds only while it is
+  // current.
+  return backend.report.alive && !backend.report.busy && !backend.report.leaving;
 }
 
 double BackendPool::engine_wait_ms(Backend& backend, const EngineProfile& engine,
--- a/src/gateway/backends/backend_departures.cpp
+++ b/src/gateway/backends/backend_departures.cpp
@@ -8,6 +8,9 @@
 constexpr std::size_t kMaximumRemembered = 64;
 /// Bounds the memory that wrong responses can take.
 constexpr std::size_t kMaximumAnnounced = 1024;
+/// How long an announcement is sent to other gateways. Each sends on what is new to it, so that it
+/// reaches all of them through several digests.
+constexpr Duration kAdvertisedFor = seconds(10);
 
 }  // namespace
 
@@ -23,9 +26,9 @@
   order_.pop_front();
 }
 
-bool BackendDepartures::on_announced(const BackendIncarnation& backend) {
+bool BackendDepartures::on_announced(const BackendIncarnation& backend, TimePoint now) {
   if (announced(backend)) return false;
-  announced_.push_back(backend);
+  announced_.push_back({backend, now});
   if (announced_.size() > kMaximumAnnounced) announced_.pop_front();
   return true;
 }
@@ -37,7 +40,16 @@
 }
 
 bool BackendDepartures::announced(const BackendIncarnation& backend) const {
-  return std::find(announced_.begin(), announced_.end(), backend) != announced_.end();
+  return std::any_of(announced_.begin(), announced_.end(),
+                     [&](const Announcement& known) { return known.backend == backend; });
+}
+
+std::vector<BackendIncarnation> BackendDepartures::recently_announced(TimePoint now) const {
+  std::vector<BackendIncarnation> recent;
+  for (const Announcement& announcement : announced_) {
+    if (now - announcement.known_since < kAdvertisedFor) recent.push_back(announcement.backend);
+  }
+  return recent;
 }
 
 }  // namespace pumicemast
--- a/src/gateway/backends/backend_departures.h
+++ b/src/gateway/backends/backend_departures.h
@@ -8,7 +8,9 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
+#include "common/time.h"
 #include "fleet/backend_record.h"
 
 namespace pumicemast {
@@ -26,10 +28,13 @@
   /// The back end itself has said that it is leaving. This holds until the incarnation ends,
   /// whatever the list says: the list may be unreadable or older.
   /// @return whether that is new.
-  bool on_announced(const BackendIncarnation& backend);
+  bool on_announced(const BackendIncarnation& backend, TimePoint now);
   /// Whether the back end of this record is leaving or gone, whatever the record says.
   bool covers(const BackendRecord& record) const;
   bool announced(const BackendIncarnation& backend) const;
+  /// The back ends whose announcement became known here within the last seconds, the oldest first;
+  /// sent to other gateways.
+  std::vector<BackendIncarnation> recently_announced(TimePoint now) const;
   std::size_t announced_count() const { return announced_.size(); }
   /// The departures shown by the list, in the order in which they became known.
   const std::deque<BackendDeparture>& recent() const { return order_; }
@@ -37,7 +42,11 @@
  private:
   std::map<std::string, std::uint64_t> revisions_;  ///< By id.
   std::deque<BackendDeparture> order_;
-  std::deque<BackendIncarnation> announced_;  ///< Newest last.
+  struct Announcement {
+    BackendIncarnation backend;
+    TimePoint known_since{};
+  };
+  std::deque<Announcement> announced_;  ///< Newest last.
 };
 
 }  // namespace pumicemast
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -17,6 +17,18 @@
 
 }  // namespace
 
+const char* to_string(NoticeSource source) {
+  switch (source) {
+    case NoticeSource::response:
+      return "response";
+    case NoticeSource::agent:
+      return "agent";
+    case NoticeSource::gateway:
+      return "gateway";
+  }
+  return "unknown";
+}
+
 BackendPool::BackendPool(BackendPoolOptions options)
     : options_(std::move(options)),
       placement_(options_.regions_of_zones),
@@ -115,6 +127,10 @@
   Backend* backend = find(id->second);
   if (backend == nullptr) return std::nullopt;
   const bool ended = backend->has_report && has_process_ended(backend->report, report);
+  const bool was_leaving = has_fresh_report(*backend, now) && backend->report.leaving;
+  if (report.leaving && !was_leaving) {
+    notice_changes_.push_back({id->second, NoticeSource::agent, true, std::nullopt});
+  }
   backend->report = report;
   backend->reported_at = now;
   backend->has_report = true;
@@ -217,17 +233,24 @@
 void BackendPool::on_notice(const BackendIncarnation& backend, const BackendNotice& notice,
                             TimePoint now) {
   notice_counters_.invalid_fields += notice.invalid_fields;
-  if (notice.leaving) on_announced_leaving(backend);
+  if (notice.leaving) on_announced_leaving(backend, NoticeSource::response, now);
   if (!notice.pushback) return;
   ++notice_counters_.pushbacks;
   if (pushbacks_.on_pushback(backend, *notice.pushback, now)) {
-    notice_changes_.push_back({backend.id, false, notice.pushback});
+    notice_changes_.push_back({backend.id, NoticeSource::response, false, notice.pushback});
   }
 }
 
-void BackendPool::on_announced_leaving(const BackendIncarnation& backend) {
-  if (!departures_.on_announced(backend)) return;
-  notice_changes_.push_back({backend.id, true, std::nullopt});
+void BackendPool::on_announced_departure(const BackendIncarnation& backend, TimePoint now) {
+  // Digests repeat the announcement, in case the list names the back end later.
+  if (!find(backend.id) || incarnation_of(backend.id) != backend) return;
+  on_announced_leaving(backend, NoticeSource::gateway, now);
+}
+
+void BackendPool::on_announced_leaving(const BackendIncarnation& backend, NoticeSource source,
+                                       TimePoint now) {
+  if (!departures_.on_announced(backend, now)) return;
+  notice_changes_.push_back({backend.id, source, true, std::nullopt});
   Backend* known = find(backend.id);
   if (known != nullptr && known->record.started_at_ms == backend.started_at_ms) {
     known->record.draining = true;
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -65,9 +65,15 @@
   std::uint64_t sends_while_paused = 0;  ///< Requests sent within a pause.
 };
 
+/// How a gateway learned what a back end says about itself: in a response to this gateway, from the
+/// back end's agent, or from another gateway.
+enum class NoticeSource { response, agent, gateway };
+const char* to_string(NoticeSource source);
+
 /// A back end has announced its leaving, or has asked for a pause.
 struct NoticeChange {
   std::string backend;
+  NoticeSource source = NoticeSource::response;
   bool leaving = false;
   std::optional<Duration> pushback;
 };
@@ -140,6 +146,8 @@
   void on_refusal(const std::string& id, TimePoint now);
   /// Handles what a response of the back end says about the back end itself.
   void on_notice(const BackendIncarnation& backend, const BackendNotice& notice, TimePoint now);
+  /// Another gateway has received the announcement of this back end that it is leaving.
+  void on_announced_departure(const BackendIncarnation& backend, TimePoint now);
   /// Returns the changes by notices since the last call.
   std::vector<NoticeChange> take_notice_changes();
   const NoticeCounters& notice_counters() const { return notice_counters_; }
@@ -222,7 +230,7 @@
 
   Backend* find(const std::string& id);
   static void reset_for_new_incarnation(Backend& backend);
-  void on_announced_leaving(const BackendIncarnation& backend);
+  void on_announced_leaving(const BackendIncarnation& backend, NoticeSource source, TimePoint now);
   bool usable(const Backend& backend, TimePoint now) const;
   /// Whether the back end belongs to the service and the request may run in its zone.
   bool serves(const Backend& backend, const BackendRequirements& requirements) const;
--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -366,6 +366,7 @@
   report.largest_zone_gateways = message.largest_zone_gateways();
   report.started_at_ms = message.started_at_ms();
   report.limit = decode(message.limit(), loop_now());
+  report.leaving = message.leaving();
   if (message.leaves_in_ms() >= 0) report.leaves_in = milliseconds(message.leaves_in_ms());
   listener_.on_engine_report(*engine, report);
   if (message.echo() == 0) return;
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -6,8 +6,8 @@
 namespace pumicemast {
 namespace {
 
-/// Shortest time between two digests that are sent because limits changed.
-constexpr Duration kLimitGossipInterval = milliseconds(100);
+/// Shortest time between two digests that are sent because of what back ends said in responses.
+constexpr Duration kBackendGossipInterval = milliseconds(100);
 
 BackendPoolOptions pool_options(const GatewaySettings& settings) {
   BackendPoolOptions options;
@@ -277,15 +277,21 @@
 
 void FleetState::log_notice(const NoticeChange& change) {
   const std::string subject = "backend id=" + change.backend;
-  if (change.leaving) log_.log_line("notice", subject + " state=LEAVING source=response");
+  if (change.leaving) {
+    log_.log_line("notice", subject + " state=LEAVING source=" + to_string(change.source));
+  }
   if (!change.pushback) return;
-  log_.log_line("notice", subject + " state=PAUSED source=response pause_ms=" +
-                              std::to_string(to_milliseconds(*change.pushback)));
+  log_.log_line("notice", subject + " state=PAUSED source=" + to_string(change.source) +
+                              " pause_ms=" + std::to_string(to_milliseconds(*change.pushback)));
 }
 
 void FleetState::propagate_backend_changes() {
-  for (const NoticeChange& change : pool_.take_notice_changes()) log_notice(change);
   bool gossip_needed = false;
+  for (const NoticeChange& change : pool_.take_notice_changes()) {
+    log_notice(change);
+    // Agents report to all gateways themselves.
+    gossip_needed = gossip_needed || (change.leaving && change.source != NoticeSource::agent);
+  }
   for (const LimitChange& change : pool_.limits().take_changes()) {
     log_limit(change);
     pool_.permits().on_limit_changed(change.backend);
@@ -297,8 +303,8 @@
   }
   const TimePoint now = loop_now();
   // Changes that follow sooner are sent with the regular digests.
-  if (!gossip_needed || now - limits_advertised_at_ < kLimitGossipInterval) return;
-  limits_advertised_at_ = now;
+  if (!gossip_needed || now - backends_gossiped_at_ < kBackendGossipInterval) return;
+  backends_gossiped_at_ = now;
   links_.gossip_now();
 }
 
@@ -359,6 +365,9 @@
   for (const BackendDeparture& left : state.leaving) {
     pool_.on_leaving(left.id, left.revision);
   }
+  for (const BackendIncarnation& backend : state.announced_departures) {
+    pool_.on_announced_departure(backend, loop_now());
+  }
   for (const NamedWeights& weights : state.weights) {
     apply_named_weights(weights.model, weights.version, loop_now() - weights.age, weights.assumed);
   }
@@ -374,6 +383,7 @@
   GossipState state;
   state.configuration_version = routes_ ? routes_->version() : 0;
   state.leaving.assign(pool_.departures().recent().begin(), pool_.departures().recent().end());
+  state.announced_departures = pool_.departures().recently_announced(loop_now());
   state.weights = targets_.known_versions(loop_now());
   state.limits = limits_to_advertise();
   state.evacuations = pool_.placement().evacuations().snapshot();
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -46,7 +46,7 @@
   /// that has changed.
   void send_backlogs();
   /// Logs what responses of back ends have changed: their announcements and pauses, and their rate
-  /// limits, which are sent to the agents or gossiped.
+  /// limits. What other gateways need is sent to the agents or gossiped.
   void propagate_backend_changes();
   /// Requests the permits that are due. When no request waits, returns the unused ones.
   void exchange_permits(bool requests_wait);
@@ -140,7 +140,7 @@
   bool list_known_ = false;
   bool store_reachable_ = false;
   RetryShare retry_share_;
-  TimePoint limits_advertised_at_{};
+  TimePoint backends_gossiped_at_{};
 };
 
 }  // namespace pumicemast
--- a/src/gateway/peers/gateway_digest.cpp
+++ b/src/gateway/peers/gateway_digest.cpp
@@ -23,6 +23,17 @@
   }
 }
 
+void add_announced(wire::GatewayDigestT& message,
+                   const std::vector<BackendIncarnation>& announced) {
+  const std::size_t count = std::min(kMaximumLeavingBackends, announced.size());
+  for (std::size_t index = announced.size() - count; index < announced.size(); ++index) {
+    auto departure = std::make_unique<wire::AnnouncedDepartureT>();
+    departure->id = announced[index].id;
+    departure->started_at_ms = announced[index].started_at_ms;
+    message.announced_departures.push_back(std::move(departure));
+  }
+}
+
 void add_weights(wire::GatewayDigestT& message, const std::vector<NamedWeights>& namings) {
   for (const NamedWeights& weights : namings) {
     auto named = std::make_unique<wire::WeightsNamedT>();
@@ -53,6 +64,7 @@
   message.configuration_version = state.configuration_version;
   message.crash_verdicts = state.crash_verdicts;
   add_leaving(message, state.leaving);
+  add_announced(message, state.announced_departures);
   add_weights(message, state.weights);
   add_limits(message, state.limits, now);
   message.evacuation_revision = state.evacuations.revision;
@@ -69,6 +81,11 @@
       state.leaving.push_back({left->id()->str(), left->revision()});
     }
   }
+  if (digest.announced_departures() != nullptr) {
+    for (const auto* departure : *digest.announced_departures()) {
+      state.announced_departures.push_back({departure->id()->str(), departure->started_at_ms()});
+    }
+  }
   if (digest.weights() != nullptr) {
     for (const auto* named : *digest.weights()) {
       state.weights.push_back({named->model()->str(), named->version(),
--- a/src/gateway/peers/gateway_digest.h
+++ b/src/gateway/peers/gateway_digest.h
@@ -22,6 +22,7 @@
 struct GossipState {
   std::uint64_t configuration_version = 0;
   std::vector<BackendDeparture> leaving;
+  std::vector<BackendIncarnation> announced_departures;  ///< Those of the last seconds.
   std::vector<NamedWeights> weights;
   std::uint64_t crash_verdicts = 0;     ///< Digest of the requests in quarantine.
   std::vector<AdvertisedLimit> limits;  ///< Limits of back ends without agents.
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -313,6 +313,7 @@
     log_line("engine",
              std::string("engine state=") + (report.alive ? "LOST->ANSWERING" : "ANSWERING->LOST"));
   }
+  if (report.leaving && !load_.leaving) log_line("engine", "engine state=LEAVING source=response");
   // Permits are issued for one process of the engine. An engine that does not report its start time
   // is assumed to be the same process.
   const bool engine_restarted = load_.started_at_ms != 0 && report.started_at_ms != 0 &&
--- a/src/host/host_daemon_reports.cpp
+++ b/src/host/host_daemon_reports.cpp
@@ -109,6 +109,7 @@
   message.largest_zone_gateways = largest_zone_gateways();
   message.started_at_ms = report.started_at_ms;
   message.needs_description = origin_ == nullptr;
+  message.leaving = report.leaving;
   message.limit = pumicemast::encode(permits_.limit(), loop_now());
   if (report.leaves_in) {
     message.leaves_in_ms = static_cast<std::int32_t>(to_milliseconds(*report.leaves_in));
@@ -144,7 +145,8 @@
   }
   capacity_.occupied = report.running + report.queued;
   // Under a rate limit permits replace credits, also at gateways that do not know of the limit yet.
-  if (permits_.limited(loop_now()))
+  // A leaving engine has none to give.
+  if (report.leaving || permits_.limited(loop_now()))
     capacity_.occupied = std::max(capacity_.occupied, capacity_.slots);
   return credit_allocator_.allocate(capacity_, gateways);
 }
--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -73,6 +73,7 @@
 
 bool HttpFetcher::on_response_head(const ResponseHead& head) {
   result_.status = static_cast<int>(head.result_int());
+  result_.fields = head;
   on_progress();
   return true;
 }
--- a/src/http1/http_fetcher.h
+++ b/src/http1/http_fetcher.h
@@ -9,6 +9,7 @@
 #include "common/event_loop.h"
 #include "http1/client_connection.h"
 #include "http1/deferred_deleter.h"
+#include "http1/http_message.h"
 
 namespace pumicemast {
 
@@ -31,7 +32,8 @@
 };
 
 struct FetchResult {
-  int status = 0;  ///< 0: no complete response; the request may have been executed.
+  int status = 0;     ///< 0: no complete response; the request may have been executed.
+  HttpFields fields;  ///< Of the response's head.
   std::string body;
   bool timed_out = false;  ///< The timeout passed; the connection may have been lost long before.
   bool answered() const { return status != 0; }
--- a/tests/gateway/requests/backend_notice_test.cpp
+++ b/tests/gateway/requests/backend_notice_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "gateway/peers/gateway_digest.h"
 #include "support/gateway_harness.h"
 
 namespace pumicemast {
@@ -11,6 +12,9 @@
   CPPUNIT_TEST_SUITE(BackendNoticeTest);
   CPPUNIT_TEST(a_back_end_that_announces_its_leaving_gets_no_new_request);
   CPPUNIT_TEST(an_announced_leaving_outlasts_list_entries_that_say_ready);
+  CPPUNIT_TEST(other_gateways_get_an_announced_leaving_in_digests);
+  CPPUNIT_TEST(a_forwarded_announcement_binds_only_the_named_incarnation);
+  CPPUNIT_TEST(a_leaving_engine_known_from_its_agent_gets_nothing_while_the_report_is_current);
   CPPUNIT_TEST(an_announced_leaving_ends_with_its_incarnation);
   CPPUNIT_TEST(a_back_end_that_asks_for_a_pause_gets_no_request_until_its_end);
   CPPUNIT_TEST(a_retry_respects_a_pause);
@@ -84,6 +88,46 @@
     CPPUNIT_ASSERT(!recipients("/read/3").contains(left));
   }
 
+  void other_gateways_get_an_announced_leaving_in_digests() {
+    GossipState state;
+    const BackendIncarnation first{"e1", 7};
+    BackendDepartures departures;
+    CPPUNIT_ASSERT(departures.on_announced(first, harness.now));
+    CPPUNIT_ASSERT(!departures.on_announced(first, harness.now + seconds(1)));
+    state.announced_departures = departures.recently_announced(harness.now);
+    flatbuffers::FlatBufferBuilder builder;
+    const wire::GatewayDigestT message = encode(state, harness.now);
+    builder.Finish(wire::GatewayDigest::Pack(builder, &message));
+    const auto* digest = flatbuffers::GetRoot<wire::GatewayDigest>(builder.GetBufferPointer());
+    CPPUNIT_ASSERT(decode(*digest, harness.now).announced_departures ==
+                   std::vector<BackendIncarnation>{first});
+    // All gateways know it by then.
+    CPPUNIT_ASSERT(departures.recently_announced(harness.now + seconds(11)).empty());
+    CPPUNIT_ASSERT(departures.announced(first));
+  }
+
+  void a_forwarded_announcement_binds_only_the_named_incarnation() {
+    harness.pool.on_announced_departure({"p1", 5}, harness.now);
+    CPPUNIT_ASSERT(recipients("/read/1").contains("p1"));
+    harness.pool.on_announced_departure({"p1", 0}, harness.now);
+    CPPUNIT_ASSERT(!recipients("/read/2").contains("p1"));
+    harness.pool.on_announced_departure({"unknown", 0}, harness.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.pool.departures().announced_count());
+  }
+
+  void a_leaving_engine_known_from_its_agent_gets_nothing_while_the_report_is_current() {
+    harness.add_engines();
+    LoadReport report;
+    report.alive = report.leaving = true;
+    report.weight_version = 1;
+    report.credit = 4;
+    harness.pool.on_report({"127.0.0.1", 1}, report, harness.now);
+    CPPUNIT_ASSERT(!recipients("/chat/1").contains("e1"));
+    harness.report_load(1, 4, 1);  // Another process answers at the address.
+    harness.report_load(2, 0, 1);
+    CPPUNIT_ASSERT(recipients("/chat/2").contains("e1"));
+  }
+
   void an_announced_leaving_ends_with_its_incarnation() {
     const RequestNumber request = harness.send_request("/read/1");
     const std::string left = harness.sent_to();
