Keep the pauses that back ends ask for with 503 and Retry-After

Callers of three routes were refused at a fifth to a half for 8 s: 4 of 12 engines refused all requests and asked for 3 s without any, and got 12 to 17 more from one gateway within that time. A refusing engine is idle, has the lowest predicted wait and drew 118 of 142 requests in a second.

Cause: the pause in a refusal was read by nobody. The back end was left alone for 60 ms whatever it asked for.

The gateway that was refused now sends nothing there until the end of the pause: no first attempt, retry, resumption or permit request, for engines and plain services alike. After it one request per 100 ms is sent until one is accepted. The longest of several pauses applies; a response to a request from before the end does not end it; a new incarnation is not paused, and a lapsed list entry does not lose the pause.

Ruled out: requests that were under way, since half a second after the refusal they still came.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -26,6 +26,7 @@
   const BackendRecord& record = backend.record;
   if (record.draining || !serves(backend, requirements)) return false;
   if (now < backend.backoff_until || !usable(backend, now)) return false;
+  if (pushes_back(record, now)) return false;
   if (!requirements.service->engine) return true;
   if (!subscribed(backend)) return false;
   if (record.weight_version == 0 || record.weight_version < requirements.lowest_version)
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -175,6 +175,7 @@
   const BackendIncarnation incarnation{id, backend->record.started_at_ms};
   if (departures_.announced(incarnation)) ++notice_counters_.sends_to_leaving;
   if (pushbacks_.paused(incarnation, now)) ++notice_counters_.sends_while_paused;
+  pushbacks_.on_sent(incarnation, now);
   permits_.use(id, now);
   backend->pending_prompt_tokens += prompt_tokens;
   if (prompt_tokens > 0) changed_backlogs_.insert(id);
@@ -231,10 +232,13 @@
 }
 
 void BackendPool::on_notice(const BackendIncarnation& backend, const BackendNotice& notice,
-                            TimePoint now) {
+                            TimePoint sent_at, TimePoint now) {
   notice_counters_.invalid_fields += notice.invalid_fields;
   if (notice.leaving) on_announced_leaving(backend, NoticeSource::response, now);
-  if (!notice.pushback) return;
+  if (!notice.pushback) {
+    pushbacks_.on_accepted(backend, sent_at);
+    return;
+  }
   ++notice_counters_.pushbacks;
   if (pushbacks_.on_pushback(backend, *notice.pushback, now)) {
     notice_changes_.push_back({backend.id, NoticeSource::response, false, notice.pushback});
@@ -261,6 +265,10 @@
   return std::exchange(notice_changes_, {});
 }
 
+bool BackendPool::pushes_back(const BackendRecord& record, TimePoint now) const {
+  return !pushbacks_.admits({record.id, record.started_at_ms}, now);
+}
+
 bool BackendPool::leaving(const std::string& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() || found->second.record.draining || found->second.removed;
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -145,7 +145,9 @@
   /// The back end refused a request, for example as full: its load differs from what is known here.
   void on_refusal(const std::string& id, TimePoint now);
   /// Handles what a response of the back end says about the back end itself.
-  void on_notice(const BackendIncarnation& backend, const BackendNotice& notice, TimePoint now);
+  /// @param sent_at  when the request was sent.
+  void on_notice(const BackendIncarnation& backend, const BackendNotice& notice, TimePoint sent_at,
+                 TimePoint now);
   /// Another gateway has received the announcement of this back end that it is leaving.
   void on_announced_departure(const BackendIncarnation& backend, TimePoint now);
   /// Returns the changes by notices since the last call.
@@ -237,6 +239,8 @@
   bool subscribed(const Backend& backend) const;
   bool has_fresh_report(const Backend& backend, TimePoint now) const;
   bool path_delayed(const Backend& backend, TimePoint now) const;
+  /// Whether the back end has asked this gateway for a pause, or is being tried out after one.
+  bool pushes_back(const BackendRecord& record, TimePoint now) const;
   bool is_eligible(const Backend& backend, const BackendRequirements& requirements,
                    TimePoint now) const;
   /// How long, in milliseconds, a response would still run after the engine's scheduled time to
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -231,7 +231,7 @@
   session.last_progress = now;
   pool_.limits().on_response(session.backend, response.rate_limit, response.success,
                              session.sent_at, now);
-  pool_.on_notice(session.backend_incarnation, response.notice, now);
+  pool_.on_notice(session.backend_incarnation, response.notice, session.sent_at, now);
   session.streaming =
       event_stream && response.success && session.route->kind == RequestKind::stream;
 }
--- a/tests/gateway/requests/backend_notice_test.cpp
+++ b/tests/gateway/requests/backend_notice_test.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(a_back_end_that_asks_for_a_pause_gets_no_request_until_its_end);
   CPPUNIT_TEST(a_retry_respects_a_pause);
   CPPUNIT_TEST(an_earlier_pause_does_not_shorten_a_later_one);
+  CPPUNIT_TEST(after_a_pause_single_requests_are_sent_until_one_is_accepted);
+  CPPUNIT_TEST(a_late_response_does_not_end_a_pause);
   CPPUNIT_TEST(a_restarted_back_end_is_not_paused);
   CPPUNIT_TEST(a_pause_outlasts_a_lapsed_list_entry);
   CPPUNIT_TEST_SUITE_END();
@@ -173,6 +175,45 @@
     CPPUNIT_ASSERT(!recipients("/read/2").contains(paused));
   }
 
+  /// Number of requests that reach `backend` when twenty are sent at once.
+  int count_sent_to(const std::string& backend, RequestNumber* last = nullptr) {
+    int count = 0;
+    for (int sent = 0; sent < 20; ++sent) {
+      const RequestNumber request = harness.send_request("/write/1");
+      if (harness.sent_to() != backend) continue;
+      ++count;
+      if (last != nullptr) *last = request;
+    }
+    return count;
+  }
+
+  void after_a_pause_single_requests_are_sent_until_one_is_accepted() {
+    const std::string paused = refuse_with_pause("/write/1", seconds(3));
+    harness.now += milliseconds(3001);
+    RequestNumber trial = 0;
+    CPPUNIT_ASSERT_EQUAL(1, count_sent_to(paused, &trial));
+    harness.receive_head(trial, 503, true, false, pause(seconds(1)));
+    harness.complete_response(trial);
+    CPPUNIT_ASSERT_EQUAL(0, count_sent_to(paused));
+    harness.now += milliseconds(1001);
+    CPPUNIT_ASSERT_EQUAL(1, count_sent_to(paused, &trial));
+    harness.receive_head(trial, 200);
+    CPPUNIT_ASSERT(count_sent_to(paused) > 1);
+  }
+
+  void a_late_response_does_not_end_a_pause() {
+    const RequestNumber earlier = harness.send_request("/write/1");
+    const std::string backend = harness.sent_to();
+    RequestNumber refused = harness.send_request("/write/2");
+    while (harness.sent_to() != backend) refused = harness.send_request("/write/2");
+    harness.receive_head(refused, 503, true, false, pause(seconds(3)));
+    harness.complete_response(refused);
+    harness.now += seconds(1);
+    harness.receive_head(earlier, 200);
+    harness.complete_response(earlier);
+    CPPUNIT_ASSERT_EQUAL(0, count_sent_to(backend));
+  }
+
   void a_restarted_back_end_is_not_paused() {
     const std::string paused = refuse_with_pause("/write/1", seconds(30));
     BackendRecord restarted = *harness.pool.record_of(paused);
