Refuse at once while all back ends of a request pause, and say when the first returns

A request for which all back ends had asked for a pause waited its share of the latency goal, and its caller was told to return at a random time of up to 2 s, before the first pause ended: sent away twice.

Cause: the pauses ended requests one by one; nothing asked for the first moment at which one could be served. The pool now says when the first of the back ends that could run the request takes requests again. One that cannot be served within its wait is refused at once with reason backends_paused; the caller is told that moment plus a random part of the usual time, so that callers do not return together. The estimate of returning callers takes into account that callers wait for at most a third of their remaining time.

/backends at the metrics address lists why a back end gets no requests.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -21,22 +21,38 @@
 
 }  // namespace
 
-bool BackendPool::is_eligible(const Backend& backend, const BackendRequirements& requirements,
-                              TimePoint now) const {
+bool BackendPool::is_in_service(const Backend& backend, const BackendRequirements& requirements,
+                                TimePoint now) const {
   const BackendRecord& record = backend.record;
-  if (record.draining || !serves(backend, requirements)) return false;
-  if (now < backend.backoff_until || !usable(backend, now)) return false;
-  if (pushes_back(record, now)) return false;
+  if (record.draining || !serves(backend, requirements) || !usable(backend, now)) return false;
   if (!requirements.service->engine) return true;
   if (!subscribed(backend)) return false;
-  if (record.weight_version == 0 || record.weight_version < requirements.lowest_version)
-    return false;
+  return record.weight_version != 0 && record.weight_version >= requirements.lowest_version;
+}
+
+bool BackendPool::is_eligible(const Backend& backend, const BackendRequirements& requirements,
+                              TimePoint now) const {
+  if (!is_in_service(backend, requirements, now)) return false;
+  if (now < backend.backoff_until || pushes_back(backend.record, now)) return false;
+  if (!requirements.service->engine) return true;
   if (!has_fresh_report(backend, now)) return true;
   // The report may still be about an earlier process at the address, so it binds only while it is
   // current.
   return backend.report.alive && !backend.report.busy && !backend.report.leaving;
 }
 
+std::optional<TimePoint> BackendPool::pause_ends_at(const BackendRequirements& requirements,
+                                                    TimePoint now) const {
+  std::optional<TimePoint> first;
+  for (const auto& [id, backend] : backends_) {
+    if (!is_in_service(backend, requirements, now)) continue;
+    const TimePoint admits_from = pushbacks_.admits_from({id, backend.record.started_at_ms});
+    if (admits_from <= now) return std::nullopt;
+    first = std::min(admits_from, first.value_or(admits_from));
+  }
+  return first;
+}
+
 double BackendPool::engine_wait_ms(Backend& backend, const EngineProfile& engine,
                                    const BackendRequirements& requirements, TimePoint now) const {
   const bool report_is_fresh = has_fresh_report(backend, now);
--- a/src/gateway/backends/backend_departures.cpp
+++ b/src/gateway/backends/backend_departures.cpp
@@ -40,8 +40,15 @@
 }
 
 bool BackendDepartures::announced(const BackendIncarnation& backend) const {
-  return std::any_of(announced_.begin(), announced_.end(),
-                     [&](const Announcement& known) { return known.backend == backend; });
+  return announced_at(backend).has_value();
+}
+
+std::optional<TimePoint> BackendDepartures::announced_at(const BackendIncarnation& backend) const {
+  const auto found =
+      std::find_if(announced_.begin(), announced_.end(),
+                   [&](const Announcement& known) { return known.backend == backend; });
+  if (found == announced_.end()) return std::nullopt;
+  return found->known_since;
 }
 
 std::vector<BackendIncarnation> BackendDepartures::recently_announced(TimePoint now) const {
--- a/src/gateway/backends/backend_departures.h
+++ b/src/gateway/backends/backend_departures.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   /// Whether the back end of this record is leaving or gone, whatever the record says.
   bool covers(const BackendRecord& record) const;
   bool announced(const BackendIncarnation& backend) const;
+  /// When the announcement became known here; empty if there is none.
+  std::optional<TimePoint> announced_at(const BackendIncarnation& backend) const;
   /// The back ends whose announcement became known here within the last seconds, the oldest first;
   /// sent to other gateways.
   std::vector<BackendIncarnation> recently_announced(TimePoint now) const;
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -286,11 +286,7 @@
 
 bool BackendPool::has_weights(const BackendRequirements& requirements, TimePoint now) const {
   return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
-    const Backend& backend = entry.second;
-    const BackendRecord& record = backend.record;
-    return serves(backend, requirements) && !record.draining && subscribed(backend) &&
-           usable(backend, now) && record.weight_version != 0 &&
-           record.weight_version >= requirements.lowest_version;
+    return is_in_service(entry.second, requirements, now);
   });
 }
 
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -200,6 +200,10 @@
   bool has_limited_backend(const BackendRequirements& requirements) const;
   /// Whether a back end in service where the request may run is cold.
   bool has_cold_backend(const BackendRequirements& requirements, TimePoint now) const;
+  /// When the first back end where the request may run takes requests again, if all of them have
+  /// asked this gateway for a pause; empty otherwise.
+  std::optional<TimePoint> pause_ends_at(const BackendRequirements& requirements,
+                                         TimePoint now) const;
   /// Sets what the back ends of each service bear while they are cold.
   void set_cold_starts(std::map<std::string, ColdStartProfile> by_service);
   /// The limit of a back end that is cold; empty when it is not.
@@ -241,6 +245,9 @@
   bool path_delayed(const Backend& backend, TimePoint now) const;
   /// Whether the back end has asked this gateway for a pause, or is being tried out after one.
   bool pushes_back(const BackendRecord& record, TimePoint now) const;
+  /// Whether the back end could run the request at any load.
+  bool is_in_service(const Backend& backend, const BackendRequirements& requirements,
+                     TimePoint now) const;
   bool is_eligible(const Backend& backend, const BackendRequirements& requirements,
                    TimePoint now) const;
   /// How long, in milliseconds, a response would still run after the engine's scheduled time to
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "gateway/status_pages.h"
 
 namespace pumicemast {
 namespace {
@@ -445,17 +446,12 @@
     metrics_.update(fleet_.pool().notice_counters());
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
-  if (path == "/quarantine") return {kStatusOk, "text/plain", quarantine_page()};
-  return {kStatusNotFound, "text/plain", "not found"};
-}
-
-std::string GatewayDaemon::quarantine_page() {
-  std::string page;
-  for (const QuarantinedRequest& entry : fleet_.quarantine().list(loop_now())) {
-    page += "fingerprint=" + to_string(entry.request) + " ends=" + std::to_string(entry.crashes) +
-            " held_for_s=" + std::to_string(to_milliseconds(entry.held_for) / 1000) + "\n";
+  const TimePoint now = loop_now();
+  if (path == "/quarantine") {
+    return {kStatusOk, "text/plain", quarantine_page(fleet_.quarantine(), now)};
   }
-  return page;
+  if (path == "/backends") return {kStatusOk, "text/plain", backends_page(fleet_.pool(), now)};
+  return {kStatusNotFound, "text/plain", "not found"};
 }
 
 }  // namespace pumicemast
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -97,8 +97,6 @@
   /// Whether any connected caller has not yet sent a complete request.
   bool awaits_any_request() const;
   StatusResponse status(const std::string& path);
-  /// Lists the requests in quarantine, one per line.
-  std::string quarantine_page();
 
   GatewaySettings settings_;
   const StateChart& chart_;
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -57,6 +57,7 @@
   stopping,
   quarantined,         ///< Back ends have crashed while running it.
   region_not_allowed,  ///< No back end is in a region where it may run.
+  backends_paused,     ///< All back ends that could run it have asked for a pause.
   zone_evacuated,      ///< All back ends where it may run are in evacuated zones.
 };
 const char* to_string(RefusalReason reason);
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -90,6 +90,7 @@
     return;
   }
   if (dispatch(number, session, now, actions)) return;
+  if (refuse_while_paused(number, session, now, actions)) return;
   session.waiting = true;
   waiting_.insert(rank_of(number, session));
 }
@@ -98,11 +99,25 @@
                                              const RequestRefusal& refusal, TimePoint now,
                                              ForwarderActions& actions) {
   const bool retryable = refusal.status == kStatusUnavailable;
-  const Duration retry_after =
-      retryable ? planner_.random_retry_after(session, now) : Duration::zero();
+  const Duration retry_after = retryable ? choose_retry_after(session, now) : Duration::zero();
   refuse(number, session, refusal.status, refusal.reason, retry_after, now, actions);
 }
 
+bool RequestForwarder::refuse_while_paused(RequestNumber number, RequestSession& session,
+                                           TimePoint now, ForwarderActions& actions) {
+  const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
+  if (!resumes_at || *resumes_at < session.wait_until) return false;
+  refuse_before_sending(number, session, {kStatusUnavailable, RefusalReason::backends_paused}, now,
+                        actions);
+  return true;
+}
+
+Duration RequestForwarder::choose_retry_after(const RequestSession& session, TimePoint now) {
+  if (session.service == nullptr) return planner_.random_retry_after(session, now);
+  const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
+  return planner_.random_retry_after(session, now, resumes_at);
+}
+
 std::optional<RefusalReason> RequestForwarder::placement_refusal(
     const BackendRequirements& requirements) const {
   switch (pool_.placement_of(requirements)) {
@@ -383,9 +398,8 @@
     refuse(number, session, status, reason, {}, now, actions);
     return;
   }
-  const Duration retry_after = reason == RefusalReason::quarantined
-                                   ? Duration::zero()
-                                   : planner_.random_retry_after(session, now);
+  const Duration retry_after =
+      reason == RefusalReason::quarantined ? Duration::zero() : choose_retry_after(session, now);
   refuse(number, session, kStatusUnavailable, reason, retry_after, now, actions);
 }
 
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -120,6 +120,12 @@
   void refuse_before_sending(RequestNumber number, RequestSession& session,
                              const RequestRefusal& refusal, TimePoint now,
                              ForwarderActions& actions);
+  /// Refuses a request at once if the pauses of all back ends that could run it end after its wait.
+  /// @return whether it was refused.
+  bool refuse_while_paused(RequestNumber number, RequestSession& session, TimePoint now,
+                           ForwarderActions& actions);
+  /// The time after which a refused caller is told to return.
+  Duration choose_retry_after(const RequestSession& session, TimePoint now);
   /// Whether a returning caller's request has to leave the remaining capacity to other requests:
   /// they can still be answered in time, it hardly can.
   /// Why no back end may run the request, if all of them are outside the zones that its placement
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -94,6 +94,7 @@
   if (session.last_reason != RefusalReason::no_backend) return session.last_reason;
   const BackendRequirements requirements = planner_.backend_requirements(session, now);
   if (const auto excluded = placement_refusal(requirements)) return *excluded;
+  if (pool_.pause_ends_at(requirements, now)) return RefusalReason::backends_paused;
   if (pool_.has_limited_backend(requirements)) return RefusalReason::rate_limited;
   if (pool_.has_cold_backend(requirements, now)) return RefusalReason::backend_cold;
   if (!session.service->engine) return RefusalReason::no_backend;
--- a/src/gateway/requests/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -10,6 +10,8 @@
 /// A caller that has already waited for this fraction of the latency goal, at this or other
 /// gateways, can hardly be answered within the goal.
 constexpr double kReturningFraction = 0.5;
+/// Callers wait for at most this fraction of their remaining time, whatever they are told.
+constexpr double kLongestWaitOfCallers = 1.0 / 3;
 
 Duration scaled(Duration duration, double fraction) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * fraction));
@@ -74,18 +76,24 @@
                                         TimePoint now) {
   const Duration stated = session.request.time_left;
   if (session.service == nullptr || stated <= Duration::zero()) return;
-  const TimePoint returns_at = now + retry_after;
+  const Duration left = stated - (now - session.arrived);
+  const TimePoint returns_at = now + std::min(retry_after, scaled(left, kLongestWaitOfCallers));
   retry_estimator_.on_retry_advised(caller_group(session), stated - (returns_at - session.arrived),
                                     returns_at - session.first_arrival);
 }
 
-Duration RequestPlanner::random_retry_after(const RequestSession& session, TimePoint now) {
+Duration RequestPlanner::random_retry_after(const RequestSession& session, TimePoint now,
+                                            std::optional<TimePoint> earliest) {
   constexpr Duration kMinimumUsefulTime = milliseconds(300);
   const Duration left = session.route == nullptr ? kDefaultTimeLeft : session.deadline - now;
   if (left < kMinimumUsefulTime) return Duration::zero();
-  std::uniform_real_distribution<double> upper_half(0.5, 1.0);
   const Duration longest =
       std::min(options_.max_retry_after, scaled(left, options_.retry_after_fraction));
+  if (earliest && *earliest > now) {
+    std::uniform_real_distribution<double> spread(0, 1);
+    return *earliest - now + scaled(longest, spread(random_));
+  }
+  std::uniform_real_distribution<double> upper_half(0.5, 1.0);
   return scaled(longest, upper_half(random_));
 }
 
--- a/src/gateway/requests/request_planner.h
+++ b/src/gateway/requests/request_planner.h
@@ -3,6 +3,7 @@
 /// A decision core: no I/O.
 #pragma once
 
+#include <optional>
 #include <random>
 
 #include "admission/retry_estimator.h"
@@ -23,7 +24,9 @@
   /// Longest predicted time to the first token at which the request is still sent.
   double admission_limit_ms(const RequestSession& session, TimePoint now) const;
   /// Random Retry-After time for a refused caller; zero when too little time is left for a retry.
-  Duration random_retry_after(const RequestSession& session, TimePoint now);
+  /// @param earliest  before this time a retry would be refused again.
+  Duration random_retry_after(const RequestSession& session, TimePoint now,
+                              std::optional<TimePoint> earliest = std::nullopt);
   /// Records the Retry-After time sent to the caller, to recognize the request when it returns.
   void record_retry_after(const RequestSession& session, Duration retry_after, TimePoint now);
 
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -32,6 +32,8 @@
       return "backend_cold";
     case RefusalReason::region_not_allowed:
       return "region_not_allowed";
+    case RefusalReason::backends_paused:
+      return "backends_paused";
     case RefusalReason::zone_evacuated:
       return "zone_evacuated";
   }
--- a/tests/gateway/requests/backend_notice_test.cpp
+++ b/tests/gateway/requests/backend_notice_test.cpp
@@ -21,6 +21,9 @@
   CPPUNIT_TEST(an_earlier_pause_does_not_shorten_a_later_one);
   CPPUNIT_TEST(after_a_pause_single_requests_are_sent_until_one_is_accepted);
   CPPUNIT_TEST(a_late_response_does_not_end_a_pause);
+  CPPUNIT_TEST(while_all_back_ends_pause_callers_are_refused_at_once_and_told_when_to_return);
+  CPPUNIT_TEST(a_request_waits_for_a_pause_that_ends_in_time);
+  CPPUNIT_TEST(callers_that_return_after_a_pause_are_spread_out);
   CPPUNIT_TEST(a_restarted_back_end_is_not_paused);
   CPPUNIT_TEST(a_pause_outlasts_a_lapsed_list_entry);
   CPPUNIT_TEST_SUITE_END();
@@ -214,6 +217,43 @@
     CPPUNIT_ASSERT_EQUAL(0, count_sent_to(backend));
   }
 
+  void while_all_back_ends_pause_callers_are_refused_at_once_and_told_when_to_return() {
+    refuse_with_pause("/write/1", seconds(2));
+    refuse_with_pause("/write/2", milliseconds(1200));
+    harness.now += milliseconds(100);
+    harness.send_request("/read/1");
+    const auto* refusal = harness.first_action<SendRefusal>();
+    CPPUNIT_ASSERT(refusal != nullptr);
+    CPPUNIT_ASSERT(refusal->reason == RefusalReason::backends_paused);
+    CPPUNIT_ASSERT(refusal->retry_after >= milliseconds(1100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.waiting());
+  }
+
+  void a_request_waits_for_a_pause_that_ends_in_time() {
+    refuse_with_pause("/write/1", seconds(2));
+    const std::string first_back = refuse_with_pause("/write/2", milliseconds(40));
+    harness.now += milliseconds(10);
+    harness.send_request("/read/1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.forwarder.waiting());
+    harness.advance(milliseconds(51));
+    CPPUNIT_ASSERT_EQUAL(first_back, harness.sent_to());
+  }
+
+  void callers_that_return_after_a_pause_are_spread_out() {
+    refuse_with_pause("/write/1", seconds(1));
+    refuse_with_pause("/write/2", seconds(1));
+    Duration shortest = seconds(9);
+    Duration longest = Duration::zero();
+    for (int count = 0; count < 50; ++count) {
+      harness.send_request("/read/1");
+      const Duration retry_after = harness.first_action<SendRefusal>()->retry_after;
+      shortest = std::min(shortest, retry_after);
+      longest = std::max(longest, retry_after);
+    }
+    CPPUNIT_ASSERT(shortest >= seconds(1));
+    CPPUNIT_ASSERT(longest - shortest > seconds(1));
+  }
+
   void a_restarted_back_end_is_not_paused() {
     const std::string paused = refuse_with_pause("/write/1", seconds(30));
     BackendRecord restarted = *harness.pool.record_of(paused);
