--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -39,9 +39,9 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
-void BackendPool::on_record(const BackendRecord& record) {
+bool BackendPool::on_record(const BackendRecord& record) {
   Backend& backend = backends_[record.id];
-  if (record.revision < backend.record.revision) return;
+  if (record.revision < backend.record.revision) return false;
   // The list's revision decides which entry is newer. The start time can't: a clock that was set
   // back makes a later start look earlier.
   if (record.started_at_ms != backend.record.started_at_ms) {
@@ -58,6 +58,7 @@
   backend.removed = false;
   if (record.draining) departures_.on_listed(record.id, record.revision);
   ids_by_address_[record.address] = record.id;
+  return true;
 }
 
 void BackendPool::reset_for_new_incarnation(Backend& backend) {
@@ -68,17 +69,18 @@
   backend.in_flight = in_flight;
 }
 
-void BackendPool::on_removed(const std::string& id, std::uint64_t revision, TimePoint now) {
+bool BackendPool::on_removed(const std::string& id, std::uint64_t revision, TimePoint now) {
   Backend* backend = find(id);
-  if (backend == nullptr || backend->removed) return;
+  if (backend == nullptr || backend->removed) return false;
   // A late report: a newer entry with the same id is known.
-  if (revision != 0 && revision < backend->record.revision) return;
+  if (revision != 0 && revision < backend->record.revision) return false;
   const bool may_have_expired =
       !list_reachable_ || now < list_reachable_since_ + options_.outage_expiry_window;
   const TimePoint reachable_since = list_reachable_ ? list_reachable_since_ : now;
   backend->removed = true;
   backend->usable_until = may_have_expired ? reachable_since + options_.outage_expiry_grace : now;
   if (!may_have_expired) departures_.on_listed(id, std::max(revision, backend->record.revision));
+  return true;
 }
 
 void BackendPool::sweep(TimePoint now) {
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -110,11 +110,13 @@
 
   /// Adds or updates a back end. One that left comes back only with a newer entry. An entry with
   /// another start time is a restart under the same id, and discards everything known before.
-  void on_record(const BackendRecord& record);
+  /// @return false if a newer entry is known, and this one is ignored.
+  bool on_record(const BackendRecord& record);
   /// Handles the removal of a list entry. The back end is leaving, unless entries may have expired
   /// because they could not be renewed during an outage of the list. In that case, a back end that
   /// its agent reports as alive stays in use until the grace period ends.
-  void on_removed(const std::string& id, std::uint64_t revision, TimePoint now);
+  /// @return false if it is ignored: a newer entry is known, or the removal itself.
+  bool on_removed(const std::string& id, std::uint64_t revision, TimePoint now);
   /// Another gateway reports the back end as draining or removed: it gets no new requests, unless a
   /// newer entry is known.
   void on_leaving(const std::string& id, std::uint64_t revision);
--- a/src/gateway/peers/fleet_state_backends.cpp
+++ b/src/gateway/peers/fleet_state_backends.cpp
@@ -13,16 +13,18 @@
 
 void FleetState::apply_backend(const BackendRecord& record) {
   const bool was_leaving = pool_.leaving(record.id);
-  pool_.on_record(record);
-  if (was_leaving == record.draining) return;
+  const bool applied = pool_.on_record(record);
+  if (applied && was_leaving == record.draining) return;
+  const char* state = record.draining ? "DRAINING" : "READY";
   log_.log_line("backend", "backend id=" + record.id + " service=" + record.service +
                                " address=" + record.address.to_string() +
-                               (record.draining ? " state=DRAINING" : " state=READY"));
+                               " state=" + (applied ? state : "IGNORED reason=older_entry"));
 }
 
 void FleetState::apply_backend_removal(const std::string& id, std::uint64_t revision) {
-  pool_.on_removed(id, revision, loop_now());
-  log_.log_line("backend", "backend id=" + id + " state=GONE");
+  const bool applied = pool_.on_removed(id, revision, loop_now());
+  log_.log_line("backend", "backend id=" + id +
+                               (applied ? " state=GONE" : " state=IGNORED reason=older_removal"));
 }
 
 void FleetState::on_backend_list(const std::vector<BackendRecord>& records,
