--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 import ctypes
 import hashlib
 import json
@@ -103,6 +104,7 @@
 
     def __init__(self):
         super().__init__()
+        self.era = 1  # Rises each time the store comes back from an older copy.
         self.revision = 0
         self.objects = {}
         self.change_log = []
@@ -136,6 +138,25 @@
         self.change_log.append((self.revision, kind, {"object": item, "gone": True}))
         self.changed.set()
 
+    def copy(self):
+        """A copy from which the store may be restored later."""
+        return copy.deepcopy((self.revision, self.objects, self.change_log))
+
+    def restore(self, older_copy, keeps_watches=False):
+        """Comes back from a copy: what was written since is lost, revisions are given out again.
+
+        Watches from a revision that the copy does not have get 410, unless they wait already and
+        `keeps_watches`.
+        """
+        self.era += 1
+        self.revision, self.objects, self.change_log = copy.deepcopy(older_copy)
+        if not keeps_watches:
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    def respond(self, writer, status, body=b""):
+        send_response(writer, status, body, {"Store-Era": self.era})
+
     def silence_kind(self, kind):
         """Silences the open connections whose latest call was for this kind."""
         self.silence([w for w in self.writers if self.kind_by_connection.get(w) == kind])
@@ -145,10 +166,10 @@
         self.called_kinds.append(kind_called)
         self.kind_by_connection[writer] = kind_called
         if self.down:
-            send_response(writer, 503)
+            self.respond(writer, 503)
             return
         if kind_called in self.refused_kinds:
-            send_response(writer, 403)
+            self.respond(writer, 403)
             return
         if self.mute:
             await self.never_set.wait()
@@ -159,7 +180,7 @@
             await asyncio.sleep(0.02)
         kind = self.objects.get(parts[0], {})
         if method in ("POST", "PUT"):
-            send_response(writer, *self.write(method, parts, json.loads(body)))
+            self.respond(writer, *self.write(method, parts, json.loads(body)))
         elif len(parts) == 2:
             item = kind.get(parts[1])
             self.sent_kinds.append(parts[0])
@@ -191,6 +212,9 @@
 
     async def watch(self, writer, kind, since, wait_ms):
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
+        if since > self.revision:
+            self.respond(writer, 410)
+            return
         while True:
             if writer in self.silenced:
                 await asyncio.Event().wait()
@@ -212,10 +236,11 @@
         """Sends a response, at the rate in `bytes_per_s` if the kind has one."""
         rate = self.bytes_per_s.get(kind)
         if rate is None:
-            send_response(writer, status, content)
+            self.respond(writer, status, content)
             return
         body = json.dumps(content).encode()
-        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode())
+        writer.write((f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+                      f"Content-Length: {len(body)}\r\n\r\n").encode())
         step = int(rate * 0.05)
         for begin in range(0, len(body), step):
             if self.remaining_stalls > 0 and 2 * begin > len(body) > 50_000:
