Order the store's states by era and revision, so that a restored copy is not taken for old

Requests reached three engines until their end, up to 3.5 s after the store had acknowledged that they were leaving (bound 3.0 s). Callers saw nothing.

Cause: the store had come back from an older copy; its revisions went back and were given out again. All processes ordered what they knew by the revision alone: the pool ignored entries and removals with a number below the known one, the other gateways of a zone ignored the relayed changes (the reader itself still named its old revision as their base), and digests were compared in the same way. Only the readers logged the change, and ignored it.

A StoreRevision is now an era and a number, and a state of a later era is newer whatever its number. It travels wherever a revision does: entries, list changes, requests for the list, digests, subscriptions of agents, evacuations.

What the copy contradicts: a departure that was known in the era before holds for its incarnation if its entry said draining, and for 10 s if the entry was removed; evacuated zones stay so for 10 s. Operators and back ends write again what the copy lacks, and entries of back ends that have ended lapse. Configurations and named weights are ordered by their own versions and never went back.

Ruled out: lost relays and cut-off readers (six readers logged the changes within 0.3 s), links (all zones alike).

--- a/src/fleet/backend_list.h
+++ b/src/fleet/backend_list.h
@@ -6,10 +6,10 @@
 #pragma once
 
 #include <algorithm>
-#include <cstdint>
 #include <vector>
 
 #include "fleet/backend_record.h"
+#include "fleet/store_revision.h"
 
 namespace pumicemast {
 
@@ -20,8 +20,8 @@
 
 /// The difference between the list of one revision and that of a later one.
 struct BackendChanges {
-  std::uint64_t base = 0;
-  std::uint64_t revision = 0;
+  StoreRevision base;
+  StoreRevision revision;
   bool complete = false;  ///< The entries are the complete list and replace what was known.
   std::vector<BackendChange> entries;
 };
@@ -38,7 +38,7 @@
   };
 
   /// The complete list was read from the store.
-  void on_read(std::uint64_t revision) { revision_ = std::max(revision_, revision); }
+  void on_read(const StoreRevision& revision) { revision_ = std::max(revision_, revision); }
   /// When the result is `apply`, the changes count as known from now on.
   Step on_changes(const BackendChanges& changes) {
     if (changes.revision <= revision_) return Step::ignore;
@@ -47,11 +47,11 @@
     return Step::apply;
   }
   /// Whether a list of `revision`, which another process has, is newer than the one known here.
-  bool is_behind(std::uint64_t revision) const { return revision > revision_; }
-  std::uint64_t revision() const { return revision_; }
+  bool is_behind(const StoreRevision& revision) const { return revision > revision_; }
+  const StoreRevision& revision() const { return revision_; }
 
  private:
-  std::uint64_t revision_ = 0;
+  StoreRevision revision_;
 };
 
 }  // namespace pumicemast
--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -9,6 +9,7 @@
 #include "common/settings.h"
 #include "common/time.h"
 #include "fleet/rate_limit.h"
+#include "fleet/store_revision.h"
 
 namespace pumicemast {
 
@@ -32,7 +33,7 @@
   std::uint32_t slots = 1;
   bool draining = false;
   /// Revision of the list entry; a higher one is newer.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   /// Weight version of which all layers are held and served; 0 for none, or for a plain service.
   std::uint64_t weight_version = 0;
   /// When its start-up phase ends, during which it bears fewer requests; in the past when it is
--- a/src/fleet/feeds.h
+++ b/src/fleet/feeds.h
@@ -23,11 +23,11 @@
   /// The complete list of back ends.
   /// @param revision  revision of the list.
   virtual void on_backend_list(const std::vector<BackendRecord>& records,
-                               std::uint64_t revision) = 0;
+                               const StoreRevision& revision) = 0;
   virtual void on_backend(const BackendRecord& record) = 0;
-  virtual void on_backend_removed(const std::string& id, std::uint64_t revision) = 0;
+  virtual void on_backend_removed(const std::string& id, const StoreRevision& revision) = 0;
   /// The back ends reported so far make up the list of this revision.
-  virtual void on_backends_current(std::uint64_t revision) = 0;
+  virtual void on_backends_current(const StoreRevision& revision) = 0;
   /// Operators have named the weight version that a model is to serve.
   /// @param maximum_age  the version was named at most this long ago; zero when the change was seen
   /// as it happened.
@@ -48,9 +48,9 @@
   virtual void start(FleetListener& listener) = 0;
   /// The platform's store is not read until resume(): other processes relay its contents.
   virtual void pause() = 0;
-  /// @param list_revision  revision of the list of back ends that other processes have relayed; 0
-  /// for none.
-  virtual void resume(std::uint64_t list_revision) = 0;
+  /// @param list_revision  revision of the list of back ends that other processes have relayed, if
+  /// known.
+  virtual void resume(const StoreRevision& list_revision) = 0;
   /// The contact registry, for the zone of this process.
   virtual ContactRegistry& contacts() = 0;
   /// Parses a document that another process relayed; empty when it is not valid.
--- a/src/gateway/backends/backend_departures.cpp
+++ b/src/gateway/backends/backend_departures.cpp
@@ -14,16 +14,25 @@
 
 }  // namespace
 
-void BackendDepartures::on_listed(const std::string& id, std::uint64_t revision) {
-  const auto [known, inserted] = revisions_.emplace(id, revision);
-  if (!inserted) {
-    known->second = std::max(known->second, revision);
+void BackendDepartures::on_listed(const BackendDeparture& departure) {
+  const auto [known, inserted] = listed_.emplace(departure.backend.id, departure);
+  if (inserted) {
+    order_.push_back(departure.backend.id);
+    if (order_.size() <= kMaximumRemembered) return;
+    listed_.erase(order_.front());
+    order_.pop_front();
     return;
   }
-  order_.push_back({id, revision});
-  if (order_.size() <= kMaximumRemembered) return;
-  revisions_.erase(order_.front().id);
-  order_.pop_front();
+  if (departure.revision < known->second.revision) return;
+  const bool was_draining = known->second.draining && known->second.backend == departure.backend;
+  known->second = departure;
+  known->second.draining = departure.draining || was_draining;
+}
+
+void BackendDepartures::on_list_revision(const StoreRevision& revision, TimePoint now) {
+  if (revision.era <= era_) return;
+  era_ = revision.era;
+  era_since_ = now;
 }
 
 bool BackendDepartures::on_announced(const BackendIncarnation& backend, TimePoint now) {
@@ -33,10 +42,23 @@
   return true;
 }
 
-bool BackendDepartures::covers(const BackendRecord& record) const {
+bool BackendDepartures::covers(const BackendRecord& record, TimePoint now) const {
   if (announced({record.id, record.started_at_ms})) return true;
-  const auto departure = revisions_.find(record.id);
-  return departure != revisions_.end() && departure->second >= record.revision;
+  const auto found = listed_.find(record.id);
+  if (found == listed_.end()) return false;
+  const BackendDeparture& departure = found->second;
+  if (departure.revision >= record.revision) return true;
+  // A later entry shows that it came back, but not if the store was restored from a copy that is
+  // older than the departure.
+  if (departure.revision.era == record.revision.era) return false;
+  if (departure.backend.started_at_ms != record.started_at_ms) return false;
+  return departure.draining || now < era_since_ + kRestoreSettlingTime;
+}
+
+std::vector<BackendDeparture> BackendDepartures::recent() const {
+  std::vector<BackendDeparture> departures;
+  for (const std::string& id : order_) departures.push_back(listed_.at(id));
+  return departures;
 }
 
 bool BackendDepartures::announced(const BackendIncarnation& backend) const {
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -39,7 +39,8 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
-bool BackendPool::on_record(const BackendRecord& record) {
+bool BackendPool::on_record(const BackendRecord& record, TimePoint now) {
+  departures_.on_list_revision(record.revision, now);
   Backend& backend = backends_[record.id];
   if (record.revision < backend.record.revision) return false;
   // The list's revision decides which entry is newer. The start time can't: a clock that was set
@@ -54,13 +55,20 @@
       backend.has_report ? backend.record.weight_version : record.weight_version;
   backend.record = record;
   backend.record.weight_version = version;
-  backend.record.draining = record.draining || departures_.covers(record);
+  backend.listed_as_draining = record.draining;
   backend.removed = false;
-  if (record.draining) departures_.on_listed(record.id, record.revision);
+  if (record.draining) {
+    departures_.on_listed({{record.id, record.started_at_ms}, record.revision, true});
+  }
+  update_draining(backend, now);
   ids_by_address_[record.address] = record.id;
   return true;
 }
 
+void BackendPool::update_draining(Backend& backend, TimePoint now) {
+  backend.record.draining = backend.listed_as_draining || departures_.covers(backend.record, now);
+}
+
 void BackendPool::reset_for_new_incarnation(Backend& backend) {
   // This gateway's requests to the earlier incarnation still end one by one, as when a connection
   // is lost.
@@ -69,22 +77,27 @@
   backend.in_flight = in_flight;
 }
 
-bool BackendPool::on_removed(const std::string& id, std::uint64_t revision, TimePoint now) {
+bool BackendPool::on_removed(const std::string& id, const StoreRevision& revision, TimePoint now) {
   Backend* backend = find(id);
   if (backend == nullptr || backend->removed) return false;
   // A late report: a newer entry with the same id is known.
-  if (revision != 0 && revision < backend->record.revision) return false;
+  if (revision.known() && revision < backend->record.revision) return false;
   const bool may_have_expired =
       !list_reachable_ || now < list_reachable_since_ + options_.outage_expiry_window;
   const TimePoint reachable_since = list_reachable_ ? list_reachable_since_ : now;
   backend->removed = true;
   backend->usable_until = may_have_expired ? reachable_since + options_.outage_expiry_grace : now;
-  if (!may_have_expired) departures_.on_listed(id, std::max(revision, backend->record.revision));
+  if (!may_have_expired) {
+    const BackendRecord& record = backend->record;
+    departures_.on_listed({{id, record.started_at_ms}, std::max(revision, record.revision)});
+  }
   return true;
 }
 
 void BackendPool::sweep(TimePoint now) {
   pushbacks_.sweep(now);
+  // A departure from before a restore of the store may hold no longer.
+  for (auto& [id, backend] : backends_) update_draining(backend, now);
   std::erase_if(backends_, [&](const auto& entry) {
     const Backend& backend = entry.second;
     if (!backend.removed || now < backend.usable_until || backend.in_flight > 0) return false;
@@ -98,11 +111,9 @@
   });
 }
 
-void BackendPool::on_leaving(const std::string& id, std::uint64_t revision) {
-  Backend* backend = find(id);
-  if (backend != nullptr && backend->record.revision > revision) return;
-  departures_.on_listed(id, revision);
-  if (backend != nullptr) backend->record.draining = true;
+void BackendPool::on_departure(const BackendDeparture& departure, TimePoint now) {
+  departures_.on_listed(departure);
+  if (Backend* backend = find(departure.backend.id)) update_draining(*backend, now);
 }
 
 void BackendPool::on_list_reachable(bool reachable, TimePoint now) {
@@ -110,8 +121,9 @@
   list_reachable_ = reachable;
 }
 
-void BackendPool::on_list(const std::vector<BackendRecord>& records, std::uint64_t revision,
+void BackendPool::on_list(const std::vector<BackendRecord>& records, const StoreRevision& revision,
                           TimePoint now) {
+  departures_.on_list_revision(revision, now);
   std::set<std::string> named;
   for (const BackendRecord& record : records) named.insert(record.id);
   std::vector<std::string> missing;
@@ -119,7 +131,7 @@
     if (!named.contains(id)) missing.push_back(id);
   }
   for (const std::string& id : missing) on_removed(id, revision, now);
-  for (const BackendRecord& record : records) on_record(record);
+  for (const BackendRecord& record : records) on_record(record, now);
 }
 
 std::optional<std::string> BackendPool::on_report(const Address& address, const LoadReport& report,
@@ -258,9 +270,7 @@
   if (!departures_.on_announced(backend, now)) return;
   notice_changes_.push_back({backend.id, source, true, std::nullopt});
   Backend* known = find(backend.id);
-  if (known != nullptr && known->record.started_at_ms == backend.started_at_ms) {
-    known->record.draining = true;
-  }
+  if (known != nullptr) update_draining(*known, now);
 }
 
 std::vector<NoticeChange> BackendPool::take_notice_changes() {
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -111,17 +111,18 @@
   /// Adds or updates a back end. One that left comes back only with a newer entry. An entry with
   /// another start time is a restart under the same id, and discards everything known before.
   /// @return false if a newer entry is known, and this one is ignored.
-  bool on_record(const BackendRecord& record);
+  bool on_record(const BackendRecord& record, TimePoint now);
   /// Handles the removal of a list entry. The back end is leaving, unless entries may have expired
   /// because they could not be renewed during an outage of the list. In that case, a back end that
   /// its agent reports as alive stays in use until the grace period ends.
   /// @return false if it is ignored: a newer entry is known, or the removal itself.
-  bool on_removed(const std::string& id, std::uint64_t revision, TimePoint now);
+  bool on_removed(const std::string& id, const StoreRevision& revision, TimePoint now);
   /// Another gateway reports the back end as draining or removed: it gets no new requests, unless a
   /// newer entry is known.
-  void on_leaving(const std::string& id, std::uint64_t revision);
+  void on_departure(const BackendDeparture& departure, TimePoint now);
   /// Handles the complete list: a back end without an entry counts as removed.
-  void on_list(const std::vector<BackendRecord>& records, std::uint64_t revision, TimePoint now);
+  void on_list(const std::vector<BackendRecord>& records, const StoreRevision& revision,
+               TimePoint now);
   void set_gateway_count(std::size_t count) { options_.gateway_count = static_cast<double>(count); }
   /// The list became readable or unreadable.
   void on_list_reachable(bool reachable, TimePoint now);
@@ -221,7 +222,8 @@
 
  private:
   struct Backend {
-    BackendRecord record;
+    BackendRecord record;  ///< `draining` also when the departure is known from elsewhere.
+    bool listed_as_draining = false;
     LoadReport report;
     TimePoint reported_at{};
     bool has_report = false;
@@ -238,6 +240,7 @@
 
   Backend* find(const std::string& id);
   static void reset_for_new_incarnation(Backend& backend);
+  void update_draining(Backend& backend, TimePoint now);
   void on_announced_leaving(const BackendIncarnation& backend, NoticeSource source, TimePoint now);
   bool usable(const Backend& backend, TimePoint now) const;
   /// Whether the back end belongs to the service and the request may run in its zone.
--- a/src/gateway/peers/backend_list_holders.cpp
+++ b/src/gateway/peers/backend_list_holders.cpp
@@ -6,7 +6,7 @@
 
 namespace pumicemast {
 
-std::optional<PeerId> BackendListHolders::next(std::uint64_t known) {
+std::optional<PeerId> BackendListHolders::next(const StoreRevision& known) {
   using Rank = std::pair<std::uint32_t, std::uint64_t>;
   std::optional<std::pair<Rank, PeerId>> best;
   for (const auto& [gateway, holder] : holders_) {
--- a/src/gateway/peers/backend_list_holders.h
+++ b/src/gateway/peers/backend_list_holders.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 
+#include "fleet/store_revision.h"
 #include "swarm/swarm_membership.h"
 
 namespace pumicemast {
@@ -19,16 +20,16 @@
   explicit BackendListHolders(PeerId self) : self_(self) {}
 
   /// `gateway`, which is in the own zone, advertises the revision of its list.
-  void on_revision_advertised(PeerId gateway, std::uint64_t revision) {
+  void on_revision_advertised(PeerId gateway, const StoreRevision& revision) {
     holders_[gateway].revision = revision;
   }
   /// The least often asked holder of a list newer than revision `known`, if any; the call counts it
   /// as asked.
-  std::optional<PeerId> next(std::uint64_t known);
+  std::optional<PeerId> next(const StoreRevision& known);
 
  private:
   struct Holder {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::uint32_t asked = 0;
   };
 
--- a/src/gateway/peers/backend_list_relay.cpp
+++ b/src/gateway/peers/backend_list_relay.cpp
@@ -10,12 +10,12 @@
 
 }  // namespace
 
-void BackendListRelay::on_list_read(std::uint64_t revision) {
+void BackendListRelay::on_list_read(const StoreRevision& revision) {
   changes_.clear();
   follower_.on_read(revision);
 }
 
-void BackendListRelay::on_removed(const std::string& id, std::uint64_t revision) {
+void BackendListRelay::on_removed(const std::string& id, const StoreRevision& revision) {
   BackendChange change;
   change.record.id = id;
   change.record.revision = revision;
@@ -23,7 +23,7 @@
   changes_.push_back(std::move(change));
 }
 
-std::optional<BackendChanges> BackendListRelay::on_current(std::uint64_t revision) {
+std::optional<BackendChanges> BackendListRelay::on_current(const StoreRevision& revision) {
   if (changes_.empty()) return std::nullopt;
   BackendChanges changes{follower_.revision(), revision, false, std::move(changes_)};
   changes_.clear();
@@ -31,7 +31,7 @@
   return changes;
 }
 
-bool BackendListRelay::should_ask(std::uint64_t revision, TimePoint now) {
+bool BackendListRelay::should_ask(const StoreRevision& revision, TimePoint now) {
   if (!follower_.is_behind(revision) || now < next_request_at_) return false;
   next_request_at_ = now + kRequestInterval;
   return true;
--- a/src/gateway/peers/backend_list_relay.h
+++ b/src/gateway/peers/backend_list_relay.h
@@ -15,12 +15,12 @@
 class BackendListRelay {
  public:
   // Read from the store by this gateway.
-  void on_list_read(std::uint64_t revision);
+  void on_list_read(const StoreRevision& revision);
   void on_record(const BackendRecord& record) { changes_.push_back({record, false}); }
-  void on_removed(const std::string& id, std::uint64_t revision);
+  void on_removed(const std::string& id, const StoreRevision& revision);
   /// All changes up to `revision` have been read.
   /// @return the changes since the last call, to be relayed; empty when there are none.
-  std::optional<BackendChanges> on_current(std::uint64_t revision);
+  std::optional<BackendChanges> on_current(const StoreRevision& revision);
 
   // Received from other gateways.
   BackendListFollower::Step on_changes(const BackendChanges& changes) {
@@ -28,10 +28,10 @@
   }
   /// Another gateway advertises that its list has `revision`.
   /// @return whether to request the whole list now.
-  bool should_ask(std::uint64_t revision, TimePoint now);
+  bool should_ask(const StoreRevision& revision, TimePoint now);
 
   /// Revision of the list as known here; 0 for none.
-  std::uint64_t revision() const { return follower_.revision(); }
+  const StoreRevision& revision() const { return follower_.revision(); }
 
  private:
   BackendListFollower follower_;
--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -101,10 +101,10 @@
   send_digest(peer_id(gateway));
 }
 
-void FleetLinks::bootstrap_gateway(PeerId newcomer, std::uint64_t newcomer_list_revision) {
+void FleetLinks::bootstrap_gateway(PeerId newcomer, const StoreRevision& newcomer_list_revision) {
   const bool first_time = bootstrapped_.insert(newcomer).second;
   // A restarted gateway has no list. Two gateways without a list do not answer each other.
-  const bool started_again = newcomer_list_revision == 0 && list_revision_ > 0;
+  const bool started_again = !newcomer_list_revision.known() && list_revision_.known();
   if (!first_time && !started_again) return;
   wire::GatewayListT message;
   for (const auto& [peer, gateway] : gateways_) {
@@ -154,12 +154,13 @@
 
 void FleetLinks::request_backend_list(PeerId gateway) {
   wire::BackendListRequestT request;
-  request.known_revision = list_revision_;
+  request.known_revision = list_revision_.number;
+  request.known_era = list_revision_.era;
   links_.send(gateway, request);
 }
 
-std::uint64_t FleetLinks::revision_as_reader() const {
-  return reads_store_ && store_reachable_ ? list_revision_ : 0;
+StoreRevision FleetLinks::revision_as_reader() const {
+  return reads_store_ && store_reachable_ ? list_revision_ : StoreRevision{};
 }
 
 void FleetLinks::on_agent_lost(PeerId peer) {
@@ -185,7 +186,9 @@
   message.zone = zone_;
   message.demand = static_cast<float>(demand_);
   message.ping = static_cast<std::uint64_t>(loop_now().time_since_epoch().count());
-  message.list_revision = revision_as_reader();
+  const StoreRevision revision = revision_as_reader();
+  message.list_revision = revision.number;
+  message.list_era = revision.era;
   links_.send(peer, message);
 }
 
@@ -292,12 +295,13 @@
   message.zone = zone_;
   message.reads_store = reads_store_ && store_reachable_;
   // Every gateway that has the list may be asked for it, not only store readers.
-  message.list_revision = list_revision_;
+  message.list_revision = list_revision_.number;
+  message.list_era = list_revision_.era;
   links_.send(peer, message);
 }
 
 void FleetLinks::on_list_request(PeerId peer, const wire::BackendListRequest& request) {
-  if (list_revision_ <= request.known_revision()) return;
+  if (list_revision_ <= StoreRevision{request.known_era(), request.known_revision()}) return;
   if (links_.queued_bytes() > kListQueueLimitBytes) return;
   const ListScope scope = is_agent(peer) ? ListScope::engines : ListScope::all;
   links_.send(peer, encode(listener_.own_backend_list(scope), loop_now()));
@@ -389,12 +393,13 @@
 void FleetLinks::on_digest(PeerId peer, const wire::GatewayDigest& digest) {
   add_gateway(digest.address()->str(), text_of(digest.zone()));
   if (same_zone(peer)) {
-    bootstrap_gateway(peer, digest.list_revision());
+    const StoreRevision list_revision{digest.list_era(), digest.list_revision()};
+    bootstrap_gateway(peer, list_revision);
     listener_.on_reader_status(peer, digest.reads_store());
     // Changes arrive from the store readers. Other gateways are asked for the list only while none
     // is known here.
-    if (digest.reads_store() || list_revision_ == 0) {
-      listener_.on_list_revision_advertised(peer, digest.list_revision());
+    if (digest.reads_store() || !list_revision_.known()) {
+      listener_.on_list_revision_advertised(peer, list_revision);
     }
   }
   const GossipState state = decode(digest, loop_now());
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -47,7 +47,7 @@
   /// A gateway of the zone relays the changes that it read, or sends its whole list.
   virtual void on_backend_changes(PeerId gateway, const BackendChanges& changes) = 0;
   /// A gateway of the zone advertises the revision of its list of back ends.
-  virtual void on_list_revision_advertised(PeerId gateway, std::uint64_t revision) = 0;
+  virtual void on_list_revision_advertised(PeerId gateway, const StoreRevision& revision) = 0;
   /// The list of back ends as known here, and its revision.
   virtual BackendChanges own_backend_list(ListScope scope) = 0;
   virtual GossipState own_gossip_state() = 0;
@@ -70,7 +70,7 @@
   /// its host, at the port of the own address.
   void set_engines(const std::vector<EngineLocation>& engines);
   /// Sets the revision of the list of back ends as known here.
-  void set_list_revision(std::uint64_t revision) { list_revision_ = revision; }
+  void set_list_revision(const StoreRevision& revision) { list_revision_ = revision; }
   /// Relays changes that this gateway read from the store to the gateways and agents of the zone.
   void relay_changes(const BackendChanges& to_gateways, const BackendChanges& to_agents);
   void request_backend_list(PeerId gateway);
@@ -135,8 +135,8 @@
   /// arrived.
   void resend_weights(PeerId agent);
   void subscribe(PeerId peer);
-  /// Revision of the list while this gateway reads it from the store; otherwise 0.
-  std::uint64_t revision_as_reader() const;
+  /// Revision of the list while this gateway reads it from the store; otherwise unknown.
+  StoreRevision revision_as_reader() const;
   void send_description(PeerId agent, const Address& engine);
   void send_digest(PeerId peer);
   std::vector<PeerId> ring_successors() const;
@@ -150,7 +150,7 @@
   bool add_gateway(const std::string& address, const std::string& zone);
   /// Sends the known gateways of the zone and a digest to a gateway of the zone that has just
   /// started, which knows no other gateways.
-  void bootstrap_gateway(PeerId newcomer, std::uint64_t newcomer_list_revision);
+  void bootstrap_gateway(PeerId newcomer, const StoreRevision& newcomer_list_revision);
 
   Address own_address_;
   std::string zone_;
@@ -169,7 +169,7 @@
   VerdictPull verdict_pull_;
   bool reads_store_ = false;
   bool store_reachable_ = false;
-  std::uint64_t list_revision_ = 0;
+  StoreRevision list_revision_;
   std::minstd_rand random_;
   Timer timer_;
 };
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -103,6 +103,7 @@
 
 void FleetState::sweep(TimePoint now) {
   pool_.sweep(now);
+  if (pool_.placement().evacuations().sweep(now)) log_evacuations("settled");
   quarantine_.sweep(now);
   permits_.sweep(now);
   if (retry_share_.reported_gateways(now) > 0)
@@ -187,24 +188,24 @@
 }
 
 void FleetState::apply_evacuations(const EvacuationSnapshot& snapshot, const char* source) {
-  if (!pool_.placement().evacuations().apply(snapshot)) return;
+  if (!pool_.placement().evacuations().apply(snapshot, loop_now())) return;
   log_evacuations(source);
   links_.gossip_now();
 }
 
 void FleetState::log_evacuations(const char* source) {
   const PlacementRules& placement = pool_.placement();
-  const EvacuationSnapshot& snapshot = placement.evacuations().snapshot();
+  const std::set<std::string> zones = placement.evacuations().zones();
   std::string names;
-  for (const std::string& zone : snapshot.zones) {
+  for (const std::string& zone : zones) {
     names += (names.empty() ? "" : ",") + zone;
     if (!placement.knows_zone(zone)) report_locality_finding("evacuated_zone", zone);
   }
   if (placement.all_zones_evacuated()) report_locality_finding("all_zones_evacuated", names);
   log_.log_line("evacuations", "evacuations zones=" + (names.empty() ? "-" : names) + " revision=" +
-                                   std::to_string(snapshot.revision) + " source=" + source);
-  metrics_.gauge("pumicemast_gateway_evacuated_zones", {},
-                 static_cast<double>(snapshot.zones.size()));
+                                   to_string(placement.evacuations().snapshot().revision) +
+                                   " source=" + source);
+  metrics_.gauge("pumicemast_gateway_evacuated_zones", {}, static_cast<double>(zones.size()));
 }
 
 void FleetState::report_unknown_regions(const FleetConfiguration& configuration) {
@@ -363,7 +364,7 @@
 
 void FleetState::on_gossip_state(const GossipState& state) {
   for (const BackendDeparture& left : state.leaving) {
-    pool_.on_leaving(left.id, left.revision);
+    pool_.on_departure(left, loop_now());
   }
   for (const BackendIncarnation& backend : state.announced_departures) {
     pool_.on_announced_departure(backend, loop_now());
@@ -382,7 +383,7 @@
 GossipState FleetState::own_gossip_state() {
   GossipState state;
   state.configuration_version = routes_ ? routes_->version() : 0;
-  state.leaving.assign(pool_.departures().recent().begin(), pool_.departures().recent().end());
+  state.leaving = pool_.departures().recent();
   state.announced_departures = pool_.departures().recently_announced(loop_now());
   state.weights = targets_.known_versions(loop_now());
   state.limits = limits_to_advertise();
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -71,10 +71,11 @@
  private:
   // FleetListener
   void on_configuration(FleetConfiguration configuration, const std::string& document) override;
-  void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
+  void on_backend_list(const std::vector<BackendRecord>& records,
+                       const StoreRevision& revision) override;
   void on_backend(const BackendRecord& record) override;
-  void on_backend_removed(const std::string& id, std::uint64_t revision) override;
-  void on_backends_current(std::uint64_t revision) override;
+  void on_backend_removed(const std::string& id, const StoreRevision& revision) override;
+  void on_backends_current(const StoreRevision& revision) override;
   void on_weights_named(const std::string& model, std::uint64_t version, Duration oldest) override;
   void on_evacuations(const EvacuationSnapshot& snapshot) override;
   void on_list_reachable(bool reachable) override;
@@ -88,7 +89,7 @@
   void on_fetched_configuration(const FetchedConfiguration& fetched) override;
   void on_reader_status(PeerId gateway, bool reads) override;
   void on_backend_changes(PeerId gateway, const BackendChanges& changes) override;
-  void on_list_revision_advertised(PeerId gateway, std::uint64_t revision) override;
+  void on_list_revision_advertised(PeerId gateway, const StoreRevision& revision) override;
   BackendChanges own_backend_list(ListScope scope) override;
   GossipState own_gossip_state() override;
   void on_crash_update(const CrashUpdate& update) override;
@@ -110,8 +111,8 @@
   void apply_configuration(FleetConfiguration configuration, const std::string& document,
                            const char* source, const std::string& from);
   void apply_backend(const BackendRecord& record);
-  void apply_backend_removal(const std::string& id, std::uint64_t revision);
-  void apply_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision);
+  void apply_backend_removal(const std::string& id, const StoreRevision& revision);
+  void apply_backend_list(const std::vector<BackendRecord>& records, const StoreRevision& revision);
   /// Chooses again, from the current list, the engines that this gateway subscribes to and sends
   /// requests to.
   void update_engines();
--- a/src/gateway/peers/fleet_state_backends.cpp
+++ b/src/gateway/peers/fleet_state_backends.cpp
@@ -5,15 +5,15 @@
 namespace pumicemast {
 
 void FleetState::apply_backend_list(const std::vector<BackendRecord>& records,
-                                    std::uint64_t revision) {
+                                    const StoreRevision& revision) {
   pool_.on_list(records, revision, loop_now());
   log_.log_line("backend_list", "backends event=list count=" + std::to_string(records.size()) +
-                                    " revision=" + std::to_string(revision));
+                                    " revision=" + to_string(revision));
 }
 
 void FleetState::apply_backend(const BackendRecord& record) {
   const bool was_leaving = pool_.leaving(record.id);
-  const bool applied = pool_.on_record(record);
+  const bool applied = pool_.on_record(record, loop_now());
   if (applied && was_leaving == record.draining) return;
   const char* state = record.draining ? "DRAINING" : "READY";
   log_.log_line("backend", "backend id=" + record.id + " service=" + record.service +
@@ -21,14 +21,14 @@
                                " state=" + (applied ? state : "IGNORED reason=older_entry"));
 }
 
-void FleetState::apply_backend_removal(const std::string& id, std::uint64_t revision) {
+void FleetState::apply_backend_removal(const std::string& id, const StoreRevision& revision) {
   const bool applied = pool_.on_removed(id, revision, loop_now());
   log_.log_line("backend", "backend id=" + id +
                                (applied ? " state=GONE" : " state=IGNORED reason=older_removal"));
 }
 
 void FleetState::on_backend_list(const std::vector<BackendRecord>& records,
-                                 std::uint64_t revision) {
+                                 const StoreRevision& revision) {
   apply_backend_list(records, revision);
   list_relay_.on_list_read(revision);
 }
@@ -38,12 +38,12 @@
   list_relay_.on_record(record);
 }
 
-void FleetState::on_backend_removed(const std::string& id, std::uint64_t revision) {
+void FleetState::on_backend_removed(const std::string& id, const StoreRevision& revision) {
   apply_backend_removal(id, revision);
   list_relay_.on_removed(id, revision);
 }
 
-void FleetState::on_backends_current(std::uint64_t revision) {
+void FleetState::on_backends_current(const StoreRevision& revision) {
   const auto changes = list_relay_.on_current(revision);
   links_.set_list_revision(list_relay_.revision());
   update_engines();
@@ -87,7 +87,7 @@
   links_.send_digest_to_zone();  // Other gateways may be waiting for the list.
 }
 
-void FleetState::on_list_revision_advertised(PeerId gateway, std::uint64_t revision) {
+void FleetState::on_list_revision_advertised(PeerId gateway, const StoreRevision& revision) {
   backend_list_holders_.on_revision_advertised(gateway, revision);
   if (!list_relay_.should_ask(revision, loop_now())) return;
   if (const auto holder = backend_list_holders_.next(list_relay_.revision())) {
--- a/src/gateway/peers/gateway_digest.cpp
+++ b/src/gateway/peers/gateway_digest.cpp
@@ -17,8 +17,11 @@
   const std::size_t count = std::min(kMaximumLeavingBackends, leaving.size());
   for (std::size_t index = leaving.size() - count; index < leaving.size(); ++index) {
     auto left = std::make_unique<wire::LeavingBackendT>();
-    left->id = leaving[index].id;
-    left->revision = leaving[index].revision;
+    left->id = leaving[index].backend.id;
+    left->started_at_ms = leaving[index].backend.started_at_ms;
+    left->revision = leaving[index].revision.number;
+    left->era = leaving[index].revision.era;
+    left->draining = leaving[index].draining;
     message.leaving.push_back(std::move(left));
   }
 }
@@ -67,7 +70,8 @@
   add_announced(message, state.announced_departures);
   add_weights(message, state.weights);
   add_limits(message, state.limits, now);
-  message.evacuation_revision = state.evacuations.revision;
+  message.evacuation_revision = state.evacuations.revision.number;
+  message.evacuation_era = state.evacuations.revision.era;
   message.evacuated_zones.assign(state.evacuations.zones.begin(), state.evacuations.zones.end());
   return message;
 }
@@ -78,7 +82,9 @@
   state.crash_verdicts = digest.crash_verdicts();
   if (digest.leaving() != nullptr) {
     for (const auto* left : *digest.leaving()) {
-      state.leaving.push_back({left->id()->str(), left->revision()});
+      state.leaving.push_back({{left->id()->str(), left->started_at_ms()},
+                               {left->era(), left->revision()},
+                               left->draining()});
     }
   }
   if (digest.announced_departures() != nullptr) {
@@ -98,7 +104,7 @@
           {{entry->id()->str(), entry->started_at_ms()}, decode(entry->limit(), now)});
     }
   }
-  state.evacuations.revision = digest.evacuation_revision();
+  state.evacuations.revision = {digest.evacuation_era(), digest.evacuation_revision()};
   if (digest.evacuated_zones() != nullptr) {
     for (const auto* zone : *digest.evacuated_zones()) state.evacuations.zones.insert(zone->str());
   }
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -90,7 +90,7 @@
   virtual void on_engine_profile(const ServiceProfile& service, const OriginProfile& origin) = 0;
   /// The full list of back ends at `revision`.
   virtual void on_backend_list(const std::vector<BackendRecord>& records,
-                               std::uint64_t revision) = 0;
+                               const StoreRevision& revision) = 0;
   virtual void on_weights_named(const std::string& model, std::uint64_t version) = 0;
 };
 
--- a/src/host/engine_list.cpp
+++ b/src/host/engine_list.cpp
@@ -16,7 +16,8 @@
   for (const BackendRecord& record : records) records_[record.id] = record;
 }
 
-void EngineList::on_list_read(const std::vector<BackendRecord>& records, std::uint64_t revision) {
+void EngineList::on_list_read(const std::vector<BackendRecord>& records,
+                              const StoreRevision& revision) {
   // The answer of the store may be seconds old.
   if (follower_.revision() > revision) return;
   follower_.on_read(revision);
@@ -37,7 +38,7 @@
   return step;
 }
 
-bool EngineList::on_reader_status(std::uint64_t revision, TimePoint now) {
+bool EngineList::on_reader_status(const StoreRevision& revision, TimePoint now) {
   reader_seen_at_ = now;
   if (!follower_.is_behind(revision) || now < next_request_at_) return false;
   next_request_at_ = now + kListRequestInterval;
--- a/src/host/engine_list.h
+++ b/src/host/engine_list.h
@@ -18,16 +18,16 @@
 class EngineList {
  public:
   /// The full list was read from the store.
-  void on_list_read(const std::vector<BackendRecord>& records, std::uint64_t revision);
+  void on_list_read(const std::vector<BackendRecord>& records, const StoreRevision& revision);
   /// A gateway relays changes of the list.
   BackendListFollower::Step on_changes(const BackendChanges& changes);
   /// A gateway of the zone reads the list and has it at `revision`.
   /// @return whether to request the full list now.
-  bool on_reader_status(std::uint64_t revision, TimePoint now);
+  bool on_reader_status(const StoreRevision& revision, TimePoint now);
   /// Whether gateways relay changes of the list.
   bool relayed_by_gateways(TimePoint now) const;
 
-  std::uint64_t revision() const { return follower_.revision(); }
+  const StoreRevision& revision() const { return follower_.revision(); }
   std::vector<BackendRecord> records() const;
 
  private:
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -149,15 +149,16 @@
 }
 
 void HostDaemon::on_backend_list(const std::vector<BackendRecord>& records,
-                                 std::uint64_t revision) {
+                                 const StoreRevision& revision) {
   engine_list_.on_list_read(records, revision);
   update_peers();
 }
 
-void HostDaemon::on_reader_status(PeerId gateway, std::uint64_t list_revision) {
+void HostDaemon::on_reader_status(PeerId gateway, const StoreRevision& list_revision) {
   if (!engine_list_.on_reader_status(list_revision, loop_now())) return;
   wire::BackendListRequestT request;
-  request.known_revision = engine_list_.revision();
+  request.known_revision = engine_list_.revision().number;
+  request.known_era = engine_list_.revision().era;
   // At first all agents of the zone request the list at once; any gateway of the zone may have it.
   links_.send(request.known_revision == 0 ? next_zone_gateway(gateway) : gateway, request);
 }
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -60,7 +60,8 @@
                                                    ReportAudience audience);
 
   void on_engine_profile(const ServiceProfile& service, const OriginProfile& origin) override;
-  void on_backend_list(const std::vector<BackendRecord>& records, std::uint64_t revision) override;
+  void on_backend_list(const std::vector<BackendRecord>& records,
+                       const StoreRevision& revision) override;
   void on_weights_named(const std::string& model, std::uint64_t version) override;
 
   void on_frame(PeerId peer, const wire::Frame& frame);
@@ -86,7 +87,7 @@
   /// Sends the gateways of the zone the list of all subscribed gateways.
   void send_gateway_lists();
   void send_gateway_list(PeerId peer, const std::set<PeerId>& gateways);
-  void on_reader_status(PeerId gateway, std::uint64_t list_revision);
+  void on_reader_status(PeerId gateway, const StoreRevision& list_revision);
   void on_backend_changes(PeerId gateway, const BackendChanges& changes);
   void on_peers_timeout();
   /// Uses the agents of the listed engines of the service as peers.
--- a/src/host/host_daemon_reports.cpp
+++ b/src/host/host_daemon_reports.cpp
@@ -24,7 +24,8 @@
   credit_allocator_.set_demand(peer, subscription.demand());
   subscriber.same_zone = subscriber.zone.empty() || subscriber.zone == settings_.zone;
   const bool reads_list = subscriber.same_zone && subscription.list_revision() > 0;
-  if (reads_list) on_reader_status(peer, subscription.list_revision());
+  const StoreRevision list_revision{subscription.list_era(), subscription.list_revision()};
+  if (reads_list) on_reader_status(peer, list_revision);
   if (!is_new) return;
   unannounced_subscribers_.insert(peer);
   if (!gateways_timer_.active()) {
--- a/src/transport/backend_list_messages.cpp
+++ b/src/transport/backend_list_messages.cpp
@@ -20,7 +20,7 @@
 std::unique_ptr<wire::BackendEntryT> encode(const BackendChange& change, TimePoint now) {
   auto entry = std::make_unique<wire::BackendEntryT>();
   entry->id = change.record.id;
-  entry->revision = change.record.revision;
+  entry->revision = change.record.revision.number;
   entry->gone = change.removed;
   if (change.removed) return entry;
   entry->service = change.record.service;
@@ -38,8 +38,9 @@
 
 wire::BackendChangesT encode(const BackendChanges& changes, TimePoint now) {
   wire::BackendChangesT message;
-  message.base = changes.base;
-  message.revision = changes.revision;
+  message.era = changes.revision.era;
+  message.base = changes.base.number;
+  message.revision = changes.revision.number;
   message.whole = changes.complete;
   for (const BackendChange& change : changes.entries) {
     message.entries.push_back(encode(change, now));
@@ -49,14 +50,14 @@
 
 BackendChanges decode(const wire::BackendChanges& message, TimePoint now) {
   BackendChanges changes;
-  changes.base = message.base();
-  changes.revision = message.revision();
+  changes.base = {message.era(), message.base()};
+  changes.revision = {message.era(), message.revision()};
   changes.complete = message.whole();
   if (message.entries() == nullptr) return changes;
   for (const wire::BackendEntry* entry : *message.entries()) {
     BackendChange change;
     change.record.id = entry->id()->str();
-    change.record.revision = entry->revision();
+    change.record.revision = {message.era(), entry->revision()};
     change.removed = entry->gone();
     if (!change.removed) {
       const auto address = parse_address(text_of(entry->address()));
--- a/tests/gateway/backends/backend_pool_test.cpp
+++ b/tests/gateway/backends/backend_pool_test.cpp
@@ -50,7 +50,7 @@
     BackendRecord record = harness.pool.records().front();
     record.cold_until = harness.now + seconds(3);
     record.revision = ++harness.revision;
-    harness.pool.on_record(record);
+    harness.pool.on_record(record, harness.now);
     requirements.service = &configuration.services[1];
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());  // Its service has no cold rate.
     harness.pool.set_cold_starts({{"plain", {seconds(3), 5}}});
@@ -98,7 +98,7 @@
     restarted.started_at_ms = 5;
     restarted.revision = ++harness.revision;
     restarted.weight_version = 0;
-    harness.pool.on_record(restarted);
+    harness.pool.on_record(restarted, harness.now);
     CPPUNIT_ASSERT(!harness.pool.leaving("e1"));
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());  // It has no weights yet.
     harness.report_load(1, 4, 1);
@@ -112,11 +112,11 @@
     BackendRecord restarted = earlier;
     restarted.started_at_ms = 5;
     restarted.revision = ++harness.revision;
-    harness.pool.on_record(restarted);
+    harness.pool.on_record(restarted, harness.now);
     harness.report_load(1, 4, 1);
     BackendRecord late = earlier;
     late.draining = true;
-    harness.pool.on_record(late);
+    harness.pool.on_record(late, harness.now);
     harness.pool.on_removed("e1", earlier.revision, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), choose());
   }
@@ -149,7 +149,7 @@
   void a_leaving_back_end_gets_nothing_new() {
     harness.add_backend("p1", "plain", 1);
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
-    harness.pool.on_leaving("p1", harness.revision);
+    harness.pool.on_departure({{"p1"}, harness.revision, true}, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());
   }
 
@@ -168,8 +168,9 @@
     harness.pool.on_list_reachable(true, harness.now);
     harness.pool.on_removed("e1", ++harness.revision, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), choose());
-    CPPUNIT_ASSERT(
-        harness.pool.departures().recent().empty());  // Other gateways must not be told that it left.
+    CPPUNIT_ASSERT(harness.pool.departures()
+                       .recent()
+                       .empty());  // Other gateways must not be told that it left.
     harness.now += milliseconds(1900);
     harness.report_load(1, 4, 1);
     CPPUNIT_ASSERT_EQUAL(std::string("e1"), choose());
@@ -212,9 +213,10 @@
 
   void departures_reported_by_gateways_are_ordered_by_revision() {
     harness.add_backend("p1", "plain", 1);
-    harness.pool.on_leaving("p1", harness.revision - 1);  // Older than the entry here.
+    harness.pool.on_departure({{"p1"}, harness.revision - 1, true},
+                              harness.now);  // Older than the entry here.
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
-    harness.pool.on_leaving("p1", harness.revision + 1);
+    harness.pool.on_departure({{"p1"}, harness.revision + 1, true}, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string(), choose());
   }
 
@@ -390,7 +392,7 @@
     older.address = {"127.0.0.1", 1};
     older.draining = true;
     older.revision = 0;
-    harness.pool.on_record(older);
+    harness.pool.on_record(older, harness.now);
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), choose());
   }
 
--- a/tests/gateway/peers/backend_list_relay_test.cpp
+++ b/tests/gateway/peers/backend_list_relay_test.cpp
@@ -60,7 +60,7 @@
     CPPUNIT_ASSERT(!reader.on_current(10));
     CPPUNIT_ASSERT(!reader.on_current(25));
     // A higher revision would make other gateways request an unchanged list.
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, reader.revision());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, reader.revision().number);
   }
 
   void changes_are_relayed_together() {
@@ -71,8 +71,8 @@
     const auto changes = reader.on_current(12);
     CPPUNIT_ASSERT(changes.has_value());
     const BackendChanges received = encode_and_decode(*changes);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, received.base);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, received.revision);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, received.base.number);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, received.revision.number);
     CPPUNIT_ASSERT(!received.complete);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, received.entries.size());
     CPPUNIT_ASSERT_EQUAL(std::string("a"), received.entries[0].record.id);
@@ -173,7 +173,7 @@
         agent.on_changes(encode_and_decode(whole));
       }
       std::map<std::string, std::uint64_t> known;
-      for (const BackendRecord& entry : agent.records()) known[entry.id] = entry.revision;
+      for (const BackendRecord& entry : agent.records()) known[entry.id] = entry.revision.number;
       CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), known == listed);
     }
   }
--- a/tests/gateway/peers/fleet_links_agents_test.cpp
+++ b/tests/gateway/peers/fleet_links_agents_test.cpp
@@ -23,7 +23,7 @@
   void on_fetched_configuration(const FetchedConfiguration&) override {}
   void on_reader_status(PeerId, bool) override {}
   void on_backend_changes(PeerId, const BackendChanges&) override {}
-  void on_list_revision_advertised(PeerId, std::uint64_t) override {}
+  void on_list_revision_advertised(PeerId, const StoreRevision&) override {}
   BackendChanges own_backend_list(ListScope) override { return {}; }
   void on_crash_update(const CrashUpdate&) override {}
   CrashUpdate own_verdicts() override { return {}; }
--- a/tests/gateway/quarantine/crash_correlator_test.cpp
+++ b/tests/gateway/quarantine/crash_correlator_test.cpp
@@ -140,7 +140,7 @@
     record.service = "engines";
     record.address = kEngine;
     record.revision = 1;
-    pool.on_record(record);
+    pool.on_record(record, TimePoint{});
     return pool;
   }
 
--- a/tests/gateway/requests/backend_notice_test.cpp
+++ b/tests/gateway/requests/backend_notice_test.cpp
@@ -142,7 +142,7 @@
     restarted.started_at_ms = 5;
     restarted.revision = ++harness.revision;
     restarted.draining = false;
-    harness.pool.on_record(restarted);
+    harness.pool.on_record(restarted, harness.now);
     CPPUNIT_ASSERT(recipients("/read/2").contains(left));
   }
 
@@ -259,7 +259,7 @@
     BackendRecord restarted = *harness.pool.record_of(paused);
     restarted.started_at_ms = 5;
     restarted.revision = ++harness.revision;
-    harness.pool.on_record(restarted);
+    harness.pool.on_record(restarted, harness.now);
     harness.now += seconds(1);
     CPPUNIT_ASSERT(recipients("/read/2").contains(paused));
   }
--- a/tests/gateway/requests/request_placement_test.cpp
+++ b/tests/gateway/requests/request_placement_test.cpp
@@ -39,7 +39,7 @@
     BackendRecord record = *harness.pool.record_of(id);
     record.zone = zone;
     record.revision = ++harness.revision;
-    harness.pool.on_record(record);
+    harness.pool.on_record(record, harness.now);
     if (service == "engines") harness.report_load(port, credit, 1, 4 - credit);
   }
 
@@ -81,8 +81,8 @@
     harness.fail_attempt(request, AttemptFailure::connection_lost);
     CPPUNIT_ASSERT(harness.sent_to() == "p2" || harness.sent_to() == "p3");
     const RequestNumber alone = harness.send_request("/write/1");
-    harness.pool.on_leaving("p2", ++harness.revision);
-    harness.pool.on_leaving("p3", ++harness.revision);
+    harness.pool.on_departure({{"p2"}, ++harness.revision, true}, harness.now);
+    harness.pool.on_departure({{"p3"}, ++harness.revision, true}, harness.now);
     harness.fail_attempt(alone, AttemptFailure::not_sent);
     CPPUNIT_ASSERT_EQUAL(503, harness.refusal_status());
   }
@@ -160,7 +160,7 @@
   void an_evacuated_zone_gets_neither_requests_nor_retries() {
     configure({});
     add_two_regions();
-    harness.pool.placement().evacuations().apply({1, {"z2"}});
+    harness.pool.placement().evacuations().apply({1, {"z2"}}, TimePoint{});
     for (const char* path : {"/chat/1", "/write/1", "/read/1"}) {
       harness.send_request(path);
       CPPUNIT_ASSERT(harness.sent_to().ends_with("1"));
@@ -174,7 +174,7 @@
     configure({"r2"});
     add_two_regions();
     const RequestNumber request = harness.send_request("/chat/1");
-    harness.pool.placement().evacuations().apply({1, {"z2"}});
+    harness.pool.placement().evacuations().apply({1, {"z2"}}, TimePoint{});
     harness.advance(milliseconds(50));
     CPPUNIT_ASSERT(harness.actions.empty());
     harness.receive_head(request, 200, false, true);
@@ -185,14 +185,14 @@
   void requests_are_refused_at_once_when_all_their_zones_are_evacuated() {
     configure({});
     add_two_regions();
-    harness.pool.placement().evacuations().apply({1, {"z1", "z2"}});
+    harness.pool.placement().evacuations().apply({1, {"z1", "z2"}}, TimePoint{});
     for (const char* path : {"/chat/1", "/write/1", "/read/1"}) {
       harness.send_request(path);
       CPPUNIT_ASSERT_EQUAL(503, refusal().status);
       CPPUNIT_ASSERT(refusal().reason == RefusalReason::zone_evacuated);
       CPPUNIT_ASSERT(refusal().retry_after > Duration::zero());
     }
-    harness.pool.placement().evacuations().apply({2, {"z1"}});
+    harness.pool.placement().evacuations().apply({2, {"z1"}}, TimePoint{});
     harness.send_request("/read/1");
     CPPUNIT_ASSERT(!harness.sent_to().empty());
   }
--- a/tests/locality/placement_rules_test.cpp
+++ b/tests/locality/placement_rules_test.cpp
@@ -58,24 +58,24 @@
   }
 
   void an_evacuated_zone_is_excluded_until_it_is_taken_back() {
-    CPPUNIT_ASSERT(rules.evacuations().apply({5, {"a1"}}));
+    CPPUNIT_ASSERT(rules.evacuations().apply({5, {"a1"}}, TimePoint{}));
     CPPUNIT_ASSERT(rules.judge("a1", {}) == ZoneVerdict::evacuated);
     CPPUNIT_ASSERT(rules.allows("a2", allowed({"a"})));
-    CPPUNIT_ASSERT(rules.evacuations().apply({9, {}}));
+    CPPUNIT_ASSERT(rules.evacuations().apply({9, {}}, TimePoint{}));
     CPPUNIT_ASSERT(rules.allows("a1", {}));
   }
 
   void an_older_snapshot_does_not_undo_a_newer_one() {
-    rules.evacuations().apply({9, {}});
-    CPPUNIT_ASSERT(!rules.evacuations().apply({5, {"a1"}}));
+    rules.evacuations().apply({9, {}}, TimePoint{});
+    CPPUNIT_ASSERT(!rules.evacuations().apply({5, {"a1"}}, TimePoint{}));
     CPPUNIT_ASSERT(rules.allows("a1", {}));
     // A later snapshot with the same zones is newer, though it changes nothing.
-    CPPUNIT_ASSERT(!rules.evacuations().apply({12, {}}));
-    CPPUNIT_ASSERT(!rules.evacuations().apply({11, {"a1"}}));
+    CPPUNIT_ASSERT(!rules.evacuations().apply({12, {}}, TimePoint{}));
+    CPPUNIT_ASSERT(!rules.evacuations().apply({11, {"a1"}}, TimePoint{}));
   }
 
   void the_excluded_region_is_stated_before_the_evacuation() {
-    rules.evacuations().apply({5, {"b1"}});
+    rules.evacuations().apply({5, {"b1"}}, TimePoint{});
     CPPUNIT_ASSERT(rules.judge("b1", allowed({"a"})) == ZoneVerdict::region_not_allowed);
   }
 };
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -394,7 +394,7 @@
     const StoreObject object = read_object(
         json::parse(R"({"metadata":{"name":7,"revision":"x"},"spec":{"model":[],"version":"y"}})"));
     CPPUNIT_ASSERT(object.name.empty());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, object.revision);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, object.revision.number);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, value_or<std::uint64_t>(object.spec, "version", 0));
     CPPUNIT_ASSERT(read_object(json::parse("[1]")).spec.is_null());
     CPPUNIT_ASSERT(read_object(json::parse(R"({"metadata":3,"spec":null})")).name.empty());
--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -115,7 +115,7 @@
   record.slots = kSlots;
   record.revision = ++revision_;
   record.weight_version = 1;
-  gateway.pool.on_record(record);
+  gateway.pool.on_record(record, now_);
 }
 
 double CrashSimulation::draw(double from, double to) {
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -55,7 +55,7 @@
     record.slots = 4;
     record.revision = ++revision;
     record.weight_version = weights;
-    pool.on_record(record);
+    pool.on_record(record, now);
   }
 
   /// Delivers a load report of an engine.
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -122,7 +122,7 @@
     record.slots = kSlots;
     record.revision = static_cast<std::uint64_t>(engines_[engine]->started_at_ms);
     record.weight_version = 1;
-    gateways_[index]->pool.on_record(record);
+    gateways_[index]->pool.on_record(record, now_);
     // The agents answer the subscription of the new process at once.
     if (!isolated_.contains(index)) send_load_report(engine, index);
   }
@@ -146,11 +146,11 @@
   restarted.issuer.on_restarted(now_);
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     at_gateway(index, network_delay(),
-               [engine, incarnation = restarted.started_at_ms](Gateway& gateway) {
+               [this, engine, incarnation = restarted.started_at_ms](Gateway& gateway) {
                  BackendRecord record = *gateway.pool.record_of(engine_id(engine));
                  record.started_at_ms = incarnation;
                  record.revision = static_cast<std::uint64_t>(incarnation);
-                 gateway.pool.on_record(record);
+                 gateway.pool.on_record(record, now_);
                });
   }
 }
--- a/tests/support/overload_simulation.cpp
+++ b/tests/support/overload_simulation.cpp
@@ -120,7 +120,7 @@
     record.slots = profile.slots;
     record.revision = index + 1;
     record.weight_version = 1;
-    for (const auto& gateway : gateways_) gateway->pool.on_record(record);
+    for (const auto& gateway : gateways_) gateway->pool.on_record(record, now_);
     for (std::size_t gateway = 0; options_.reports_demand && gateway < gateways_.size();
          ++gateway) {
       engine.credit_allocator.set_demand(gateway, arrivals_per_s_ * kGatewayShares[gateway]);
