Play announced leaving, pauses and restored stores in the soak

Checked from what back ends see: no request starts 2.2 s after an announcement, and at most two of a gateway arrive in a pause later than 0.5 s after it was asked for.

--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -3,7 +3,7 @@
 One seed determines all random choices. During a run the system's guarantees are checked from the
 requests and responses at callers and back ends; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
-       [--limits] [--regressions] [--keep FOLDER]
+       [--limits] [--notices] [--restores] [--regressions] [--keep FOLDER]
 """
 
 import argparse
@@ -25,6 +25,8 @@
 from soak_fleet import GATEWAYS, SoakPlatform  # noqa: E402
 from soak_limits import Limits  # noqa: E402
 from soak_load import Load  # noqa: E402
+from soak_notices import Notices  # noqa: E402
+from soak_restores import Restores  # noqa: E402
 
 PLANNED_WORK_S = 10.0  # Seconds of planned work after the faults, without any; all bounds apply.
 HEARTBEAT_INTERVAL_S = 0.05
@@ -40,10 +42,13 @@
     seconds: float
     faults: list  # Empty for all.
     limits: bool = False  # Back ends set rate limits in addition to the faults.
+    notices: bool = False  # Back ends announce their leaving and ask for pauses.
+    restores: bool = False  # The store comes back from older copies.
 
     def __str__(self):
         fault_list = " of " + ",".join(self.faults) if self.faults else ""
-        return f"seed {self.seed}{fault_list}" + (" with limits" if self.limits else "")
+        extras = [name for name in ("limits", "notices", "restores") if getattr(self, name)]
+        return f"seed {self.seed}{fault_list}" + "".join(f" with {name}" for name in extras)
 
 
 class Soak:
@@ -61,6 +66,11 @@
         self.faults.load = self.load
         self.limits = Limits(self.platform, self.checks, random.Random(f"limits {seed}"))
         self.limits_enabled = False
+        self.notices = Notices(self.platform, self.checks, random.Random(f"notices {seed}"))
+        self.notices_enabled = False
+        self.restores = None
+        self.restores_enabled = False
+        self.restore_random = random.Random(f"restores {seed}")
         self.simulates_suspend = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
@@ -73,13 +83,22 @@
         heartbeats = asyncio.create_task(self.send_heartbeats())
         callers = self.load.start()
         limits = asyncio.create_task(self.limits.run()) if self.limits_enabled else None
+        notices = asyncio.create_task(self.notices.run()) if self.notices_enabled else None
+        self.restores = Restores(self.platform, self.checks, self.restore_random)
+        restores = asyncio.create_task(self.restores.run(self.end)) \
+            if self.restores_enabled else None
         await self.inject_faults()
+        if restores:
+            await restores
         await self.wait_until_undisturbed()
         await self.run_planned_work()
         await asyncio.gather(*callers, *self.faults.crashing_request_tasks)
         if limits:
             limits.cancel()
             self.limits.remove_all_limits()
+        if notices:
+            notices.cancel()
+            await self.notices.finish()
         await self.check_recovered()
         heartbeats.cancel()
         await self.platform.stop()
@@ -137,12 +156,16 @@
     soak = Soak(plan.seed, plan.seconds, folder)
     soak.faults.enabled = plan.faults or soak.faults.enabled
     soak.limits_enabled = plan.limits
+    soak.notices_enabled, soak.restores_enabled = plan.notices, plan.restores
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (frozen processes see a suspended machine)" if soak.simulates_suspend else ""
     print(f"{plan}{clock}: {len(checks.violations)} violations; " + format_counts(checks.outcomes)
           + "\n  injected: " + format_counts(soak.faults.injected)
-          + (f", limits set {soak.limits.limits_set}" if plan.limits else ""), flush=True)
+          + (f", limits set {soak.limits.limits_set}" if plan.limits else "")
+          + (f", leaving announced {soak.notices.announced}, pauses {soak.notices.paused}"
+             if plan.notices else "")
+          + (f", restores {soak.restores.restored}" if plan.restores else ""), flush=True)
     for violation in checks.violations:
         print("  " + violation, flush=True)
     if checks.violations and keep:
@@ -190,6 +213,10 @@
     parser.add_argument("--only", help="inject only these faults, separated by commas")
     parser.add_argument("--limits", action="store_true",
                         help="back ends also set rate limits")
+    parser.add_argument("--notices", action="store_true",
+                        help="back ends also announce their leaving and ask for pauses")
+    parser.add_argument("--restores", action="store_true",
+                        help="the store also comes back from older copies")
     parser.add_argument("--regressions", action="store_true", help="also run the regression seeds")
     parser.add_argument("--keep", help="folder in which to keep the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -199,7 +226,8 @@
     arguments = read_arguments()
     platform_test.BUILD = arguments.build.resolve()
     only = arguments.only.split(",") if arguments.only else []
-    plans = [Plan(seed, arguments.seconds, only, arguments.limits)
+    plans = [Plan(seed, arguments.seconds, only, arguments.limits, arguments.notices,
+                  arguments.restores)
              for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -21,6 +21,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_PROPAGATION_S = 1.0  # After a back end first sends a limit, until all gateways apply it.
 LIMIT_BURST = 2  # Requests above the rate in a window, while undisturbed.
+PAUSE_UNDER_WAY_S = 0.5  # Requests sent before a refusal may arrive for so long after it.
+ALLOWED_IN_PAUSE = 2
 DISTURBED_RATIO, DISTURBED_EXTRA = 1.5, 5  # Looser bound while gateways come and go.
 #: A stall of this process that counts as a fault: it runs the store and all back ends.
 HARNESS_STALL_S = 1.0
@@ -88,6 +90,8 @@
         self.crashes = {}  # By target: times at which it crashed engines.
         self.late_crashes = {}  # By target: crashes after all gateways must know the third.
         self.limits = {}  # By identity of the back end: its current limit.
+        self.gateway_of = {}  # By request id.
+        self.pauses = {}  # By (back end, gateway): begin, end and later arrivals of the last pause.
         self.violations = []
         self.outcomes = {}
         self.disturbed_until = 0.0
@@ -160,6 +164,27 @@
                                            f"{LIMIT_WINDOW_S} s, {allowed:.1f} allowed by its "
                                            f"limit of {count.rate} a second")
 
+    def on_pause_sent(self, backend, identity, seconds):
+        """The back end has refused the request and asked its gateway for a pause."""
+        now = time.monotonic()
+        key = (backend.identity, self.gateway_of.get(identity))
+        begin, end, arrivals = self.pauses.get(key, (0.0, 0.0, 0))
+        if now + seconds > end:
+            begin, arrivals = (now, 0) if now > end else (begin, arrivals)
+            self.pauses[key] = (begin, now + seconds, arrivals)
+
+    def on_arrival_in_pause(self, backend, identity):
+        now = time.monotonic()
+        key = (backend.identity, self.gateway_of.get(identity))
+        begin, end, arrivals = self.pauses.get(key, (0.0, 0.0, 0))
+        if not begin + PAUSE_UNDER_WAY_S < now < end:
+            return
+        self.pauses[key] = (begin, end, arrivals + 1)
+        if arrivals + 1 > ALLOWED_IN_PAUSE and self.undisturbed():
+            self.report_violation("PAUSE", f"{backend.identity} had asked {key[1]} for a pause of "
+                                           f"{end - begin:.2f} s and got {identity} "
+                                           f"{now - begin:.2f} s after, as number {arrivals + 1}")
+
     def on_request_started(self, backend, identity):
         self.start_counts[identity] = self.start_counts.get(identity, 0) + 1
         now = time.monotonic()
@@ -171,6 +196,10 @@
         if since and now - since > DRAIN_LIMIT_S + 0.2 and self.undisturbed():
             self.report_violation("DRAIN", f"{identity} started at {backend.identity} "
                                            f"{now - since:.2f} s after it began draining")
+        announced = backend.announced_at
+        if announced and now - announced > DRAIN_LIMIT_S + 0.2 and self.undisturbed():
+            self.report_violation("DRAIN", f"{identity} started at {backend.identity} "
+                                           f"{now - announced:.2f} s after it announced its leaving")
         if backend.model:
             self.check_weights(backend, identity, now)
 
@@ -227,7 +256,8 @@
 
     # ---- observations of callers ----
 
-    def on_sent(self, kind):
+    def on_sent(self, kind, identity, gateway):
+        self.gateway_of[identity] = gateway
         service = "engines" if kind == "chat" else "plain"
         self.retry_counts[service].requests.append(time.monotonic())
 
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -34,9 +34,11 @@
     def violated_rules(self):
         return [violation.split(" s ")[1].split(":")[0] for violation in self.checks.violations]
 
-    def backend(self, model="m", version=1, draining_since=None, wrong_chunks=None):
+    def backend(self, model="m", version=1, draining_since=None, wrong_chunks=None,
+                announced_at=None):
         return SimpleNamespace(identity="e1", name="e1", model=model, version=version, timeline=[],
-                               draining_since=draining_since, wrong_chunks=wrong_chunks or {})
+                               draining_since=draining_since, wrong_chunks=wrong_chunks or {},
+                               announced_at=announced_at)
 
     def check(self, kind, identity, status=200, body=b"", complete=True, version=1):
         response = SimpleNamespace(status=status, body=body, complete=complete)
@@ -180,6 +182,38 @@
         self.assertEqual(saved[0], DEADLINE_S)
 
 
+class NoticeCheckTest(HistoryTest):
+    def test_a_request_long_after_an_announcement_of_leaving_is_a_violation(self):
+        now = time.monotonic()
+        self.checks.on_request_started(self.backend(announced_at=now - 1.5), "read-1")
+        self.assertEqual([], self.checks.violations)
+        self.checks.on_request_started(self.backend(announced_at=now - 2.5), "read-2")
+        self.assertEqual(1, len(self.checks.violations))
+
+    def arrive_in_pause(self, count, gateway="g1"):
+        """`count` requests arrive 1 s after a refusal that asked g1 for a pause of 3 s."""
+        backend = self.backend()
+        self.checks.gateway_of = {"refused": "g1", "later": gateway}
+        self.checks.on_pause_sent(backend, "refused", 3.0)
+        key = (backend.identity, "g1")
+        begin, end, arrivals = self.checks.pauses[key]
+        self.checks.pauses[key] = (begin - 1, end - 1, arrivals)
+        for _ in range(count):
+            self.checks.on_arrival_in_pause(backend, "later")
+
+    def test_two_requests_in_a_pause_are_allowed(self):
+        self.arrive_in_pause(2)
+        self.assertEqual([], self.checks.violations)
+
+    def test_three_requests_in_a_pause_are_a_violation(self):
+        self.arrive_in_pause(3)
+        self.assertEqual(1, len(self.checks.violations))
+
+    def test_a_pause_binds_only_the_gateway_that_was_refused(self):
+        self.arrive_in_pause(5, "g2")
+        self.assertEqual([], self.checks.violations)
+
+
 class RetriesCheckTest(HistoryTest):
     def arrive(self, times):
         for _ in range(times):
@@ -195,7 +229,7 @@
 
     def test_requests_earn_retries(self):
         for _ in range(10):
-            self.checks.on_sent("chat")
+            self.checks.on_sent("chat", "id", "gateway")
         self.arrive(1 + RETRY_EXTRA + 2)
         self.assertEqual([], self.violated_rules())
         self.arrive(1)
@@ -203,7 +237,7 @@
 
     def test_requests_for_another_service_earn_no_retries(self):
         for _ in range(10):
-            self.checks.on_sent("read")
+            self.checks.on_sent("read", "id", "gateway")
         self.arrive(1 + RETRY_EXTRA + 1)
         self.assertEqual(["BUDGET"], self.violated_rules())
 
--- a/tests/soak/soak_engine.py
+++ b/tests/soak/soak_engine.py
@@ -27,6 +27,7 @@
         self.draining_since = None
         self.down = False
         self.limit = None  # Requests per second accepted from all gateways together.
+        self.announced_at = None  # When it first said in a response that it is leaving.
 
     async def restart(self):
         """Starts another incarnation at the same address."""
@@ -35,10 +36,20 @@
     async def run(self, writer, method, target, headers):
         self.checks.on_arrival(self.service, headers.get("x-pumicemast-request-id", ""))
         self.checks.on_limited_arrival(self)
+        self.checks.on_arrival_in_pause(self, headers.get("x-pumicemast-request-id", ""))
         await super().run(writer, method, target, headers)
 
+    def notices(self, status):
+        fields = super().notices(status)
+        if self.leaving and self.announced_at is None:
+            self.announced_at = time.monotonic()
+        return fields
+
     def head(self, headers, extra=(), status=200):
         fields = super().head(headers, extra, status)
+        if "Retry-After" in fields:
+            self.checks.on_pause_sent(self, headers.get("x-pumicemast-request-id", ""),
+                                      float(fields["Retry-After"]))
         if self.limit is not None:
             fields["Server-Limit"] = self.limit
             self.checks.on_limit_sent(self)
