Look remembered departures up by key, and remember more of them

They are looked up by incarnation now, and only back ends whose draining is not in the list are looked at again. 512 departures of the list are remembered in place of 64, since a restored store may list again all that left within seconds; digests carry as many as before, the latest ones.

--- a/src/gateway/backends/backend_departures.cpp
+++ b/src/gateway/backends/backend_departures.cpp
@@ -5,7 +5,9 @@
 namespace pumicemast {
 namespace {
 
-constexpr std::size_t kMaximumRemembered = 64;
+/// A restored store may list again all back ends that left within the seconds before.
+constexpr std::size_t kMaximumListed = 512;
+constexpr std::size_t kMaximumRecent = 64;
 /// Bounds the memory that wrong responses can take.
 constexpr std::size_t kMaximumAnnounced = 1024;
 /// How long an announcement is sent to other gateways. Each sends on what is new to it, so that it
@@ -15,18 +17,19 @@
 }  // namespace
 
 void BackendDepartures::on_listed(const BackendDeparture& departure) {
-  const auto [known, inserted] = listed_.emplace(departure.backend.id, departure);
-  if (inserted) {
-    order_.push_back(departure.backend.id);
-    if (order_.size() <= kMaximumRemembered) return;
-    listed_.erase(order_.front());
-    order_.pop_front();
-    return;
+  const auto [entry, inserted] = listed_.emplace(departure.backend.id, departure);
+  BackendDeparture& known = entry->second;
+  if (!inserted && departure.revision <= known.revision) return;
+  if (!inserted) {
+    const bool was_draining = known.draining && known.backend == departure.backend;
+    known = departure;
+    known.draining = departure.draining || was_draining;
+    std::erase(listed_order_, departure.backend.id);
   }
-  if (departure.revision < known->second.revision) return;
-  const bool was_draining = known->second.draining && known->second.backend == departure.backend;
-  known->second = departure;
-  known->second.draining = departure.draining || was_draining;
+  listed_order_.push_back(departure.backend.id);
+  if (listed_order_.size() <= kMaximumListed) return;
+  listed_.erase(listed_order_.front());
+  listed_order_.pop_front();
 }
 
 void BackendDepartures::on_list_revision(const StoreRevision& revision, TimePoint now) {
@@ -36,9 +39,11 @@
 }
 
 bool BackendDepartures::on_announced(const BackendIncarnation& backend, TimePoint now) {
-  if (announced(backend)) return false;
-  announced_.push_back({backend, now});
-  if (announced_.size() > kMaximumAnnounced) announced_.pop_front();
+  if (!announced_.emplace(backend, now).second) return false;
+  announced_order_.push_back(backend);
+  if (announced_order_.size() <= kMaximumAnnounced) return true;
+  announced_.erase(announced_order_.front());
+  announced_order_.pop_front();
   return true;
 }
 
@@ -57,28 +62,30 @@
 
 std::vector<BackendDeparture> BackendDepartures::recent() const {
   std::vector<BackendDeparture> departures;
-  for (const std::string& id : order_) departures.push_back(listed_.at(id));
+  const std::size_t count = std::min(kMaximumRecent, listed_order_.size());
+  for (std::size_t index = listed_order_.size() - count; index < listed_order_.size(); ++index) {
+    departures.push_back(listed_.at(listed_order_[index]));
+  }
   return departures;
 }
 
 bool BackendDepartures::announced(const BackendIncarnation& backend) const {
-  return announced_at(backend).has_value();
+  return announced_.contains(backend);
 }
 
 std::optional<TimePoint> BackendDepartures::announced_at(const BackendIncarnation& backend) const {
-  const auto found =
-      std::find_if(announced_.begin(), announced_.end(),
-                   [&](const Announcement& known) { return known.backend == backend; });
+  const auto found = announced_.find(backend);
   if (found == announced_.end()) return std::nullopt;
-  return found->known_since;
+  return found->second;
 }
 
 std::vector<BackendIncarnation> BackendDepartures::recently_announced(TimePoint now) const {
-  std::vector<BackendIncarnation> recent;
-  for (const Announcement& announcement : announced_) {
-    if (now - announcement.known_since < kAdvertisedFor) recent.push_back(announcement.backend);
-  }
-  return recent;
+  const auto is_recent = [&](const BackendIncarnation& backend) {
+    return now - announced_.at(backend) < kAdvertisedFor;
+  };
+  const auto first =
+      std::find_if_not(announced_order_.rbegin(), announced_order_.rend(), is_recent).base();
+  return {first, announced_order_.end()};
 }
 
 }  // namespace pumicemast
--- a/src/gateway/backends/backend_departures.h
+++ b/src/gateway/backends/backend_departures.h
@@ -42,19 +42,16 @@
   /// sent to other gateways.
   std::vector<BackendIncarnation> recently_announced(TimePoint now) const;
   std::size_t announced_count() const { return announced_.size(); }
-  /// The departures shown by the list, in the order in which they became known; sent to other
-  /// gateways.
+  /// The latest departures shown by the list, in the order in which they became known; sent to
+  /// other gateways.
   std::vector<BackendDeparture> recent() const;
 
  private:
-  struct Announcement {
-    BackendIncarnation backend;
-    TimePoint known_since{};
-  };
-  std::map<std::string, BackendDeparture> listed_;  ///< By id.
-  std::deque<std::string> order_;                   ///< Ids of `listed_`, the newest last.
-  std::deque<Announcement> announced_;              ///< Newest last.
-  std::uint64_t era_ = 0;                           ///< Newest era of the list.
+  std::map<std::string, BackendDeparture> listed_;     ///< By id.
+  std::deque<std::string> listed_order_;               ///< Ids of `listed_`, the newest last.
+  std::map<BackendIncarnation, TimePoint> announced_;  ///< When it became known here.
+  std::deque<BackendIncarnation> announced_order_;     ///< Keys of `announced_`, newest last.
+  std::uint64_t era_ = 0;                              ///< Newest era of the list.
   TimePoint era_since_{};
 };
 
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -96,8 +96,10 @@
 
 void BackendPool::sweep(TimePoint now) {
   pushbacks_.sweep(now);
-  // A departure from before a restore of the store may hold no longer.
-  for (auto& [id, backend] : backends_) update_draining(backend, now);
+  for (auto& [id, backend] : backends_) {
+    // A departure from before a restore of the store may hold no longer.
+    if (backend.record.draining && !backend.listed_as_draining) update_draining(backend, now);
+  }
   std::erase_if(backends_, [&](const auto& entry) {
     const Backend& backend = entry.second;
     if (!backend.removed || now < backend.usable_until || backend.in_flight > 0) return false;
@@ -278,7 +280,7 @@
 }
 
 bool BackendPool::pushes_back(const BackendRecord& record, TimePoint now) const {
-  return !pushbacks_.admits({record.id, record.started_at_ms}, now);
+  return !pushbacks_.empty() && !pushbacks_.admits({record.id, record.started_at_ms}, now);
 }
 
 bool BackendPool::leaving(const std::string& id) const {
--- a/src/gateway/backends/backend_pushbacks.h
+++ b/src/gateway/backends/backend_pushbacks.h
@@ -27,6 +27,8 @@
   bool admits(const BackendIncarnation& backend, TimePoint now) const;
   /// When the next request may be sent; in the past if one may be sent now.
   TimePoint admits_from(const BackendIncarnation& backend) const;
+  /// Whether no back end is paused or being tried out after a pause.
+  bool empty() const { return pauses_.empty(); }
   bool paused(const BackendIncarnation& backend, TimePoint now) const;
   /// Number of back ends that are paused.
   std::size_t paused_count(TimePoint now) const;
