--- a/src/host/credits/report_schedule.cpp
+++ b/src/host/credits/report_schedule.cpp
@@ -8,8 +8,7 @@
 /// Whether the engine became available or unavailable, or its departure was scheduled or cancelled.
 bool availability_changed(const LoadReport& report, const LoadReport& previous) {
   return report.alive != previous.alive || report.busy != previous.busy ||
-         report.leaving != previous.leaving ||
-         report.weight_version != previous.weight_version ||
+         report.leaving != previous.leaving || report.weight_version != previous.weight_version ||
          report.leaves_in.has_value() != previous.leaves_in.has_value();
 }
 
