Count requests within a pause for each start of a gateway in the soak

A restart of the gateway excuses it by the users' rules, so the check counts for each start of a gateway. All else stays as strict; a test of the check shows both.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -90,7 +90,7 @@
         self.crashes = {}  # By target: times at which it crashed engines.
         self.late_crashes = {}  # By target: crashes after all gateways must know the third.
         self.limits = {}  # By identity of the back end: its current limit.
-        self.gateway_of = {}  # By request id.
+        self.gateway_of = {}  # By request id: the gateway and the number of its start.
         self.pauses = {}  # By (back end, gateway): begin, end and later arrivals of the last pause.
         self.violations = []
         self.outcomes = {}
@@ -181,7 +181,7 @@
             return
         self.pauses[key] = (begin, end, arrivals + 1)
         if arrivals + 1 > ALLOWED_IN_PAUSE and self.undisturbed():
-            self.report_violation("PAUSE", f"{backend.identity} had asked {key[1]} for a pause of "
+            self.report_violation("PAUSE", f"{backend.identity} had asked {key[1][0]} for a pause of "
                                            f"{end - begin:.2f} s and got {identity} "
                                            f"{now - begin:.2f} s after, as number {arrivals + 1}")
 
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -190,12 +190,12 @@
         self.checks.on_request_started(self.backend(announced_at=now - 2.5), "read-2")
         self.assertEqual(1, len(self.checks.violations))
 
-    def arrive_in_pause(self, count, gateway="g1"):
+    def arrive_in_pause(self, count, gateway=("g1", 1)):
         """`count` requests arrive 1 s after a refusal that asked g1 for a pause of 3 s."""
         backend = self.backend()
-        self.checks.gateway_of = {"refused": "g1", "later": gateway}
+        self.checks.gateway_of = {"refused": ("g1", 1), "later": gateway}
         self.checks.on_pause_sent(backend, "refused", 3.0)
-        key = (backend.identity, "g1")
+        key = (backend.identity, ("g1", 1))
         begin, end, arrivals = self.checks.pauses[key]
         self.checks.pauses[key] = (begin - 1, end - 1, arrivals)
         for _ in range(count):
@@ -210,7 +210,11 @@
         self.assertEqual(1, len(self.checks.violations))
 
     def test_a_pause_binds_only_the_gateway_that_was_refused(self):
-        self.arrive_in_pause(5, "g2")
+        self.arrive_in_pause(5, ("g2", 1))
+        self.assertEqual([], self.checks.violations)
+
+    def test_a_gateway_that_was_restarted_knows_of_no_pause(self):
+        self.arrive_in_pause(5, ("g1", 2))
         self.assertEqual([], self.checks.violations)
 
 
--- a/tests/soak/soak_load.py
+++ b/tests/soak/soak_load.py
@@ -36,7 +36,7 @@
         method = "POST" if kind == "chat" else "GET"
         limit = soak_checks.DEADLINE_S + 2 * soak_checks.DEADLINE_TOLERANCE_S
         started_at = time.monotonic()
-        checks.on_sent(kind, identity, host)
+        checks.on_sent(kind, identity, incarnation)
         try:
             response = await asyncio.wait_for(
                 self.platform.call_gateway(host, method, target, identity), limit)
