--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -114,6 +114,7 @@
         self.down = False
         self.refused_kinds = set()  # Calls for these kinds get status 403.
         self.page_size = 500  # Maximum number of objects in one list response.
+        self.watched_from = []  # Revision of each watch call, in order.
         self.listed_kinds = []  # Kind of each list page that was requested, in order.
         self.mute = False  # Leaves all calls unanswered, including pending watches.
         self.sent_kinds = []  # Kind of each single-object read and each watch event sent.
@@ -212,6 +213,7 @@
 
     async def watch(self, writer, kind, since, wait_ms):
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
+        self.watched_from.append(since)
         if since > self.revision:
             self.respond(writer, 410)
             return
--- a/tests/processes/store_restore_test.py
+++ b/tests/processes/store_restore_test.py
@@ -87,6 +87,14 @@
     async def test_watches_that_survive_the_restore_do_not_hide_changes(self):
         await self.drain_after_restore(self.platform.plain[0], "plain", "/read/1", True)
 
+    async def test_no_watch_begins_before_the_new_list_is_read(self):
+        older_copy = self.store.copy()
+        self.platform.write_much()
+        await asyncio.sleep(1)
+        await self.platform.restore(older_copy, keeps_watches=True)
+        await asyncio.sleep(2)
+        self.assertNotIn(0, self.store.watched_from)
+
     async def test_changes_below_the_known_revision_are_not_missed(self):
         """The store's revisions pass the known one before any gateway calls it again."""
         backend = self.platform.plain[0]
