--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -126,11 +126,11 @@
                            ForwarderActions& actions);
   /// The time after which a refused caller is told to return.
   Duration choose_retry_after(const RequestSession& session, TimePoint now);
-  /// Whether a returning caller's request has to leave the remaining capacity to other requests:
-  /// they can still be answered in time, it hardly can.
   /// Why no back end may run the request, if all of them are outside the zones that its placement
   /// allows.
   std::optional<RefusalReason> placement_refusal(const BackendRequirements& requirements) const;
+  /// Whether a returning caller's request has to leave the remaining capacity to other requests:
+  /// they can still be answered in time, it hardly can.
   bool must_yield(const RequestSession& session, TimePoint now) const;
   /// @return whether the request was sent or has ended.
   bool dispatch(RequestNumber number, RequestSession& session, TimePoint now,
