--- a/src/scheduling/slot_messages.h
+++ b/src/scheduling/slot_messages.h
@@ -20,7 +20,7 @@
   bool returning = false;
   std::uint64_t tenant = 0;  ///< Hash of the tenant's name; 0 when it has none.
   std::uint32_t prompt_tokens = 0;
-  std::uint32_t copies = 1;  ///< Number of engines where the request waits.
+  std::uint32_t copies = 1;                ///< Number of engines where the request waits.
   Duration useful_for = Duration::zero();  ///< A slot that is granted later is of no use.
 };
 
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -27,11 +27,11 @@
 
 /// The engine's load, as last read by its agent.
 struct SlotCapacity {
-  bool available = false;       ///< In service, and without a limit that needs permits.
-  std::uint32_t slots = 0;      ///< 0 while the engine's profile is unknown.
-  std::uint32_t occupied = 0;   ///< Requests running or queued at the engine.
-  TimePoint read_at{};          ///< When `occupied` was read.
-  std::uint32_t pending_prompt_tokens = 0;   ///< Of requests without a first token.
+  bool available = false;                   ///< In service, and without a limit that needs permits.
+  std::uint32_t slots = 0;                  ///< 0 while the engine's profile is unknown.
+  std::uint32_t occupied = 0;               ///< Requests running or queued at the engine.
+  TimePoint read_at{};                      ///< When `occupied` was read.
+  std::uint32_t pending_prompt_tokens = 0;  ///< Of requests without a first token.
   std::uint32_t prefill_chunk_tokens = 2048;  ///< Prompt tokens per prefill pass.
 };
 
@@ -66,8 +66,6 @@
   std::uint32_t grants_in_transit(TimePoint read_at) const;
   /// Prompt tokens of these.
   std::uint32_t prompt_tokens_in_transit(TimePoint read_at) const;
-
-
 };
 
 }  // namespace pumicemast
