Add the types that gateways and agents exchange about requests waiting for slots

Actions of the forwarder, fields of the load report and the library are declared so that the parts build side by side; nothing uses them yet.

--- a/src/fleet/backend_record.h
+++ b/src/fleet/backend_record.h
@@ -62,8 +62,11 @@
   std::int64_t started_at_ms = 0;
   /// How many of `gateways` are in the zone that has the most of them.
   std::uint32_t largest_zone_gateways = 0;
-  RateLimit limit;       ///< As known to the agent.
-  bool leaving = false;  ///< The engine announces to its agent that it is leaving.
+  RateLimit limit;  ///< As known to the agent.
+  /// The agent keeps a queue of requests that wait for a slot (scheduling/slot_queue.h).
+  bool queues_slot_requests = false;
+  std::uint32_t slot_requests = 0;  ///< Requests in that queue.
+  bool leaving = false;             ///< The engine announces to its agent that it is leaving.
 };
 
 }  // namespace pumicemast
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -330,6 +330,10 @@
   connection.abort_response();
 }
 
+void GatewayDaemon::execute(const QueueForSlot& /*action*/) {}
+
+void GatewayDaemon::execute(const LeaveSlotQueue& /*action*/) {}
+
 // ---- fleet state ----
 
 void GatewayDaemon::on_routes(const RouteTablePointer& routes) {
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -81,6 +81,8 @@
   void execute(const EndResponse& action);
   void execute(const SendRefusal& action);
   void execute(const AbortResponse& action);
+  void execute(const QueueForSlot& action);
+  void execute(const LeaveSlotQueue& action);
   Exchange* find_exchange(RequestNumber number);
   void erase_exchange(RequestNumber number);
 
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -13,6 +13,7 @@
 #include "fleet/backend_notice.h"
 #include "fleet/rate_limit.h"
 #include "gateway/quarantine/request_fingerprint.h"
+#include "scheduling/slot_messages.h"
 
 namespace pumicemast {
 
@@ -77,6 +78,8 @@
   std::uint64_t expected_version = 0;  ///< Required weight version; 0 for any.
   std::string resume_after;            ///< Id of the last event sent to the caller; or empty.
   std::string tenant;                  ///< Empty when the request has none.
+  /// Priority for the engine's own queue, 0 first; empty when its service has no order by priority.
+  std::optional<int> priority;
   /// Limit of idle connections to this back end that this gateway may keep open.
   std::size_t max_idle_connections = 0;
 };
@@ -112,8 +115,19 @@
   RequestNumber request = 0;
   RefusalReason reason = RefusalReason::backend_failed;
 };
-using ForwarderAction = std::variant<SendToBackend, CancelAttempt, ProbeBackend, BeginResponse,
-                                     RelayBody, EndResponse, SendRefusal, AbortResponse>;
+/// Queues a waiting request for a slot of an engine.
+struct QueueForSlot {
+  Address engine;
+  SlotRequest request;  ///< Its number is that of the request.
+};
+/// Takes a request out of the queue of an engine; a slot that was granted to it is free again.
+struct LeaveSlotQueue {
+  Address engine;
+  RequestNumber request = 0;
+};
+using ForwarderAction =
+    std::variant<SendToBackend, CancelAttempt, ProbeBackend, BeginResponse, RelayBody, EndResponse,
+                 SendRefusal, AbortResponse, QueueForSlot, LeaveSlotQueue>;
 using ForwarderActions = std::vector<ForwarderAction>;
 
 }  // namespace pumicemast
