Grant an engine's slots from one queue, by priority and tenants' shares

Cause: agents divide free slots among gateways by demand, whoever waits there, and a request's priority orders the requests of one gateway only. Change: a decision core that keeps the waiting requests of all gateways in order, grants free slots, and denies what cannot be granted in time. Nothing uses it yet.

--- a/src/scheduling/guaranteed_shares.h
+++ b/src/scheduling/guaranteed_shares.h
@@ -33,6 +33,8 @@
   void on_granted(Group group, TimePoint now);
   /// The group of `waiting` that is furthest below its guaranteed share; empty if all have theirs.
   std::optional<Group> most_deprived(const std::vector<Group>& waiting, TimePoint now) const;
+  /// Part of all grants that the group is guaranteed at the current requests, from 0 to 1.
+  double guaranteed_part(Group group, TimePoint now) const;
   /// Recent grants to the group; comparable among groups at the same time.
   double recent_grants(Group group, TimePoint now) const;
   /// Whether the group recently got more than the mean of the groups that asked for something.
@@ -48,6 +50,8 @@
     TimePoint at{};
   };
   Usage decayed(const Usage& usage, TimePoint now) const;
+  Usage usage_of(Group group, TimePoint now) const;
+  Usage total(TimePoint now) const;
 
   Options options_;
   std::map<Group, Usage> groups_;
--- /dev/null
+++ b/src/scheduling/slot_queue.cpp
@@ -0,0 +1,246 @@
+#include "scheduling/slot_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pumicemast {
+namespace {
+
+/// Weight of the newest interval in the mean interval between grants.
+constexpr double kIntervalSmoothing = 0.1;
+/// Nothing is denied by prediction before this many intervals have been measured.
+constexpr std::uint32_t kMinimumIntervals = 5;
+constexpr Duration kSweepInterval = seconds(5);
+
+double part_of_request(const SlotRequest& request) {
+  return 1.0 / static_cast<double>(std::max<std::uint32_t>(1, request.copies));
+}
+
+Duration times(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+SlotQueue::SlotQueue(Options options)
+    : options_(options),
+      level_shares_(options.level_shares),
+      tenant_shares_(options.tenant_shares) {}
+
+GuaranteedShares::Group SlotQueue::level_of(const SlotRequest& request) {
+  return static_cast<GuaranteedShares::Group>(request.priority);
+}
+
+TimePoint SlotQueue::useful_until(const Waiting& waiting) {
+  return waiting.since + waiting.request.useful_for;
+}
+
+void SlotQueue::add(PeerId gateway, const SlotRequest& request, TimePoint now) {
+  level_shares_.on_requested(level_of(request), now);
+  tenant_shares_.on_requested(request.tenant, now);
+  waiting_[{gateway, request.number}] = {request, now, arrivals_++};
+  if (now - swept_at_ < kSweepInterval) return;
+  swept_at_ = now;
+  level_shares_.sweep(now);
+  tenant_shares_.sweep(now);
+}
+
+void SlotQueue::withdraw(PeerId gateway, std::uint64_t number) {
+  const Key key{gateway, number};
+  waiting_.erase(key);
+  std::erase_if(grants_in_transit_, [&](const Grant& grant) { return grant.key == key; });
+  if (waiting_.empty()) contended_since_grant_.reset();
+}
+
+void SlotQueue::remove_gateway(PeerId gateway) {
+  std::erase_if(waiting_, [&](const auto& entry) { return entry.first.gateway == gateway; });
+  std::erase_if(grants_in_transit_,
+                [&](const Grant& grant) { return grant.key.gateway == gateway; });
+  if (waiting_.empty()) contended_since_grant_.reset();
+}
+
+std::map<PeerId, SlotDecisions> SlotQueue::decide(const SlotCapacity& capacity, TimePoint now) {
+  Replies replies;
+  forget_seen_grants(capacity.read_at);
+  if (waiting_.empty()) return replies;
+  if (!capacity.available || capacity.slots == 0) {
+    deny_all(SlotDenialReason::engine_unavailable, replies);
+    return replies;
+  }
+  grant_free_slots(capacity, replies, now);
+  deny_hopeless(replies, now);
+  if (waiting_.empty()) contended_since_grant_.reset();
+  return replies;
+}
+
+void SlotQueue::forget_seen_grants(TimePoint read_at) {
+  while (!grants_in_transit_.empty() &&
+         grants_in_transit_.front().at + options_.grant_transit <= read_at) {
+    grants_in_transit_.pop_front();
+  }
+}
+
+std::uint32_t SlotQueue::grants_in_transit(TimePoint read_at) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      grants_in_transit_.begin(), grants_in_transit_.end(),
+      [&](const Grant& grant) { return grant.at + options_.grant_transit > read_at; }));
+}
+
+std::uint32_t SlotQueue::prompt_tokens_in_transit(TimePoint read_at) const {
+  std::uint32_t tokens = 0;
+  for (const Grant& grant : grants_in_transit_) {
+    if (grant.at + options_.grant_transit > read_at) tokens += grant.prompt_tokens;
+  }
+  return tokens;
+}
+
+void SlotQueue::grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now) {
+  const std::uint32_t usable = capacity.slots + options_.grants_ahead;
+  std::uint32_t taken = capacity.occupied + grants_in_transit(capacity.read_at);
+  const double readable_tokens = options_.maximum_backlog_passes * capacity.prefill_chunk_tokens;
+  double pending_tokens =
+      capacity.pending_prompt_tokens + prompt_tokens_in_transit(capacity.read_at);
+  while (!waiting_.empty() && taken < usable && pending_tokens < readable_tokens) {
+    const auto chosen = next(now);
+    pending_tokens += chosen->second.request.prompt_tokens;
+    ++taken;
+    grant(chosen, replies, now);
+  }
+}
+
+void SlotQueue::grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now) {
+  const auto& [key, waiting] = *next;
+  measure_interval(now);
+  level_shares_.on_granted(level_of(waiting.request), now);
+  tenant_shares_.on_granted(waiting.request.tenant, now);
+  replies[key.gateway].granted.push_back(key.number);
+  grants_in_transit_.push_back({key, waiting.request.prompt_tokens, now});
+  waiting_.erase(next);
+}
+
+void SlotQueue::measure_interval(TimePoint now) {
+  if (contended_since_grant_) {
+    const double interval_ms = to_fractional_milliseconds(now - *contended_since_grant_);
+    ++measured_intervals_;
+    const double weight = std::max(kIntervalSmoothing, 1.0 / measured_intervals_);
+    mean_interval_ms_ += (interval_ms - mean_interval_ms_) * weight;
+  }
+  contended_since_grant_ = now;
+}
+
+std::optional<Duration> SlotQueue::grant_interval(TimePoint now) const {
+  if (measured_intervals_ < kMinimumIntervals) return std::nullopt;
+  const Duration mean = Duration(
+      static_cast<Duration::rep>(mean_interval_ms_ * static_cast<double>(milliseconds(1).count())));
+  if (!contended_since_grant_) return mean;
+  // An engine that has granted nothing for much longer than usual has become slower.
+  return std::max(mean, (now - *contended_since_grant_) / 2);
+}
+
+GuaranteedShares::Group SlotQueue::next_level(TimePoint now) const {
+  std::vector<GuaranteedShares::Group> levels;
+  for (const auto& [key, waiting] : waiting_) levels.push_back(level_of(waiting.request));
+  std::sort(levels.begin(), levels.end());
+  levels.erase(std::unique(levels.begin(), levels.end()), levels.end());
+  return level_shares_.most_deprived(levels, now).value_or(levels.front());
+}
+
+std::map<SlotQueue::Key, SlotQueue::Waiting>::iterator SlotQueue::next(TimePoint now) {
+  const GuaranteedShares::Group level = next_level(now);
+  bool only_returning = true;
+  std::vector<GuaranteedShares::Group> tenants;
+  for (const auto& [key, waiting] : waiting_) {
+    if (level_of(waiting.request) == level && !waiting.request.returning) only_returning = false;
+  }
+  const auto in_turn = [&](const Waiting& waiting) {
+    return level_of(waiting.request) == level && waiting.request.returning == only_returning;
+  };
+  for (const auto& [key, waiting] : waiting_) {
+    if (in_turn(waiting)) tenants.push_back(waiting.request.tenant);
+  }
+  const auto deprived = tenant_shares_.most_deprived(tenants, now);
+  const auto rank = [&](const Waiting& waiting) {
+    return std::make_tuple(deprived != waiting.request.tenant,
+                           tenant_shares_.recent_grants(waiting.request.tenant, now),
+                           waiting.arrival);
+  };
+  auto best = waiting_.end();
+  for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
+    if (!in_turn(entry->second)) continue;
+    if (best == waiting_.end() || rank(entry->second) < rank(best->second)) best = entry;
+  }
+  return best;
+}
+
+std::vector<SlotQueue::Key> SlotQueue::expected_order(TimePoint now) const {
+  using Rank = std::tuple<int, bool, bool, std::uint64_t, Key>;
+  std::vector<Rank> ranks;
+  for (const auto& [key, waiting] : waiting_) {
+    const SlotRequest& request = waiting.request;
+    ranks.emplace_back(request.priority, request.returning,
+                       tenant_shares_.above_mean(request.tenant, now), waiting.arrival, key);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<Key> order;
+  for (const Rank& rank : ranks) order.push_back(std::get<Key>(rank));
+  return order;
+}
+
+Duration SlotQueue::expected_wait(const SlotRequest& request, const WorkAhead& ahead,
+                                  Duration interval, TimePoint now) const {
+  const double guaranteed = level_shares_.guaranteed_part(level_of(request), now);
+  // A level is granted at least its guaranteed part, whatever waits at more urgent levels.
+  const double slots =
+      guaranteed > 0 ? std::min(ahead.all, ahead.same_level / guaranteed) : ahead.all;
+  return times(interval, slots);
+}
+
+void SlotQueue::deny_hopeless(Replies& replies, TimePoint now) {
+  const std::optional<Duration> interval = grant_interval(now);
+  WorkAhead ahead;
+  int level = kMostUrgentPriority;
+  std::size_t kept = 0;
+  for (const Key& key : expected_order(now)) {
+    const Waiting& waiting = waiting_.at(key);
+    const SlotRequest& request = waiting.request;
+    if (request.priority != level) {
+      level = request.priority;
+      ahead.more_urgent = ahead.all;
+      ahead.same_level = 0;
+      ahead.other_tenants = 0;
+    }
+    const bool over_share = tenant_shares_.above_mean(request.tenant, now);
+    const Duration wait = expected_wait(request, ahead, interval.value_or(Duration::zero()), now);
+    const Duration useful = useful_until(waiting) - now;
+    if (useful <= Duration::zero() || wait > useful || kept >= options_.maximum_waiting) {
+      const bool by_urgency = ahead.more_urgent > ahead.same_level;
+      const bool by_share = over_share && ahead.other_tenants > 0;
+      const SlotDenialReason reason = by_urgency ? SlotDenialReason::more_urgent_first
+                                      : by_share ? SlotDenialReason::tenant_over_share
+                                                 : SlotDenialReason::no_capacity;
+      deny(key, reason, wait, replies);
+      continue;
+    }
+    ++kept;
+    const double part = part_of_request(request);
+    ahead.all += part;
+    ahead.same_level += part;
+    if (!over_share) ahead.other_tenants += part;
+  }
+}
+
+void SlotQueue::deny_all(SlotDenialReason reason, Replies& replies) {
+  for (const auto& [key, waiting] : waiting_) {
+    replies[key.gateway].denied.push_back({key.number, reason, Duration::zero()});
+  }
+  waiting_.clear();
+  contended_since_grant_.reset();
+}
+
+void SlotQueue::deny(const Key& key, SlotDenialReason reason, Duration expected_wait,
+                     Replies& replies) {
+  replies[key.gateway].denied.push_back({key.number, reason, expected_wait});
+  waiting_.erase(key);
+}
+
+}  // namespace pumicemast
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -46,7 +46,9 @@
     /// Prompts are admitted while the engine can read all pending ones in this many passes.
     double maximum_backlog_passes = 2;
     GuaranteedShares::Options level_shares;
-    GuaranteedShares::Options tenant_shares;
+    /// Tenants are many: their shares are told apart only over more grants than those of levels.
+    GuaranteedShares::Options tenant_shares{0.5, seconds(10)};
+    std::size_t maximum_waiting = 512;  ///< Further requests are denied.
   };
 
   explicit SlotQueue(Options options);
@@ -61,11 +63,71 @@
   /// change of the queue or the load.
   /// @return what to tell each gateway.
   std::map<PeerId, SlotDecisions> decide(const SlotCapacity& capacity, TimePoint now);
-  std::size_t waiting() const;
+  std::size_t waiting() const { return waiting_.size(); }
   /// Granted requests that a load read at `read_at` cannot show yet.
   std::uint32_t grants_in_transit(TimePoint read_at) const;
   /// Prompt tokens of these.
   std::uint32_t prompt_tokens_in_transit(TimePoint read_at) const;
+
+ private:
+  /// Requests of all gateways are told apart by these two.
+  struct Key {
+    PeerId gateway = 0;
+    std::uint64_t number = 0;
+    auto operator<=>(const Key&) const = default;
+  };
+  struct Waiting {
+    SlotRequest request;
+    TimePoint since{};
+    std::uint64_t arrival = 0;  ///< Counts the requests in the order of their arrival.
+  };
+  struct Grant {
+    Key key;
+    std::uint32_t prompt_tokens = 0;
+    TimePoint at{};
+  };
+  using Replies = std::map<PeerId, SlotDecisions>;
+  /// Requests that are expected to be granted a slot before another one, each counted as the part
+  /// of a request that it is at this engine: one divided by its copies.
+  struct WorkAhead {
+    double all = 0;
+    double more_urgent = 0;    ///< Of more urgent levels.
+    double same_level = 0;     ///< Of the same level.
+    double other_tenants = 0;  ///< Of the same level, of tenants that take less.
+  };
+
+  static GuaranteedShares::Group level_of(const SlotRequest& request);
+  static TimePoint useful_until(const Waiting& waiting);
+  /// The request that is next in the order; none waits otherwise.
+  std::map<Key, Waiting>::iterator next(TimePoint now);
+  /// The level whose turn it is.
+  GuaranteedShares::Group next_level(TimePoint now) const;
+  void grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now);
+  void grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now);
+  /// Learns how fast slots are granted while requests wait.
+  void measure_interval(TimePoint now);
+  /// The interval between grants; empty until enough of them were seen.
+  std::optional<Duration> grant_interval(TimePoint now) const;
+  void deny_all(SlotDenialReason reason, Replies& replies);
+  void deny_hopeless(Replies& replies, TimePoint now);
+  /// Keys of all waiting requests, in the order in which slots are expected to be granted.
+  std::vector<Key> expected_order(TimePoint now) const;
+  Duration expected_wait(const SlotRequest& request, const WorkAhead& ahead, Duration interval,
+                         TimePoint now) const;
+  void deny(const Key& key, SlotDenialReason reason, Duration expected_wait, Replies& replies);
+  void forget_seen_grants(TimePoint read_at);
+
+  Options options_;
+  std::map<Key, Waiting> waiting_;
+  std::deque<Grant> grants_in_transit_;  ///< In the order of their times.
+  GuaranteedShares level_shares_;
+  GuaranteedShares tenant_shares_;
+  std::uint64_t arrivals_ = 0;
+  /// Last grant, if requests have been waiting ever since.
+  std::optional<TimePoint> contended_since_grant_;
+  double mean_interval_ms_ = 0;
+  std::uint32_t measured_intervals_ = 0;
+  TimePoint swept_at_{};
 };
 
 }  // namespace pumicemast
