Queue waiting requests for slots at engines' agents where priorities differ

Cause: a request without a credit waited at its own gateway, for a fraction of its route's latency goal: the least urgent route waited longest, and slots lay with gateways where nobody waited. Change: where the configuration gives requests for the same engines different priorities, a waiting request is queued at three engines and sent to the first that grants a slot. Refusals name why engines denied a slot. What follows a failed attempt moves to a file of its own.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -15,10 +15,18 @@
 constexpr double kPlainRequestMs = 12;
 /// Upper bound, in milliseconds, of a random cost that spreads requests over equal back ends.
 constexpr double kTieBreakMs = 2;
+/// Engines at which a request usually waits for a slot, only one of which runs it
+/// (SlotReservations).
+constexpr double kSlotRequestCopies = 3;
 /// Fraction of an engine's slots that requests with `unreserved_only` leave free. A request
 /// occupies its slot for about a second, and a first attempt may arrive within that time.
 constexpr double kReservedShare = 0.25;
 
+/// Time between two requests that a full engine finishes, in milliseconds.
+double slot_interval_ms(const EngineProfile& engine) {
+  return engine.usual_answer_tokens * engine.step_ms / std::max<double>(1, engine.slots);
+}
+
 }  // namespace
 
 bool BackendPool::is_in_service(const Backend& backend, const BackendRequirements& requirements,
@@ -161,6 +169,7 @@
                            const BackendRequirements& requirements, TimePoint now) const {
   // Urgent requests need a permit, too: a back end that limits its requests counts all of them.
   if (needs_permit(id, backend, now)) return permits_.held(id, now);
+  if (!requirements.granted_backend.empty()) return true;
   return has_credit(backend, requirements, now);
 }
 
@@ -184,6 +193,7 @@
   const double max_overrun_ms = min_overrun_ms(requirements, now) + options_.overrun_tolerance_ms;
   for (auto& [id, backend] : backends_) {
     if (!is_eligible(backend, requirements, now) || excluded.contains(id)) continue;
+    if (!requirements.granted_backend.empty() && requirements.granted_backend != id) continue;
     const double wait_ms = expected_ms(backend, requirements, now);
     if (!has_unreserved_slot(backend, requirements, now)) continue;
     // A single long response keeps an engine from its new weights and from all other requests.
@@ -210,6 +220,35 @@
   return best;
 }
 
+std::vector<BackendChoice> BackendPool::slot_candidates(const BackendRequirements& requirements,
+                                                        const std::set<std::string>& excluded,
+                                                        std::size_t count, TimePoint now) {
+  BackendRequirements queued = requirements;
+  queued.unreserved_only = false;
+  const double slot_ms = slot_interval_ms(*requirements.service->engine);
+  std::vector<std::pair<double, BackendChoice>> candidates;
+  for_each_candidate(
+      queued, excluded, now, [&](const std::string& id, const Backend& backend, double wait_ms) {
+        if (!backend.report.queues_slot_requests || !has_fresh_report(backend, now)) return;
+        if (needs_permit(id, backend, now)) return;
+        const double queue_ms = backend.report.slot_requests * slot_ms / kSlotRequestCopies;
+        const double cost = wait_ms + queue_ms + routing_penalty_ms(backend, requirements);
+        candidates.emplace_back(cost, BackendChoice{id, backend.record.address,
+                                                    backend.record.weight_version, wait_ms});
+      });
+  const auto cheaper = [](const auto& left, const auto& right) { return left.first < right.first; };
+  std::sort(candidates.begin(), candidates.end(), cheaper);
+  if (candidates.size() > count) candidates.resize(count);
+  std::vector<BackendChoice> result;
+  for (auto& [cost, choice] : candidates) result.push_back(std::move(choice));
+  return result;
+}
+
+std::string BackendPool::id_at(const Address& address) const {
+  const auto found = ids_by_address_.find(address);
+  return found == ids_by_address_.end() ? "" : found->second;
+}
+
 void BackendPool::request_permit(const BackendRequirements& requirements,
                                  const std::set<std::string>& excluded, std::size_t waiting,
                                  TimePoint now) {
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -222,8 +222,9 @@
   if (backend->in_flight > 0) --backend->in_flight;
   // This gateway may reuse the freed slot at once, unless requests are queued at the engine. If it
   // did so in spite of a queue, a queue that has formed (gateways without reports send on
-  // estimates) would last as long as demand exceeds capacity.
-  if (backend->report.queued == 0) ++backend->report.credit;
+  // estimates) would last as long as demand exceeds capacity. While requests wait at the agent, it
+  // decides which of them gets the slot.
+  if (backend->report.queued == 0 && backend->report.slot_requests == 0) ++backend->report.credit;
 }
 
 void BackendPool::on_failure(const std::string& id, TimePoint now) {
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -89,6 +89,9 @@
   bool urgent = false;  ///< A retry after a failure: takes precedence over first attempts.
   /// The request must leave the reserved fraction of each engine's slots free.
   bool unreserved_only = false;
+  /// Id of an engine whose agent has granted a slot; empty for none. Only this engine is chosen,
+  /// whatever its credits and reserved slots.
+  std::string granted_backend{};
 };
 
 struct BackendChoice {
@@ -164,6 +167,14 @@
   /// @param excluded  back ends that this request must not go to.
   std::optional<BackendChoice> choose(const BackendRequirements& requirements,
                                       const std::set<std::string>& excluded, TimePoint now);
+  /// The engines where it is cheapest to wait for a slot: all checks of `choose` but the credits
+  /// and the reserved slots. Only engines whose agents keep a queue.
+  /// @param count  maximum number of engines.
+  std::vector<BackendChoice> slot_candidates(const BackendRequirements& requirements,
+                                             const std::set<std::string>& excluded,
+                                             std::size_t count, TimePoint now);
+  /// The back end at the address; empty if none is known.
+  std::string id_at(const Address& address) const;
   /// Requests a permit for the cheapest back end that limits its requests, if there is one. Call
   /// when no back end may take the request now.
   /// @param waiting  number of waiting requests; no more permits than that are held or requested.
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -48,12 +48,14 @@
   no_route,
   no_key,
   no_capacity,
-  rate_limited,     ///< The rate limits stated by back ends are used up for now.
-  backend_cold,     ///< The back ends that could run it are cold and bear no more for now.
-  no_backend,       ///< The service has no usable back end.
-  weights_stale,    ///< No back end has weights as new as required.
-  backend_refused,  ///< The back ends tried refused it.
-  backend_failed,   ///< It may have run; its response was lost or invalid.
+  more_urgent_first,  ///< More urgent requests take the slots that it could have had.
+  tenant_over_share,  ///< Its tenant takes more than its share of the slots.
+  rate_limited,       ///< The rate limits stated by back ends are used up for now.
+  backend_cold,       ///< The back ends that could run it are cold and bear no more for now.
+  no_backend,         ///< The service has no usable back end.
+  weights_stale,      ///< No back end has weights as new as required.
+  backend_refused,    ///< The back ends tried refused it.
+  backend_failed,     ///< It may have run; its response was lost or invalid.
   deadline_passed,
   stopping,
   quarantined,         ///< Back ends have crashed while running it.
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -6,14 +6,10 @@
 namespace pumicemast {
 namespace {
 
-constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
-constexpr int kStatusGatewayTimeout = 504;
 constexpr int kFirstServerError = 500;
 /// Limit of attempts whose connection could not be established, and which thus cannot have run.
 constexpr std::uint32_t kMaximumConnectFailures = 4;
-/// No retry is sent when less time than this is left until the deadline.
-constexpr Duration kMinimumTimeLeft = milliseconds(30);
 
 /// Whether callers take a response with this status to mean that the request did not run.
 bool implies_not_run(int status) {
@@ -61,6 +57,8 @@
   session.allowed_regions = authorization.allowed_regions;
   session.fingerprint = fingerprint_for(session.request.content, session.tenant);
   session.priority = authorization.priority;
+  session.ordered_by_priority =
+      session.service != nullptr && routes_->orders_by_priority(session.service->name);
   if (authorization.route != nullptr) planner_.plan_times(session);
   if (authorization.refusal) {
     refuse_before_sending(number, session, *authorization.refusal, now, actions);
@@ -93,6 +91,7 @@
   if (refuse_while_paused(number, session, now, actions)) return;
   session.waiting = true;
   waiting_.insert(rank_of(number, session));
+  queue_for_slot(number, session, now, actions);
 }
 
 void RequestForwarder::refuse_before_sending(RequestNumber number, RequestSession& session,
@@ -115,7 +114,8 @@
 Duration RequestForwarder::choose_retry_after(const RequestSession& session, TimePoint now) {
   if (session.service == nullptr) return planner_.random_retry_after(session, now);
   const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
-  return planner_.random_retry_after(session, now, resumes_at);
+  return planner_.random_retry_after(session, now,
+                                     resumes_at ? resumes_at : session.slot_expected_at);
 }
 
 std::optional<RefusalReason> RequestForwarder::placement_refusal(
@@ -133,7 +133,7 @@
 
 bool RequestForwarder::must_yield(const RequestSession& session, TimePoint now) const {
   return session.returning && session.service->engine &&
-         overload_.is_overloaded(session.capacity_group(), now);
+         overload_.is_overloaded(session.capacity_group(), session.overload_level(), now);
 }
 
 bool RequestForwarder::dispatch(RequestNumber number, RequestSession& session, TimePoint now,
@@ -161,6 +161,7 @@
                             const BackendChoice& choice, TimePoint now, ForwarderActions& actions) {
   session.waiting = false;
   waiting_.erase(rank_of(number, session));
+  reservations_.leave(number, actions);
   session.backend = choice.id;
   session.backend_incarnation = pool_.incarnation_of(choice.id);
   session.backend_address = choice.address;
@@ -193,6 +194,9 @@
       targets_.lowest_allowed(session.request.model, now) > 0 ? choice.weight_version : 0;
   if (session.response_started) action.resume_after = session.splitter.last_id().value_or("");
   action.tenant = session.tenant;
+  if (session.ordered_by_priority) {
+    action.priority = std::clamp(session.priority, kMostUrgentPriority, kLeastUrgentPriority);
+  }
   action.max_idle_connections = pool_.max_idle_connections(*session.service);
   actions.emplace_back(std::move(action));
 }
@@ -350,59 +354,6 @@
   retry_or_fail(number, session, now, actions);
 }
 
-std::optional<BackendChoice> RequestForwarder::choose_retry_backend(const RequestSession& session,
-                                                                    TimePoint now) {
-  const bool safe_to_retry = !session.may_have_run || session.repeatable();
-  if (!safe_to_retry || session.sends >= session.route->attempts) return std::nullopt;
-  if (session.deadline - now <= kMinimumTimeLeft) return std::nullopt;
-  if (may_crash_another(session, now)) return std::nullopt;
-  const auto choice =
-      pool_.choose(planner_.backend_requirements(session, now), session.tried_backends, now);
-  if (!choice || choice->expected_ms >= to_fractional_milliseconds(session.deadline - now))
-    return std::nullopt;
-  // The last check, so that a retry is spent only when the request is sent.
-  if (retries_.for_service(session.service->name).try_spend()) return choice;
-  ++counters_.budget_exhausted;
-  return std::nullopt;
-}
-
-void RequestForwarder::retry_on(RequestNumber number, RequestSession& session,
-                                const BackendChoice& choice, TimePoint now,
-                                ForwarderActions& actions) {
-  release_backend(session);
-  ++(session.response_started ? counters_.resumes : counters_.repeats);
-  send(number, session, choice, now, actions);
-}
-
-void RequestForwarder::retry_or_fail(RequestNumber number, RequestSession& session, TimePoint now,
-                                     ForwarderActions& actions) {
-  release_backend(session);
-  // A response that has been started can only be continued after an event with an id.
-  const bool can_continue = !session.response_started ||
-                            (session.stream_started && session.splitter.last_id().has_value());
-  const auto choice = can_continue ? choose_retry_backend(session, now) : std::nullopt;
-  if (choice) {
-    retry_on(number, session, *choice, now, actions);
-  } else if (session.response_started) {
-    abort(number, session, RefusalReason::backend_failed, now, actions);
-  } else {
-    give_up(number, session, session.last_reason, now, actions);
-  }
-}
-
-void RequestForwarder::give_up(RequestNumber number, RequestSession& session, RefusalReason reason,
-                               TimePoint now, ForwarderActions& actions) {
-  if (session.may_have_run) {
-    const int status =
-        reason == RefusalReason::deadline_passed ? kStatusGatewayTimeout : kStatusBadGateway;
-    refuse(number, session, status, reason, {}, now, actions);
-    return;
-  }
-  const Duration retry_after =
-      reason == RefusalReason::quarantined ? Duration::zero() : choose_retry_after(session, now);
-  refuse(number, session, kStatusUnavailable, reason, retry_after, now, actions);
-}
-
 void RequestForwarder::refuse(RequestNumber number, RequestSession& session, int status,
                               RefusalReason reason, Duration retry_after, TimePoint now,
                               ForwarderActions& actions) {
@@ -413,6 +364,7 @@
     ++counters_.told_to_return;
     planner_.record_retry_after(session, retry_after, now);
   }
+  reservations_.leave(number, actions);
   actions.emplace_back(SendRefusal{number, status, reason, retry_after});
   summarize(session, "refused", to_string(reason), status, now);
   waiting_.erase(rank_of(number, session));
@@ -437,6 +389,7 @@
     actions.emplace_back(CancelAttempt{number});
     release_backend(session);
   }
+  reservations_.leave(number, actions);
   summarize(session, "gone", "caller_left", 0, now);
   waiting_.erase(rank_of(number, session));
   sessions_.erase(found);
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -2,7 +2,8 @@
 ///
 /// A decision core: no I/O. It authorizes, routes, admits or refuses requests, sends them to back
 /// ends, retries or resumes failed attempts, and enforces deadlines. The timer-driven part is in
-/// request_forwarder_time.cpp.
+/// request_forwarder_time.cpp, waiting for slots in request_forwarder_slots.cpp, and what follows a
+/// failed attempt in request_forwarder_retry.cpp.
 ///
 /// Invariants:
 /// - each request gets exactly one final action (EndResponse, SendRefusal, AbortResponse), unless
@@ -35,6 +36,7 @@
 #include "gateway/requests/request_session.h"
 #include "gateway/requests/response_relay.h"
 #include "gateway/requests/retry_budgets.h"
+#include "gateway/requests/slot_reservations.h"
 
 namespace pumicemast {
 
@@ -87,12 +89,20 @@
   void on_caller_gone(RequestNumber number, TimePoint now, ForwarderActions& actions);
   /// Retries waiting requests: capacity may have become available.
   void on_capacity(TimePoint now, ForwarderActions& actions);
+  /// An engine's agent has granted a slot to a request that is queued there.
+  void on_slot_granted(const Address& engine, RequestNumber number, TimePoint now,
+                       ForwarderActions& actions);
+  void on_slot_denied(const Address& engine, const SlotDenial& denial, TimePoint now,
+                      ForwarderActions& actions);
+  /// The connection to the engine's agent was lost, and its queue with it.
+  void on_slot_queue_lost(const Address& engine, TimePoint now, ForwarderActions& actions);
   /// Enforces deadlines. Call every few tens of milliseconds while requests are active.
   void on_tick(TimePoint now, ForwarderActions& actions);
 
   std::size_t active() const { return sessions_.size(); }
   std::size_t waiting() const { return waiting_.size(); }
   const ForwarderCounters& counters() const { return counters_; }
+  const SlotReservationCounters& slot_counters() const { return reservations_.counters(); }
   /// Returns the back-end crashes found since the last call, and reports them to the quarantine.
   /// Call often.
   std::vector<BackendCrash> take_crashes(TimePoint now);
@@ -137,6 +147,18 @@
                 ForwarderActions& actions);
   void send(RequestNumber number, RequestSession& session, const BackendChoice& choice,
             TimePoint now, ForwarderActions& actions);
+  /// Queues a waiting request at engines that it has not tried, if its service grants slots by
+  /// priority.
+  void queue_for_slot(RequestNumber number, RequestSession& session, TimePoint now,
+                      ForwarderActions& actions);
+  /// The same for a request that no engine has in its queue any more; refuses it if there is none.
+  void queue_elsewhere(RequestNumber number, RequestSession& session, TimePoint now,
+                       ForwarderActions& actions);
+  /// Sends a waiting request to the back end that granted a slot, if it may run there.
+  bool use_granted_slot(RequestNumber number, RequestSession& session, const std::string& backend,
+                        TimePoint now, ForwarderActions& actions);
+  /// Why engines denied a slot, if that says more than a lack of capacity.
+  std::optional<RefusalReason> slot_refusal(RequestNumber number) const;
   void release_backend(RequestSession& session);
   /// Records that the attempt broke off, which may be due to a crash of its back end.
   void record_possible_crash(const RequestSession& session, TimePoint now,
@@ -166,7 +188,11 @@
   void enforce_deadline(RequestNumber number, RequestSession& session, TimePoint now,
                         ForwarderActions& actions);
   /// Why a request was not sent before its wait ended.
-  RefusalReason refusal_reason_after_wait(const RequestSession& session, TimePoint now) const;
+  RefusalReason refusal_reason_after_wait(RequestNumber number, const RequestSession& session,
+                                          TimePoint now) const;
+  /// Refuses a request that got no capacity in time.
+  void refuse_after_wait(RequestNumber number, RequestSession& session, TimePoint now,
+                         ForwarderActions& actions);
   void end_at_deadline(RequestNumber number, RequestSession& session, TimePoint now,
                        ForwarderActions& actions);
   void cancel_late_attempt(RequestNumber number, RequestSession& session, TimePoint now,
@@ -192,6 +218,7 @@
   RouteTablePointer routes_;
   Sessions sessions_;
   std::set<WaitingRank> waiting_;
+  SlotReservations reservations_;
   OverloadDetector overload_;
   RetryBudgets retries_;
   CrashCorrelator crash_correlator_;
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -84,13 +84,22 @@
   } else if (!session.waiting) {
     check_attempt(number, session, now, actions);
   } else if (now >= session.wait_until) {
-    if (!session.returning) overload_.on_avoidable_refusal(session.capacity_group(), now);
-    give_up(number, session, refusal_reason_after_wait(session, now), now, actions);
+    refuse_after_wait(number, session, now, actions);
   }
 }
 
-RefusalReason RequestForwarder::refusal_reason_after_wait(const RequestSession& session,
+void RequestForwarder::refuse_after_wait(RequestNumber number, RequestSession& session,
+                                         TimePoint now, ForwarderActions& actions) {
+  if (!session.returning) {
+    overload_.on_avoidable_refusal(session.capacity_group(), session.overload_level(), now);
+  }
+  give_up(number, session, refusal_reason_after_wait(number, session, now), now, actions);
+}
+
+RefusalReason RequestForwarder::refusal_reason_after_wait(RequestNumber number,
+                                                          const RequestSession& session,
                                                           TimePoint now) const {
+  if (const auto denied = slot_refusal(number)) return *denied;
   if (session.last_reason != RefusalReason::no_backend) return session.last_reason;
   const BackendRequirements requirements = planner_.backend_requirements(session, now);
   if (const auto excluded = placement_refusal(requirements)) return *excluded;
--- a/src/gateway/requests/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -5,6 +5,7 @@
 namespace pumicemast {
 namespace {
 
+constexpr double kMillisecondsPerSecond = 1000;
 /// Time left of a caller that states none.
 constexpr Duration kDefaultTimeLeft = seconds(30);
 /// A caller that has already waited for this fraction of the latency goal, at this or other
@@ -64,6 +65,12 @@
   return requirements;
 }
 
+Duration RequestPlanner::slot_useful_for(const RequestSession& session, double expected_ms,
+                                         TimePoint now) const {
+  if (session.returning) return session.wait_until - now;
+  return from_seconds((admission_limit_ms(session, now) - expected_ms) / kMillisecondsPerSecond);
+}
+
 double RequestPlanner::admission_limit_ms(const RequestSession& session, TimePoint now) const {
   const double goal_ms = to_fractional_milliseconds(session.route->latency_goal);
   // A request that was already sent is worth finishing even after the goal.
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -12,6 +12,10 @@
       return "no_key";
     case RefusalReason::no_capacity:
       return "no_capacity";
+    case RefusalReason::more_urgent_first:
+      return "more_urgent_first";
+    case RefusalReason::tenant_over_share:
+      return "tenant_over_share";
     case RefusalReason::no_backend:
       return "no_backend";
     case RefusalReason::rate_limited:
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -53,6 +54,8 @@
   AllowedRegions allowed_regions;
   RequestFingerprint fingerprint;  ///< Of the content and the tenant.
   int priority = 0;
+  /// The service grants slots by priority (RouteTable::orders_by_priority).
+  bool ordered_by_priority = false;
   TimePoint arrived{};
   /// Estimated arrival of the caller's first attempt; earlier than `arrived` for a returning
   /// caller.
@@ -62,6 +65,8 @@
   TimePoint deadline{};
   TimePoint wait_until{};
   bool waiting = false;
+  /// Earliest time at which engines expect a slot for a request like this; unset if unknown.
+  std::optional<TimePoint> slot_expected_at;
   // Current attempt.
   std::string backend;  ///< Empty when there is no attempt.
   BackendIncarnation backend_incarnation;
@@ -91,6 +96,8 @@
   bool repeatable() const;
   /// Key of the requests that share the same capacity: those of the same service and allowed
   /// regions. Requires a service.
+  /// Level at which its refusal shows a lack of capacity; services without an order have one.
+  int overload_level() const { return ordered_by_priority ? priority : 0; }
   std::string capacity_group() const { return service->name + allowed_regions.key(); }
   RequestSummary summarize(const char* outcome, const char* reason, int status,
                            TimePoint now) const;
--- a/src/gateway/requests/route_table.cpp
+++ b/src/gateway/requests/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <map>
+#include <set>
 
 namespace pumicemast {
 namespace {
@@ -32,6 +34,28 @@
   for (std::size_t index = 0; index < configuration_.services.size(); ++index) {
     services_by_name_[configuration_.services[index].name] = index;
   }
+  find_ordered_services();
+}
+
+void RouteTable::find_ordered_services() {
+  std::set<int> of_tenants;
+  for (const TenantRule& tenant : configuration_.tenants) {
+    if (tenant.priority) of_tenants.insert(*tenant.priority);
+  }
+  std::map<std::string, std::set<int>> by_service;
+  for (const RouteRule& route : configuration_.routes) {
+    for (const WeightedService& target : route.services) {
+      std::set<int>& priorities = by_service[target.service];
+      priorities.insert(route.priority);
+      priorities.insert(of_tenants.begin(), of_tenants.end());
+    }
+  }
+  for (const auto& [name, priorities] : by_service) {
+    const ServiceProfile* profile = service(name);
+    if (priorities.size() > 1 && profile != nullptr && profile->engine) {
+      ordered_services_.insert(name);
+    }
+  }
 }
 
 const RouteRule* RouteTable::match(std::string_view host, std::string_view target) const {
--- a/src/gateway/requests/route_table.h
+++ b/src/gateway/requests/route_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "fleet/fleet_configuration.h"
@@ -29,13 +30,21 @@
   /// The tenant with the API key `key`, or null.
   const TenantRule* tenant_for_key(std::string_view key) const;
   const ServiceProfile* service(const std::string& name) const;
+  /// Whether requests for the service compete by priority: it consists of engines, and the
+  /// priorities of its routes, or of tenants, differ.
+  bool orders_by_priority(const std::string& service) const {
+    return ordered_services_.contains(service);
+  }
 
  private:
+  void find_ordered_services();
+
   FleetConfiguration configuration_;
   /// Indices into the configured routes by host, longest path prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
   std::unordered_map<std::string, std::size_t> tenants_by_key_;
   std::unordered_map<std::string, std::size_t> services_by_name_;
+  std::unordered_set<std::string> ordered_services_;
 };
 
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
