Exchange requests for slots and their answers between gateways and agents

Change: agents take SlotRequests and answer with SlotDecisions; reports say so and how many requests wait. While any waits an agent gives no credits. Actions of the gateway's shell move to a file of their own.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -22,8 +22,6 @@
 /// Remaining requests are dropped this long before the grace period ends, so that the process exits
 /// by itself.
 constexpr Duration kStopMargin = milliseconds(300);
-/// A caller's connection is closed when more response bytes than this are unread.
-constexpr std::size_t kMaximumUnreadBytes = 2U << 20U;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
@@ -53,6 +51,10 @@
       fleet_(
           settings_, *feed_, log_, metrics_.registry(),
           {[this](const RouteTablePointer& routes) { on_routes(routes); }, [this] { on_report(); },
+           [this](const Address& engine, const SlotDecisions& decisions) {
+             on_slot_decisions(engine, decisions);
+           },
+           [this](const Address& engine) { on_slot_queue_lost(engine); },
            [this](const std::string& backend) { on_backend_ended(backend, "agent"); }}),
       forwarder_(fleet_.pool(), fleet_.targets(), fleet_.quarantine(),
                  forwarder_options(settings_)),
@@ -233,107 +235,6 @@
   execute_actions(actions);
 }
 
-// ---- actions ----
-
-GatewayDaemon::Exchange* GatewayDaemon::find_exchange(RequestNumber number) {
-  const auto found = exchanges_.find(number);
-  return found == exchanges_.end() ? nullptr : &found->second;
-}
-
-void GatewayDaemon::erase_exchange(RequestNumber number) { exchanges_.erase(number); }
-
-void GatewayDaemon::execute_actions(ForwarderActions& actions) {
-  for (ForwarderAction& action : actions) queued_actions_.push_back(std::move(action));
-  actions.clear();
-  // An action may fail immediately and cause further actions; these are queued behind it.
-  if (executing_actions_) return;
-  executing_actions_ = true;
-  while (!queued_actions_.empty()) {
-    const ForwarderAction action = std::move(queued_actions_.front());
-    queued_actions_.pop_front();
-    std::visit([this](const auto& typed) { execute(typed); }, action);
-  }
-  flush_responses();
-  fleet_.send_backlogs();
-  fleet_.exchange_permits(forwarder_.waiting() > 0);
-  executing_actions_ = false;
-}
-
-void GatewayDaemon::flush_responses() {
-  // One write for all bytes that the actions added to a response.
-  const std::vector<RequestNumber> unflushed = std::move(unflushed_requests_);
-  unflushed_requests_.clear();
-  for (const RequestNumber number : unflushed) {
-    Exchange* exchange = find_exchange(number);
-    if (exchange == nullptr) continue;
-    CallerConnection& connection = *exchange->connection;
-    connection.flush();
-    if (find_exchange(number) == nullptr || connection.queued_bytes() <= kMaximumUnreadBytes)
-      continue;
-    on_caller_disconnected(connection);
-    connection.abort_response();
-  }
-}
-
-void GatewayDaemon::execute(const SendToBackend& action) {
-  const Exchange* exchange = find_exchange(action.request);
-  if (exchange == nullptr) return;
-  const bool head_request = exchange->request.head.method() == boost::beast::http::verb::head;
-  backends_.start(action, protocol_->encode_request(exchange->request, action), head_request);
-}
-
-void GatewayDaemon::execute(const CancelAttempt& action) { backends_.cancel(action.request); }
-
-void GatewayDaemon::execute(const ProbeBackend& action) {
-  probes_.start(action.backend, action.address);
-}
-
-void GatewayDaemon::execute(const BeginResponse& action) {
-  Exchange* exchange = find_exchange(action.request);
-  if (exchange == nullptr) return;
-  exchange->response_started = true;
-  exchange->connection->begin_response(
-      exchange->response_status, exchange->response_reason, exchange->response_head,
-      action.length ? ResponseFraming::length : ResponseFraming::chunked,
-      action.length.value_or(0));
-}
-
-void GatewayDaemon::execute(const RelayBody& action) {
-  Exchange* exchange = find_exchange(action.request);
-  if (exchange == nullptr) return;
-  exchange->connection->write_body(action.bytes);
-  unflushed_requests_.push_back(action.request);
-}
-
-void GatewayDaemon::execute(const EndResponse& action) {
-  Exchange* exchange = find_exchange(action.request);
-  if (exchange == nullptr) return;
-  CallerConnection& connection = *exchange->connection;
-  erase_exchange(action.request);
-  connection.end_response();
-}
-
-void GatewayDaemon::execute(const SendRefusal& action) {
-  Exchange* exchange = find_exchange(action.request);
-  if (exchange == nullptr) return;
-  CallerConnection& connection = *exchange->connection;
-  const std::string fields = protocol_->refusal_headers(exchange->request_id, action.retry_after);
-  erase_exchange(action.request);
-  connection.respond(action.status, fields, to_string(action.reason));
-}
-
-void GatewayDaemon::execute(const AbortResponse& action) {
-  Exchange* exchange = find_exchange(action.request);
-  if (exchange == nullptr) return;
-  CallerConnection& connection = *exchange->connection;
-  erase_exchange(action.request);
-  connection.abort_response();
-}
-
-void GatewayDaemon::execute(const QueueForSlot& /*action*/) {}
-
-void GatewayDaemon::execute(const LeaveSlotQueue& /*action*/) {}
-
 // ---- fleet state ----
 
 void GatewayDaemon::on_routes(const RouteTablePointer& routes) {
@@ -348,6 +249,23 @@
   execute_actions(actions);
 }
 
+void GatewayDaemon::on_slot_decisions(const Address& engine, const SlotDecisions& decisions) {
+  ForwarderActions actions;
+  for (const std::uint64_t request : decisions.granted) {
+    forwarder_.on_slot_granted(engine, request, loop_now(), actions);
+  }
+  for (const SlotDenial& denial : decisions.denied) {
+    forwarder_.on_slot_denied(engine, denial, loop_now(), actions);
+  }
+  execute_actions(actions);
+}
+
+void GatewayDaemon::on_slot_queue_lost(const Address& engine) {
+  ForwarderActions actions;
+  forwarder_.on_slot_queue_lost(engine, loop_now(), actions);
+  execute_actions(actions);
+}
+
 void GatewayDaemon::on_backend_ended(const std::string& backend, const char* evidence) {
   metrics_.on_backend_ended(evidence);
   log_.log_line("backend_ended", "backend id=" + backend + " state=ENDED evidence=" + evidence);
@@ -447,6 +365,7 @@
     metrics_.update(forwarder_.counters(), figures);
     metrics_.update(forwarder_.retries());
     metrics_.update(fleet_.pool().permits().counters());
+    metrics_.update(forwarder_.slot_counters());
     metrics_.update(fleet_.pool().notice_counters());
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -67,6 +67,8 @@
   // FleetState callbacks
   void on_routes(const RouteTablePointer& routes);
   void on_report();
+  void on_slot_decisions(const Address& engine, const SlotDecisions& decisions);
+  void on_slot_queue_lost(const Address& engine);
   /// @param evidence  source of the information, for the log: "agent" or "probe".
   void on_backend_ended(const std::string& backend, const char* evidence);
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -83,6 +83,18 @@
   set("pumicemast_gateway_sends_while_paused", notices.sends_while_paused);
 }
 
+void GatewayMetrics::update(const SlotReservationCounters& slots) {
+  const auto set = [this](const char* outcome, std::uint64_t count) {
+    metrics_.gauge("pumicemast_gateway_slot_requests", {{"outcome", outcome}},
+                   static_cast<double>(count));
+  };
+  set("queued", slots.queued);
+  set("granted", slots.granted);
+  set("denied", slots.denied);
+  set("withdrawn", slots.withdrawn);
+  set("returned", slots.returned);
+}
+
 void GatewayMetrics::update(const PermitCounters& permits) {
   const auto set = [this](const char* result, std::uint64_t count) {
     metrics_.gauge("pumicemast_gateway_permits", {{"result", result}}, static_cast<double>(count));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -33,6 +33,7 @@
   void update(const RetryBudgets& retries);
   void update(const PermitCounters& permits);
   void update(const NoticeCounters& notices);
+  void update(const SlotReservationCounters& slots);
   std::string serialize() const { return metrics_.serialize(); }
   Metrics& registry() { return metrics_; }
 
--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -7,6 +7,7 @@
 #include "gateway/quarantine/crash_messages.h"
 #include "transport/backend_list_messages.h"
 #include "transport/permit_messages.h"
+#include "transport/slot_messages.h"
 
 namespace pumicemast {
 namespace {
@@ -288,6 +289,18 @@
   links_.send(peer_id({engine.host, own_address_.port}), message);
 }
 
+void FleetLinks::send_slot_requests(const Address& engine, const SlotRequests& requests) {
+  if (const auto agent = agent_of(engine)) links_.send(*agent, encode(requests));
+}
+
+void FleetLinks::on_slot_decisions(PeerId agent, const wire::SlotDecisions& message) {
+  const auto known = agents_.find(agent);
+  const auto engine = parse_address(message.engine()->str());
+  // An agent decides about its own engine alone.
+  if (!engine || known == agents_.end() || known->second.address != *engine) return;
+  listener_.on_slot_decisions(*engine, decode(message));
+}
+
 void FleetLinks::send_digest(PeerId peer) {
   wire::GatewayDigestT message = encode(listener_.own_gossip_state(), loop_now());
   message.gateway = own_address_.to_string();
@@ -339,6 +352,9 @@
     case wire::Body::PermitRequest:
       listener_.on_permit_request(peer, decode(*frame.body_as_PermitRequest(), loop_now()));
       return;
+    case wire::Body::SlotDecisions:
+      on_slot_decisions(peer, *frame.body_as_SlotDecisions());
+      return;
     case wire::Body::PermitAnswer:
       listener_.on_permit_answer(peer, decode(*frame.body_as_PermitAnswer(), loop_now()));
       return;
@@ -371,6 +387,8 @@
   report.started_at_ms = message.started_at_ms();
   report.limit = decode(message.limit(), loop_now());
   report.leaving = message.leaving();
+  report.queues_slot_requests = message.queues_slot_requests();
+  report.slot_requests = message.slot_requests();
   if (message.leaves_in_ms() >= 0) report.leaves_in = milliseconds(message.leaves_in_ms());
   listener_.on_engine_report(*engine, report);
   if (message.echo() == 0) return;
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -24,6 +24,7 @@
 #include "gateway/quarantine/crash_update.h"
 #include "gateway/quarantine/verdict_pull.h"
 #include "limits/permit_issuer.h"
+#include "scheduling/slot_messages.h"
 #include "transport/peer_links.h"
 
 namespace pumicemast {
@@ -54,6 +55,8 @@
   virtual void on_crash_update(const CrashUpdate& update) = 0;
   /// The evidence behind all requests in quarantine here.
   virtual CrashUpdate own_verdicts() = 0;
+  /// The agent of an engine has granted or denied slots to requests of this gateway.
+  virtual void on_slot_decisions(const Address& engine, const SlotDecisions& decisions) = 0;
   virtual void on_permit_request(PeerId gateway, const PermitRequest& request) = 0;
   virtual void on_permit_answer(PeerId issuer, const PermitAnswer& answer) = 0;
 };
@@ -104,6 +107,8 @@
   /// Reports to the engine's agent how many prompt tokens of this gateway's requests are pending
   /// there; the agent reports them to the other gateways.
   void send_backlog(const Address& engine, double pending_tokens);
+  /// Tells the engine's agent which requests of this gateway wait for a slot, or do not any more.
+  void send_slot_requests(const Address& engine, const SlotRequests& requests);
   /// Sends a newly named version of a model's weights to the agents of all subscribed engines.
   void announce_weights(const std::string& model, std::uint64_t version);
   /// Sends to some gateways which requests were running when back ends crashed; each forwards what
@@ -142,6 +147,7 @@
   std::vector<PeerId> ring_successors() const;
   void on_frame(PeerId peer, const wire::Frame& frame);
   void on_report(PeerId agent, const wire::EngineReport& message);
+  void on_slot_decisions(PeerId agent, const wire::SlotDecisions& message);
   void on_gateway_list(const wire::GatewayList& list);
   void on_list_request(PeerId peer, const wire::BackendListRequest& request);
   void on_digest(PeerId peer, const wire::GatewayDigest& digest);
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -263,6 +263,27 @@
   }
 }
 
+void FleetState::queue_for_slot(const Address& engine, const SlotRequest& request) {
+  unsent_slot_requests_[engine].requests.push_back(request);
+}
+
+void FleetState::leave_slot_queue(const Address& engine, std::uint64_t request) {
+  SlotRequests& unsent = unsent_slot_requests_[engine];
+  // The agent handles withdrawals first, and would keep a request of the same message.
+  std::erase_if(unsent.requests,
+                [&](const SlotRequest& queued) { return queued.number == request; });
+  unsent.withdrawn.push_back(request);
+}
+
+void FleetState::send_slot_requests() {
+  const auto unsent = std::exchange(unsent_slot_requests_, {});
+  for (const auto& [engine, requests] : unsent) links_.send_slot_requests(engine, requests);
+}
+
+void FleetState::on_slot_decisions(const Address& engine, const SlotDecisions& decisions) {
+  callbacks_.on_slot_decisions(engine, decisions);
+}
+
 void FleetState::exchange_permits(bool requests_wait) {
   if (!requests_wait) pool_.permits().release_unused();
   permits_.schedule();
@@ -360,7 +381,10 @@
   pool_.on_others_backlog(engine, pending_tokens);
 }
 
-void FleetState::on_engine_agent_lost(const Address& engine) { pool_.on_agent_lost(engine); }
+void FleetState::on_engine_agent_lost(const Address& engine) {
+  pool_.on_agent_lost(engine);
+  callbacks_.on_slot_queue_lost(engine);
+}
 
 void FleetState::on_gossip_state(const GossipState& state) {
   for (const BackendDeparture& left : state.leaving) {
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -32,6 +32,10 @@
     std::function<void(const RouteTablePointer& routes)> on_routes;
     /// Waiting requests may be able to start: an engine reported, or a permit request was answered.
     std::function<void()> on_report;
+    /// An engine's agent has granted or denied slots to requests of this gateway.
+    std::function<void(const Address& engine, const SlotDecisions& decisions)> on_slot_decisions;
+    /// An engine's agent was lost, with the requests that waited there.
+    std::function<void(const Address& engine)> on_slot_queue_lost;
     /// An engine's process has exited while its agent keeps running.
     std::function<void(const std::string& backend)> on_engine_ended;
   };
@@ -45,6 +49,12 @@
   /// Reports to agents how many prompt tokens of this gateway are pending at their engines, where
   /// that has changed.
   void send_backlogs();
+  /// Queues a request at the engine's agent with the next `send_slot_requests`.
+  void queue_for_slot(const Address& engine, const SlotRequest& request);
+  /// Withdraws a request from the engine's agent with the next `send_slot_requests`.
+  void leave_slot_queue(const Address& engine, std::uint64_t request);
+  /// Sends what has been collected, in one message for each agent.
+  void send_slot_requests();
   /// Logs what responses of back ends have changed: their announcements and pauses, and their rate
   /// limits. What other gateways need is sent to the agents or gossiped.
   void propagate_backend_changes();
@@ -94,6 +104,7 @@
   GossipState own_gossip_state() override;
   void on_crash_update(const CrashUpdate& update) override;
   CrashUpdate own_verdicts() override;
+  void on_slot_decisions(const Address& engine, const SlotDecisions& decisions) override;
   void on_permit_request(PeerId gateway, const PermitRequest& request) override;
   void on_permit_answer(PeerId issuer, const PermitAnswer& answer) override;
 
@@ -134,6 +145,7 @@
   RequestQuarantine quarantine_;
   FleetLinks links_;
   PermitExchange permits_;
+  std::map<Address, SlotRequests> unsent_slot_requests_;
   RouteTablePointer routes_;
   BackendListRelay list_relay_;
   BackendListHolders backend_list_holders_;
--- a/src/host/credits/report_schedule.cpp
+++ b/src/host/credits/report_schedule.cpp
@@ -14,6 +14,7 @@
 
 bool load_changed(const LoadReport& report, const LoadReport& previous) {
   return report.running != previous.running || report.queued != previous.queued ||
+         (report.slot_requests > 0) != (previous.slot_requests > 0) ||
          availability_changed(report, previous);
 }
 
--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "transport/backend_list_messages.h"
 #include "transport/permit_messages.h"
+#include "transport/slot_messages.h"
 
 namespace pumicemast {
 namespace {
@@ -56,7 +57,9 @@
       metrics_server_([this](const std::string& path) {
         if (path != "/metrics") return StatusResponse{kStatusNotFound, "text/plain", "not found"};
         return StatusResponse{kStatusOk, kMetricsContentType, metrics_.serialize()};
-      }) {
+      }),
+      slots_(settings_.engine, links_, metrics_,
+             [this](const std::string& kind, const std::string& line) { log_line(kind, line); }) {
   links_.set_user_timeout(kUnansweredLimit);
   links_.set_queue_limit(kQueueLimitBytes);
 }
@@ -223,6 +226,9 @@
     case wire::Body::PermitRequest:
       on_permit_request(peer, decode(*frame.body_as_PermitRequest(), loop_now()));
       return;
+    case wire::Body::SlotRequests:
+      on_slot_requests(peer, decode(*frame.body_as_SlotRequests()));
+      return;
     case wire::Body::EngineDescription:
       on_description(*frame.body_as_EngineDescription());
       return;
@@ -306,6 +312,7 @@
 }
 
 void HostDaemon::poll_engine() {
+  load_asked_at_ = loop_now();
   engine_->read_load([this](const LoadReport& report) { on_load(report); });
 }
 
@@ -322,7 +329,9 @@
   if (engine_restarted) permits_.on_restarted(loop_now());
   if (engine_restarted && cold_start_) limit_cold_engine(loop_now() + cold_start_->duration);
   load_ = report;
+  load_read_at_ = load_asked_at_;
   report_limit_change();
+  slots_.on_capacity(slot_capacity(loop_now()), loop_now());
   send_report(false);
   for (const auto& [model, stager] : stagers_) stager->on_load(report);
 }
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -16,6 +16,7 @@
 #include "host/engine_control.h"
 #include "host/engine_list.h"
 #include "host/host_settings.h"
+#include "host/slot_service.h"
 #include "host/staging/model_stager.h"
 #include "http1/status_server.h"
 #include "limits/permit_issuer.h"
@@ -75,6 +76,9 @@
   /// Reports a changed rate limit to all gateways.
   void report_limit_change();
   void send_backlogs();
+  void on_slot_requests(PeerId peer, const SlotRequests& requests);
+  /// The engine's capacity for requests that wait for a slot.
+  SlotCapacity slot_capacity(TimePoint now);
   void remove_subscriber(PeerId peer);
   void remove_expired_subscribers(TimePoint now);
   void poll_engine();
@@ -119,9 +123,12 @@
   EngineList engine_list_;
   std::uint64_t list_request_count_ = 0;
   LoadReport load_;
+  TimePoint load_asked_at_{};  ///< When the last load poll was sent.
+  TimePoint load_read_at_{};   ///< When the poll that `load_` answers was sent.
   CreditAllocator credit_allocator_;
   EngineCapacity capacity_;
   ReportSchedule schedule_;
+  SlotService slots_;
   PermitIssuer permits_;
   std::optional<ColdStartProfile> cold_start_;
   TimePoint limit_reported_at_{};
--- a/src/host/host_daemon_reports.cpp
+++ b/src/host/host_daemon_reports.cpp
@@ -64,6 +64,7 @@
 void HostDaemon::remove_subscriber(PeerId peer) {
   subscribers_.erase(peer);
   credit_allocator_.remove_gateway(peer);
+  slots_.remove_gateway(peer);
 }
 
 void HostDaemon::remove_expired_subscribers(TimePoint now) {
@@ -76,6 +77,8 @@
 
 LoadReport HostDaemon::current_load(TimePoint now) {
   LoadReport report = load_;
+  report.queues_slot_requests = true;
+  report.slot_requests = slots_.waiting();
   for (const auto& [model, stager] : stagers_) {
     // The engine counts as busy from the decision on, not only from its next load report.
     if (stager->starting() && report.weight_version != stager->staged_version()) {
@@ -111,6 +114,8 @@
   message.started_at_ms = report.started_at_ms;
   message.needs_description = origin_ == nullptr;
   message.leaving = report.leaving;
+  message.queues_slot_requests = report.queues_slot_requests;
+  message.slot_requests = report.slot_requests;
   message.limit = pumicemast::encode(permits_.limit(), loop_now());
   if (report.leaves_in) {
     message.leaves_in_ms = static_cast<std::int32_t>(to_milliseconds(*report.leaves_in));
@@ -144,7 +149,9 @@
   for (const auto& [peer, subscriber] : subscribers_) {
     if (subscriber.same_zone ? audience.same_zone : audience.other_zones) gateways.push_back(peer);
   }
-  capacity_.occupied = report.running + report.queued;
+  capacity_.occupied = report.running + report.queued + slots_.grants_in_transit(load_read_at_);
+  // Requests that wait for a slot come before those that may still arrive.
+  if (slots_.waiting() > 0) capacity_.occupied = std::max(capacity_.occupied, capacity_.slots);
   // Under a rate limit permits replace credits, also at gateways that do not know of the limit yet.
   // A leaving engine has none to give.
   if (report.leaving || permits_.limited(loop_now()))
@@ -152,6 +159,24 @@
   return credit_allocator_.allocate(capacity_, gateways);
 }
 
+SlotCapacity HostDaemon::slot_capacity(TimePoint now) {
+  const LoadReport report = current_load(now);
+  SlotCapacity capacity;
+  capacity.available = report.alive && !report.busy && !report.leaving &&
+                       report.weight_version != 0 && !permits_.limited(now);
+  capacity.slots = capacity_.slots;
+  capacity.occupied = report.running + report.queued;
+  capacity.read_at = load_read_at_;
+  capacity.pending_prompt_tokens = credit_allocator_.pending_tokens();
+  capacity.prefill_chunk_tokens = capacity_.prefill_chunk_tokens;
+  return capacity;
+}
+
+void HostDaemon::on_slot_requests(PeerId peer, const SlotRequests& requests) {
+  if (!subscribers_.contains(peer)) return;
+  slots_.on_requests(peer, requests, slot_capacity(loop_now()), loop_now());
+}
+
 void HostDaemon::send_backlogs() {
   for (auto& [peer, subscriber] : subscribers_) {
     const std::uint32_t tokens = credit_allocator_.pending_tokens_of_others(peer);
