--- a/tests/gateway/peers/fleet_links_agents_test.cpp
+++ b/tests/gateway/peers/fleet_links_agents_test.cpp
@@ -28,6 +28,7 @@
   void on_crash_update(const CrashUpdate&) override {}
   CrashUpdate own_verdicts() override { return {}; }
   void on_permit_request(PeerId, const PermitRequest&) override {}
+  void on_slot_decisions(const Address&, const SlotDecisions&) override {}
   void on_permit_answer(PeerId, const PermitAnswer&) override {}
   GossipState own_gossip_state() override {
     GossipState state;
