Do not count the wait for a slot against the time for which a slot is useful

Cause: the time from sending to the first token was predicted for the engine as it was, full: it contained the wait for a slot, which the request waits for in the queue. The slot counted as useful for too short a time. Change: the prediction for a queued request is of an engine with a free slot.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -82,6 +82,15 @@
   return predict_first_token_ms(engine, load, requirements.prompt_tokens);
 }
 
+double BackendPool::first_token_after_grant_ms(const Backend& backend, const EngineProfile& engine,
+                                               double prompt_tokens) {
+  EngineLoad load;
+  load.slowdown = std::max(1.0, backend.report.slowdown);
+  load.running = std::min<double>(backend.report.running, std::max(1U, engine.slots) - 1);
+  load.pending_tokens = backend.pending_prompt_tokens + backend.report.others_pending_tokens;
+  return predict_first_token_ms(engine, load, prompt_tokens);
+}
+
 double BackendPool::expected_ms(Backend& backend, const BackendRequirements& requirements,
                                 TimePoint now) const {
   if (requirements.service->engine)
@@ -233,8 +242,10 @@
         if (needs_permit(id, backend, now)) return;
         const double queue_ms = backend.report.slot_requests * slot_ms / kSlotRequestCopies;
         const double cost = wait_ms + queue_ms + routing_penalty_ms(backend, requirements);
+        const double granted_ms = first_token_after_grant_ms(backend, *requirements.service->engine,
+                                                             requirements.prompt_tokens);
         candidates.emplace_back(cost, BackendChoice{id, backend.record.address,
-                                                    backend.record.weight_version, wait_ms});
+                                                    backend.record.weight_version, granted_ms});
       });
   const auto cheaper = [](const auto& left, const auto& right) { return left.first < right.first; };
   std::sort(candidates.begin(), candidates.end(), cheaper);
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -168,7 +168,8 @@
   std::optional<BackendChoice> choose(const BackendRequirements& requirements,
                                       const std::set<std::string>& excluded, TimePoint now);
   /// The engines where it is cheapest to wait for a slot: all checks of `choose` but the credits
-  /// and the reserved slots. Only engines whose agents keep a queue.
+  /// and the reserved slots. Only engines whose agents keep a queue. `expected_ms` counts from the
+  /// grant of a slot.
   /// @param count  maximum number of engines.
   std::vector<BackendChoice> slot_candidates(const BackendRequirements& requirements,
                                              const std::set<std::string>& excluded,
@@ -306,6 +307,9 @@
   template <class Visitor>
   void for_each_candidate(const BackendRequirements& requirements,
                           const std::set<std::string>& excluded, TimePoint now, Visitor visit);
+  /// Predicted time from the grant of a slot to the first token, in milliseconds. Requires a report.
+  static double first_token_after_grant_ms(const Backend& backend, const EngineProfile& engine,
+                                           double prompt_tokens);
   double engine_wait_ms(Backend& backend, const EngineProfile& engine,
                         const BackendRequirements& requirements, TimePoint now) const;
 
