--- a/tests/fuzz/bad_bytes_test.cpp
+++ b/tests/fuzz/bad_bytes_test.cpp
@@ -13,10 +13,12 @@
 #include "platform/configuration_translation.h"
 #include "platform/gateway_translation.h"
 #include "platform/store_list.h"
+#include "scheduling/slot_queue.h"
 #include "support/byte_mutator.h"
 #include "support/platform_documents.h"
 #include "support/temporary_folder.h"
 #include "transport/frame_codec.h"
+#include "transport/slot_messages.h"
 
 namespace pumicemast {
 namespace {
@@ -142,6 +144,51 @@
   quarantine.sweep(now);
 }
 
+constexpr std::size_t kMaximumSlotEntries = 512;  ///< Of one kind in one message.
+
+/// Checks that the values are bounded, and takes the request into the queue.
+void add_slot_request(const SlotRequest& request, SlotQueue& queue, TimePoint now) {
+  CPPUNIT_ASSERT(request.priority >= kMostUrgentPriority &&
+                 request.priority <= kLeastUrgentPriority);
+  CPPUNIT_ASSERT(request.copies >= 1 && request.copies <= 16);
+  CPPUNIT_ASSERT(request.prompt_tokens <= 10'000'000);
+  CPPUNIT_ASSERT(request.useful_for >= Duration::zero() && request.useful_for <= seconds(60));
+  queue.add(1, request, now);
+}
+
+void read_slot_requests(const std::string& bytes, SlotQueue& queue, TimePoint now) {
+  FrameReader reader;
+  const std::span<const std::uint8_t> view(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                           bytes.size());
+  reader.consume(view, [&](const wire::Frame& frame) {
+    const auto* message = frame.body_as_SlotRequests();
+    if (message == nullptr) return;
+    const SlotRequests read = decode(*message);
+    CPPUNIT_ASSERT(read.requests.size() <= kMaximumSlotEntries);
+    CPPUNIT_ASSERT(read.withdrawn.size() <= kMaximumSlotEntries);
+    for (const std::uint64_t number : read.withdrawn) queue.withdraw(1, number);
+    for (const SlotRequest& request : read.requests) add_slot_request(request, queue, now);
+  });
+}
+
+void read_slot_decisions(const std::string& bytes) {
+  FrameReader reader;
+  const std::span<const std::uint8_t> view(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                           bytes.size());
+  reader.consume(view, [&](const wire::Frame& frame) {
+    const auto* message = frame.body_as_SlotDecisions();
+    if (message == nullptr) return;
+    const SlotDecisions read = decode(*message);
+    CPPUNIT_ASSERT(read.granted.size() <= kMaximumSlotEntries);
+    CPPUNIT_ASSERT(read.denied.size() <= kMaximumSlotEntries);
+    for (const SlotDenial& denial : read.denied) {
+      CPPUNIT_ASSERT(denial.expected_wait >= Duration::zero() &&
+                     denial.expected_wait <= seconds(60));
+      CPPUNIT_ASSERT(std::string(to_string(denial.reason)) != "unknown");
+    }
+  });
+}
+
 void read_settings(Settings& settings) {
   settings.integer_or("a", "number", 1, {0, 100});
   settings.number_or("a", "ratio", 0.1, 0, 1);
@@ -167,6 +214,8 @@
   CPPUNIT_TEST(event_streams);
   CPPUNIT_TEST(frames);
   CPPUNIT_TEST(crash_updates);
+  CPPUNIT_TEST(slot_requests);
+  CPPUNIT_TEST(slot_decisions);
   CPPUNIT_TEST(configurations);
   CPPUNIT_TEST(runners);
   CPPUNIT_TEST(settings);
@@ -266,6 +315,42 @@
     }
   }
 
+  void slot_requests() {
+    const SlotRequests requests{
+        {{1, 0, false, 5, 787, 3, milliseconds(200)}, {2, 2, true, 6, 1290, 1, milliseconds(900)}},
+        {3, 4}};
+    const EncodedFrame frame = encode_frame(encode(requests));
+    const std::string good(reinterpret_cast<const char*>(frame.data()), frame.size());
+    SlotQueue queue{{}};
+    TimePoint now{seconds(1)};
+    for (std::uint64_t number = 0; number < cases_; ++number) {
+      tests::ByteMutator mutator(seed_ * cases_ + number,
+                                 {std::string(4, '\0'), "\xff\xff\xff\x7f"});
+      now += milliseconds(10);
+      read_slot_requests(mutator.mutate(good), queue, now);
+      SlotCapacity capacity;
+      capacity.available = true;
+      capacity.slots = 12;
+      capacity.occupied = static_cast<std::uint32_t>(mutator.below(15));
+      capacity.read_at = now;
+      queue.decide(capacity, now);
+      CPPUNIT_ASSERT(queue.waiting() <= SlotQueue::Options{}.maximum_waiting);
+    }
+  }
+
+  void slot_decisions() {
+    const SlotDecisions decisions{{1, 2},
+                                  {{3, SlotDenialReason::more_urgent_first, milliseconds(300)},
+                                   {4, SlotDenialReason::engine_unavailable, Duration::zero()}}};
+    const EncodedFrame frame = encode_frame(encode(decisions, Address{"127.0.0.1", 80}));
+    const std::string good(reinterpret_cast<const char*>(frame.data()), frame.size());
+    for (std::uint64_t number = 0; number < cases_; ++number) {
+      tests::ByteMutator mutator(seed_ * cases_ + number,
+                                 {std::string(4, '\0'), "\xff\xff\xff\x7f"});
+      read_slot_decisions(mutator.mutate(good));
+    }
+  }
+
   void configurations() {
     const json good = json::parse(tests::kConfiguration);
     for (std::uint64_t number = 0; number < cases_; ++number) {
