Grant no slot to a request whose useful time is over

decide() granted before it denied, so a request past its useful time took a slot for which another one waited; the gateway could only return it. The choice of the next request now passes over these. Denying first was ruled out: requests that a free slot would serve would be denied by the prediction.

--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/slot_queue.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace pumicemast {
@@ -102,6 +103,7 @@
       capacity.pending_prompt_tokens + prompt_tokens_in_transit(capacity.read_at);
   while (!waiting_.empty() && taken < usable && pending_tokens < readable_tokens) {
     const auto chosen = next(now);
+    if (chosen == waiting_.end()) return;
     pending_tokens += chosen->second.request.prompt_tokens;
     ++taken;
     grant(chosen, replies, now);
@@ -137,39 +139,41 @@
   return std::max(mean, (now - *contended_since_grant_) / 2);
 }
 
-GuaranteedShares::Group SlotQueue::next_level(TimePoint now) const {
-  std::vector<GuaranteedShares::Group> levels;
-  for (const auto& [key, waiting] : waiting_) levels.push_back(level_of(waiting.request));
-  std::sort(levels.begin(), levels.end());
-  levels.erase(std::unique(levels.begin(), levels.end()), levels.end());
-  return level_shares_.most_deprived(levels, now).value_or(levels.front());
+std::optional<GuaranteedShares::Group> SlotQueue::next_level(TimePoint now) const {
+  std::set<GuaranteedShares::Group> levels;
+  for (const auto& [key, waiting] : waiting_) {
+    if (useful_until(waiting) > now) levels.insert(level_of(waiting.request));
+  }
+  if (levels.empty()) return std::nullopt;
+  const auto deprived = level_shares_.most_deprived({levels.begin(), levels.end()}, now);
+  return deprived.value_or(*levels.begin());
 }
 
 std::map<SlotQueue::Key, SlotQueue::Waiting>::iterator SlotQueue::next(TimePoint now) {
-  const GuaranteedShares::Group level = next_level(now);
+  const std::optional<GuaranteedShares::Group> level = next_level(now);
+  std::vector<std::map<Key, Waiting>::iterator> in_turn;
   bool only_returning = true;
-  std::vector<GuaranteedShares::Group> tenants;
-  for (const auto& [key, waiting] : waiting_) {
-    if (level_of(waiting.request) == level && !waiting.request.returning) only_returning = false;
-  }
-  const auto in_turn = [&](const Waiting& waiting) {
-    return level_of(waiting.request) == level && waiting.request.returning == only_returning;
-  };
-  for (const auto& [key, waiting] : waiting_) {
-    if (in_turn(waiting)) tenants.push_back(waiting.request.tenant);
-  }
-  const auto deprived = tenant_shares_.most_deprived(tenants, now);
-  const auto rank = [&](const Waiting& waiting) {
-    return std::make_tuple(deprived != waiting.request.tenant,
-                           tenant_shares_.recent_grants(waiting.request.tenant, now),
-                           waiting.arrival);
-  };
-  auto best = waiting_.end();
   for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
-    if (!in_turn(entry->second)) continue;
-    if (best == waiting_.end() || rank(entry->second) < rank(best->second)) best = entry;
+    const Waiting& waiting = entry->second;
+    if (level_of(waiting.request) != level || useful_until(waiting) <= now) continue;
+    in_turn.push_back(entry);
+    if (!waiting.request.returning) only_returning = false;
   }
-  return best;
+  std::erase_if(in_turn, [&](const auto& entry) {
+    return entry->second.request.returning != only_returning;
+  });
+  std::set<GuaranteedShares::Group> tenants;
+  for (const auto& entry : in_turn) tenants.insert(entry->second.request.tenant);
+  const auto deprived = tenant_shares_.most_deprived({tenants.begin(), tenants.end()}, now);
+  const auto rank = [&](const auto& entry) {
+    const std::uint64_t tenant = entry->second.request.tenant;
+    return std::make_tuple(deprived != tenant, tenant_shares_.recent_grants(tenant, now),
+                           entry->second.arrival);
+  };
+  const auto best =
+      std::min_element(in_turn.begin(), in_turn.end(),
+                       [&](const auto& one, const auto& other) { return rank(one) < rank(other); });
+  return best == in_turn.end() ? waiting_.end() : *best;
 }
 
 std::vector<SlotQueue::Key> SlotQueue::expected_order(TimePoint now) const {
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -98,10 +98,10 @@
 
   static GuaranteedShares::Group level_of(const SlotRequest& request);
   static TimePoint useful_until(const Waiting& waiting);
-  /// The request that is next in the order; none waits otherwise.
+  /// The request that is next in the order; the end if a slot is of no use to any.
   std::map<Key, Waiting>::iterator next(TimePoint now);
-  /// The level whose turn it is.
-  GuaranteedShares::Group next_level(TimePoint now) const;
+  /// The level whose turn it is; empty if a slot is of no use to any request.
+  std::optional<GuaranteedShares::Group> next_level(TimePoint now) const;
   void grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now);
   void grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now);
   /// Learns how fast slots are granted while requests wait.
