Bound the tenants that shares are kept for, and what reading them costs

Each tenant that a gateway stated had an account for about a minute, so a sender of new tenants could fill the agent's memory; and above_mean() decayed all accounts for each of the waiting requests, twice a decision. Beyond 1,024 accounts, further tenants share one. The test of the bound failed before.

--- a/src/scheduling/guaranteed_shares.cpp
+++ b/src/scheduling/guaranteed_shares.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/guaranteed_shares.h"
 
 #include <cmath>
+#include <limits>
 
 namespace pumicemast {
 namespace {
@@ -10,41 +11,56 @@
 constexpr double kMinimumDeficit = 0.5;
 /// A group whose decayed requests fall below this has not asked for anything recently.
 constexpr double kForgottenRequests = 0.01;
+/// Keeps weights within the range of a double.
+constexpr double kMaximumUnit = 1e9;
+/// Account of the groups beyond the maximum number.
+constexpr GuaranteedShares::Group kSharedAccount = std::numeric_limits<std::uint64_t>::max();
 
 }  // namespace
 
 GuaranteedShares::GuaranteedShares(Options options) : options_(options) {}
 
-GuaranteedShares::Usage GuaranteedShares::decayed(const Usage& usage, TimePoint now) const {
-  const double factor = std::exp2(-to_seconds(now - usage.at) / to_seconds(options_.half_life));
-  return {usage.requested * factor, usage.granted * factor, now};
+GuaranteedShares::Group GuaranteedShares::account_of(Group group) const {
+  const bool has_own = groups_.size() + 1 < options_.maximum_groups || groups_.contains(group);
+  return has_own ? group : kSharedAccount;
+}
+
+double GuaranteedShares::unit(TimePoint now) const {
+  return std::exp2(to_seconds(now - weighed_at_) / to_seconds(options_.half_life));
+}
+
+void GuaranteedShares::scale_back(TimePoint now) {
+  const double scale = unit(now);
+  if (scale < kMaximumUnit) return;
+  weighed_at_ = now;
+  total_ = {};
+  for (auto& [group, usage] : groups_) {
+    usage = {usage.requested / scale, usage.granted / scale};
+    total_.requested += usage.requested;
+    total_.granted += usage.granted;
+  }
 }
 
 void GuaranteedShares::on_requested(Group group, TimePoint now) {
-  Usage& usage = groups_[group];
-  usage = decayed(usage, now);
-  usage.requested += 1;
+  scale_back(now);
+  groups_[account_of(group)].requested += unit(now);
+  total_.requested += unit(now);
 }
 
 void GuaranteedShares::on_granted(Group group, TimePoint now) {
-  Usage& usage = groups_[group];
-  usage = decayed(usage, now);
-  usage.granted += 1;
+  scale_back(now);
+  groups_[account_of(group)].granted += unit(now);
+  total_.granted += unit(now);
 }
 
 GuaranteedShares::Usage GuaranteedShares::total(TimePoint now) const {
-  Usage sum{0, 0, now};
-  for (const auto& [group, usage] : groups_) {
-    const Usage current = decayed(usage, now);
-    sum.requested += current.requested;
-    sum.granted += current.granted;
-  }
-  return sum;
+  return {total_.requested / unit(now), total_.granted / unit(now)};
 }
 
 GuaranteedShares::Usage GuaranteedShares::usage_of(Group group, TimePoint now) const {
-  const auto found = groups_.find(group);
-  return found == groups_.end() ? Usage{0, 0, now} : decayed(found->second, now);
+  const auto found = groups_.find(account_of(group));
+  if (found == groups_.end()) return {};
+  return {found->second.requested / unit(now), found->second.granted / unit(now)};
 }
 
 double GuaranteedShares::guaranteed_part(Group group, TimePoint now) const {
@@ -81,10 +97,16 @@
 }
 
 void GuaranteedShares::sweep(TimePoint now) {
+  const double forgotten = kForgottenRequests * unit(now);
   std::erase_if(groups_, [&](const auto& entry) {
-    const Usage usage = decayed(entry.second, now);
-    return usage.requested < kForgottenRequests && usage.granted < kForgottenRequests;
+    return entry.second.requested < forgotten && entry.second.granted < forgotten;
   });
+  // Summing anew keeps rounding errors from adding up.
+  total_ = {};
+  for (const auto& [group, usage] : groups_) {
+    total_.requested += usage.requested;
+    total_.granted += usage.granted;
+  }
 }
 
 }  // namespace pumicemast
--- a/src/scheduling/guaranteed_shares.h
+++ b/src/scheduling/guaranteed_shares.h
@@ -23,6 +23,8 @@
     double guaranteed_fraction = 0.5;
     /// Weights of past requests and grants fall by half in this time.
     Duration half_life = seconds(2);
+    /// Bounds the memory; further groups share one account.
+    std::size_t maximum_groups = 1024;
   };
 
   explicit GuaranteedShares(Options options);
@@ -44,17 +46,25 @@
   std::size_t size() const { return groups_.size(); }
 
  private:
+  /// Weights at `weighed_at_`. An event at a later time is added with the weight that has fallen to
+  /// one by that time, so that events need not decay all groups.
   struct Usage {
     double requested = 0;
     double granted = 0;
-    TimePoint at{};
   };
-  Usage decayed(const Usage& usage, TimePoint now) const;
+  /// The account of the group: its own, or the shared one if there are too many groups.
+  Group account_of(Group group) const;
+  /// The weight of one unit at `now`.
+  double unit(TimePoint now) const;
+  /// Scales the weights back before they become too large.
+  void scale_back(TimePoint now);
   Usage usage_of(Group group, TimePoint now) const;
   Usage total(TimePoint now) const;
 
   Options options_;
   std::map<Group, Usage> groups_;
+  Usage total_;  ///< Sum over `groups_`.
+  TimePoint weighed_at_{};
 };
 
 }  // namespace pumicemast
--- a/tests/scheduling/guaranteed_shares_test.cpp
+++ b/tests/scheduling/guaranteed_shares_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(what_a_group_does_not_use_is_no_debt_for_long);
   CPPUNIT_TEST(weights_halve_in_the_half_life);
   CPPUNIT_TEST(groups_without_requests_are_dropped);
+  CPPUNIT_TEST(the_number_of_groups_is_bounded);
   CPPUNIT_TEST(guaranteed_parts_hold_under_random_demand);
   CPPUNIT_TEST_SUITE_END();
 
@@ -67,6 +68,16 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, shares.guaranteed_part(7, now + seconds(20)), 1e-9);
   }
 
+  // A gateway that states a new tenant with each request must not fill the agent's memory.
+  void the_number_of_groups_is_bounded() {
+    for (int count = 0; count < 50; ++count) shares.on_requested(1, now);
+    for (GuaranteedShares::Group group = 2; group < 100'000; ++group) {
+      shares.on_requested(group, now);
+    }
+    CPPUNIT_ASSERT(shares.size() <= GuaranteedShares::Options{}.maximum_groups);
+    CPPUNIT_ASSERT(shares.guaranteed_part(1, now) > 0);
+  }
+
   void guaranteed_parts_hold_under_random_demand() {
     for (std::uint32_t seed = 1; seed <= 10; ++seed) {
       std::mt19937 random(seed);
--- a/tests/scheduling/slot_queue_test.cpp
+++ b/tests/scheduling/slot_queue_test.cpp
@@ -25,8 +25,7 @@
   SlotQueue queue{{}};
   TimePoint now = TimePoint(seconds(100));
 
-  static SlotRequest request(std::uint64_t number, int priority = 0,
-                             std::uint64_t tenant = 1) {
+  static SlotRequest request(std::uint64_t number, int priority = 0, std::uint64_t tenant = 1) {
     SlotRequest result;
     result.number = number;
     result.priority = priority;
@@ -47,15 +46,13 @@
 
   /// Frees one slot each `interval` and returns the numbers of gateway 1 that
   /// were granted it.
-  std::vector<std::uint64_t> grant(std::size_t count,
-                                   Duration interval = milliseconds(100)) {
+  std::vector<std::uint64_t> grant(std::size_t count, Duration interval = milliseconds(100)) {
     std::vector<std::uint64_t> granted;
     for (std::size_t turn = 0; turn < count; ++turn) {
       now += interval;
       const auto replies = queue.decide(capacity(1), now);
-      for (const auto &[gateway, reply] : replies) {
-        granted.insert(granted.end(), reply.granted.begin(),
-                       reply.granted.end());
+      for (const auto& [gateway, reply] : replies) {
+        granted.insert(granted.end(), reply.granted.begin(), reply.granted.end());
       }
     }
     return granted;
@@ -77,7 +74,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.waiting());
   }
 
-public:
+ public:
   void grants_in_the_order_of_the_page() {
     SlotRequest returning = request(1, 0, 1);
     returning.returning = true;
@@ -108,8 +105,7 @@
   // 13 slots that were free at once taught an interval of zero, so that
   // hopeless requests waited.
   void slots_that_were_free_before_say_nothing_about_the_interval() {
-    for (std::uint64_t number = 1; number <= 60; ++number)
-      queue.add(1, request(number), now);
+    for (std::uint64_t number = 1; number <= 60; ++number) queue.add(1, request(number), now);
     queue.decide(capacity(0, 12), now);
     for (int turn = 0; turn < 6; ++turn) {
       now += milliseconds(100);
@@ -140,8 +136,7 @@
     CPPUNIT_ASSERT(queue.decide(capacity(0), now).empty());
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, queue.grants_in_transit(now));
     queue.withdraw(1, 1);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                         queue.decide(capacity(0), now).count(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.decide(capacity(0), now).count(3));
     queue.remove_gateway(2);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, queue.grants_in_transit(now));
   }
@@ -149,25 +144,19 @@
   void grants_lapse_for_a_load_read_after_their_transit() {
     queue.add(1, request(1), now);
     queue.decide(capacity(1), now);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1},
-                         queue.grants_in_transit(now + milliseconds(14)));
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0},
-                         queue.grants_in_transit(now + milliseconds(15)));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, queue.grants_in_transit(now + milliseconds(14)));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, queue.grants_in_transit(now + milliseconds(15)));
   }
 
   void displaced_requests_are_denied_with_the_reason() {
-    for (std::uint64_t number = 1; number <= 512; ++number)
-      queue.add(1, request(number, 2), now);
+    for (std::uint64_t number = 1; number <= 512; ++number) queue.add(1, request(number, 2), now);
     CPPUNIT_ASSERT(queue.decide(capacity(2), now).empty());
-    for (std::uint64_t number = 1; number <= 600; ++number)
-      queue.add(2, request(number, 0), now);
+    for (std::uint64_t number = 1; number <= 600; ++number) queue.add(2, request(number, 0), now);
     const auto replies = queue.decide(capacity(2), now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{512}, queue.waiting());
     CPPUNIT_ASSERT_EQUAL(std::size_t{512}, replies.at(1).denied.size());
-    CPPUNIT_ASSERT(replies.at(1).denied.at(0).reason ==
-                   SlotDenialReason::more_urgent_first);
-    CPPUNIT_ASSERT(replies.at(2).denied.at(0).reason ==
-                   SlotDenialReason::no_capacity);
+    CPPUNIT_ASSERT(replies.at(1).denied.at(0).reason == SlotDenialReason::more_urgent_first);
+    CPPUNIT_ASSERT(replies.at(2).denied.at(0).reason == SlotDenialReason::no_capacity);
   }
 
   void an_unavailable_engine_denies_all() {
@@ -177,26 +166,23 @@
     gone.available = false;
     const auto replies = queue.decide(gone, now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replies.size());
-    CPPUNIT_ASSERT(replies.at(1).denied.at(0).reason ==
-                   SlotDenialReason::engine_unavailable);
+    CPPUNIT_ASSERT(replies.at(1).denied.at(0).reason == SlotDenialReason::engine_unavailable);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.waiting());
   }
 
   void random_histories_keep_the_invariants() {
-    for (std::uint32_t seed = 1; seed <= 20; ++seed)
-      play_history(seed);
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) play_history(seed);
   }
 
-private:
+ private:
   using Name = std::pair<PeerId, std::uint64_t>;
 
   /// Requests that have neither an answer nor a withdrawal, with the end of
   /// their useful time.
   std::map<Name, TimePoint> open;
 
-  void answered(PeerId gateway, std::uint64_t number, const std::string &seed) {
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("answered twice or after a withdrawal, seed " +
-                                     seed,
+  void answered(PeerId gateway, std::uint64_t number, const std::string& seed) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("answered twice or after a withdrawal, seed " + seed,
                                  std::size_t{1}, open.erase({gateway, number}));
   }
 
@@ -211,38 +197,32 @@
       const PeerId gateway = random() % 5;
       const std::uint64_t number = random() % 100;
       switch (random() % 8) {
-      case 0:
-        queue.withdraw(gateway, number);
-        open.erase({gateway, number});
-        break;
-      case 1:
-        if (random() % 20 != 0)
+        case 0:
+          queue.withdraw(gateway, number);
+          open.erase({gateway, number});
           break;
-        queue.remove_gateway(gateway);
-        std::erase_if(open, [&](const auto &entry) {
-          return entry.first.first == gateway;
-        });
-        break;
-      default: {
-        SlotRequest added =
-            request(number, static_cast<int>(random() % 3), random() % 6);
-        added.useful_for = milliseconds(random() % 400);
-        added.copies = 1 + random() % 3;
-        added.returning = random() % 4 == 0;
-        queue.add(gateway, added, now);
-        open[{gateway, number}] = now + added.useful_for;
-      }
+        case 1:
+          if (random() % 20 != 0) break;
+          queue.remove_gateway(gateway);
+          std::erase_if(open, [&](const auto& entry) { return entry.first.first == gateway; });
+          break;
+        default: {
+          SlotRequest added = request(number, static_cast<int>(random() % 3), random() % 6);
+          added.useful_for = milliseconds(random() % 400);
+          added.copies = 1 + random() % 3;
+          added.returning = random() % 4 == 0;
+          queue.add(gateway, added, now);
+          open[{gateway, number}] = now + added.useful_for;
+        }
       }
       decide_and_check(random() % (kSlots + 3), kSlots, text);
     }
   }
 
-  void decide_and_check(std::uint32_t occupied, std::uint32_t slots,
-                        const std::string &seed) {
+  void decide_and_check(std::uint32_t occupied, std::uint32_t slots, const std::string& seed) {
     const std::uint32_t in_transit = queue.grants_in_transit(now);
     std::uint32_t grants = 0;
-    for (const auto &[gateway, reply] :
-         queue.decide(capacity(occupied, slots), now)) {
+    for (const auto& [gateway, reply] : queue.decide(capacity(occupied, slots), now)) {
       for (const std::uint64_t number : reply.granted) {
         const auto found = open.find({gateway, number});
         CPPUNIT_ASSERT_MESSAGE("granted after its useful time, seed " + seed,
@@ -250,22 +230,18 @@
         answered(gateway, number, seed);
         ++grants;
       }
-      for (const SlotDenial &denial : reply.denied)
-        answered(gateway, denial.number, seed);
+      for (const SlotDenial& denial : reply.denied) answered(gateway, denial.number, seed);
     }
     const std::uint32_t limit = slots + SlotQueue::Options{}.grants_ahead;
     CPPUNIT_ASSERT_MESSAGE("too many grants, seed " + seed,
-                           grants == 0 ||
-                               occupied + in_transit + grants <= limit);
-    for (const auto &[name, until] : open) {
-      CPPUNIT_ASSERT_MESSAGE("not answered in its useful time, seed " + seed,
-                             until > now);
+                           grants == 0 || occupied + in_transit + grants <= limit);
+    for (const auto& [name, until] : open) {
+      CPPUNIT_ASSERT_MESSAGE("not answered in its useful time, seed " + seed, until > now);
     }
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("requests forgotten, seed " + seed,
-                                 open.size(), queue.waiting());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("requests forgotten, seed " + seed, open.size(), queue.waiting());
   }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlotQueueTest);
 
-} // namespace pumicemast
+}  // namespace pumicemast
