Order requests by their tenant's priority, then by their route's

Routes of different urgency had no order. Change: the level of a request is its position among the pairs of tenants' and routes' priorities; the tenant's goes first. Only routes of different priorities turn the order on.

--- a/src/gateway/requests/request_authorizer.cpp
+++ b/src/gateway/requests/request_authorizer.cpp
@@ -62,7 +62,11 @@
   result.service = routes->service(pick_service(*result.route));
   if (result.service == nullptr) {
     result.refusal = {kStatusUnavailable, RefusalReason::no_backend};
+    return result;
   }
+  const auto level = routes->priority_level(result.service->name, *result.route, tenant);
+  result.ordered_by_priority = level.has_value();
+  result.priority = level.value_or(result.priority);
   return result;
 }
 
--- a/src/gateway/requests/request_authorizer.h
+++ b/src/gateway/requests/request_authorizer.h
@@ -24,7 +24,9 @@
   const RouteRule* route = nullptr;         ///< Null when no route matches.
   const ServiceProfile* service = nullptr;  ///< Null when refused.
   std::string tenant;                       ///< Empty when the request has none.
+  /// Of the tenant or the route; a level (RouteTable::priority_level) if the service has these.
   int priority = 0;
+  bool ordered_by_priority = false;  ///< The service's engines grant slots by priority.
   AllowedRegions allowed_regions;
   std::optional<RequestRefusal> refusal;
 };
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -57,8 +57,7 @@
   session.allowed_regions = authorization.allowed_regions;
   session.fingerprint = fingerprint_for(session.request.content, session.tenant);
   session.priority = authorization.priority;
-  session.ordered_by_priority =
-      session.service != nullptr && routes_->orders_by_priority(session.service->name);
+  session.ordered_by_priority = authorization.ordered_by_priority;
   if (authorization.route != nullptr) planner_.plan_times(session);
   if (authorization.refusal) {
     refuse_before_sending(number, session, *authorization.refusal, now, actions);
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -54,7 +54,7 @@
   AllowedRegions allowed_regions;
   RequestFingerprint fingerprint;  ///< Of the content and the tenant.
   int priority = 0;
-  /// The service grants slots by priority (RouteTable::orders_by_priority).
+  /// The service's engines grant slots by priority; `priority` is then a level of its order.
   bool ordered_by_priority = false;
   TimePoint arrived{};
   /// Estimated arrival of the caller's first attempt; earlier than `arrived` for a returning
--- a/src/gateway/requests/route_table.cpp
+++ b/src/gateway/requests/route_table.cpp
@@ -5,6 +5,8 @@
 #include <map>
 #include <set>
 
+#include "scheduling/slot_messages.h"
+
 namespace pumicemast {
 namespace {
 
@@ -34,30 +36,44 @@
   for (std::size_t index = 0; index < configuration_.services.size(); ++index) {
     services_by_name_[configuration_.services[index].name] = index;
   }
-  find_ordered_services();
+  find_priority_levels();
 }
 
-void RouteTable::find_ordered_services() {
-  std::set<int> of_tenants;
-  for (const TenantRule& tenant : configuration_.tenants) {
-    if (tenant.priority) of_tenants.insert(*tenant.priority);
-  }
-  std::map<std::string, std::set<int>> by_service;
+RouteTable::PriorityPair RouteTable::priorities_of(const RouteRule& route,
+                                                   std::optional<int> of_tenant) {
+  return {of_tenant.value_or(route.priority), route.priority};
+}
+
+void RouteTable::find_priority_levels() {
+  std::set<std::optional<int>> of_tenants = {std::nullopt};
+  for (const TenantRule& tenant : configuration_.tenants) of_tenants.insert(tenant.priority);
+  std::map<std::string, std::set<int>> of_routes;
+  std::map<std::string, std::set<PriorityPair>> pairs;
   for (const RouteRule& route : configuration_.routes) {
     for (const WeightedService& target : route.services) {
-      std::set<int>& priorities = by_service[target.service];
-      priorities.insert(route.priority);
-      priorities.insert(of_tenants.begin(), of_tenants.end());
+      of_routes[target.service].insert(route.priority);
+      for (const auto& of_tenant : of_tenants) {
+        pairs[target.service].insert(priorities_of(route, of_tenant));
+      }
     }
   }
-  for (const auto& [name, priorities] : by_service) {
+  for (const auto& [name, priorities] : of_routes) {
     const ServiceProfile* profile = service(name);
-    if (priorities.size() > 1 && profile != nullptr && profile->engine) {
-      ordered_services_.insert(name);
-    }
+    if (priorities.size() < 2 || profile == nullptr || !profile->engine) continue;
+    priority_levels_[name].assign(pairs[name].begin(), pairs[name].end());
   }
 }
 
+std::optional<int> RouteTable::priority_level(const std::string& service, const RouteRule& route,
+                                              const TenantRule* tenant) const {
+  const auto found = priority_levels_.find(service);
+  if (found == priority_levels_.end()) return std::nullopt;
+  const std::vector<PriorityPair>& levels = found->second;
+  const auto own = priorities_of(route, tenant == nullptr ? std::nullopt : tenant->priority);
+  const auto level = std::lower_bound(levels.begin(), levels.end(), own) - levels.begin();
+  return std::min(static_cast<int>(level), kLeastUrgentPriority);
+}
+
 const RouteRule* RouteTable::match(std::string_view host, std::string_view target) const {
   const auto routes = routes_by_host_.find(canonical_host(host));
   if (routes == routes_by_host_.end()) return nullptr;
