Queue at engines of the own zone first, at others in the second round

Cause: zones differed only by the cost of 35 ms, which a longer queue outweighs, so that requests and their messages went between regions at once. Change: in the first round, engines of other zones only fill up the number of three. After a denial by all, the cheapest engines count, wherever they are.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -231,11 +231,13 @@
 
 std::vector<BackendChoice> BackendPool::slot_candidates(const BackendRequirements& requirements,
                                                         const std::set<std::string>& excluded,
-                                                        std::size_t count, TimePoint now) {
+                                                        std::size_t count, bool own_zone_first,
+                                                        TimePoint now) {
   BackendRequirements queued = requirements;
   queued.unreserved_only = false;
   const double slot_ms = slot_interval_ms(*requirements.service->engine);
-  std::vector<std::pair<double, BackendChoice>> candidates;
+  using Rank = std::pair<bool, double>;  // Whether in another zone that comes last; the cost.
+  std::vector<std::pair<Rank, BackendChoice>> candidates;
   for_each_candidate(
       queued, excluded, now, [&](const std::string& id, const Backend& backend, double wait_ms) {
         if (!backend.report.queues_slot_requests || !has_fresh_report(backend, now)) return;
@@ -244,14 +246,16 @@
         const double cost = wait_ms + queue_ms + routing_penalty_ms(backend, requirements);
         const double granted_ms = first_token_after_grant_ms(backend, *requirements.service->engine,
                                                              requirements.prompt_tokens);
-        candidates.emplace_back(cost, BackendChoice{id, backend.record.address,
-                                                    backend.record.weight_version, granted_ms});
+        const bool last = own_zone_first && backend.record.zone != options_.zone;
+        candidates.emplace_back(
+            Rank{last, cost},
+            BackendChoice{id, backend.record.address, backend.record.weight_version, granted_ms});
       });
   const auto cheaper = [](const auto& left, const auto& right) { return left.first < right.first; };
   std::sort(candidates.begin(), candidates.end(), cheaper);
   if (candidates.size() > count) candidates.resize(count);
   std::vector<BackendChoice> result;
-  for (auto& [cost, choice] : candidates) result.push_back(std::move(choice));
+  for (auto& [rank, choice] : candidates) result.push_back(std::move(choice));
   return result;
 }
 
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -171,9 +171,13 @@
   /// and the reserved slots. Only engines whose agents keep a queue. `expected_ms` counts from the
   /// grant of a slot.
   /// @param count  maximum number of engines.
+  /// @param own_zone_first  whether engines of other zones only fill up the number.
   std::vector<BackendChoice> slot_candidates(const BackendRequirements& requirements,
                                              const std::set<std::string>& excluded,
-                                             std::size_t count, TimePoint now);
+                                             std::size_t count, bool own_zone_first, TimePoint now);
+  /// Whether a first attempt could be sent to some engine of the service now: one has a credit, or
+  /// needs a permit instead.
+  bool may_have_room(const ServiceProfile& service, TimePoint now);
   /// The back end at the address; empty if none is known.
   std::string id_at(const Address& address) const;
   /// Requests a permit for the cheapest back end that limits its requests, if there is one. Call
@@ -307,7 +311,8 @@
   template <class Visitor>
   void for_each_candidate(const BackendRequirements& requirements,
                           const std::set<std::string>& excluded, TimePoint now, Visitor visit);
-  /// Predicted time from the grant of a slot to the first token, in milliseconds. Requires a report.
+  /// Predicted time from the grant of a slot to the first token, in milliseconds. Requires a
+  /// report.
   static double first_token_after_grant_ms(const Backend& backend, const EngineProfile& engine,
                                            double prompt_tokens);
   double engine_wait_ms(Backend& backend, const EngineProfile& engine,
--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -9,11 +9,13 @@
 void RequestForwarder::queue_for_slot(RequestNumber number, RequestSession& session, TimePoint now,
                                       ForwarderActions& actions) {
   if (!session.ordered_by_priority || !reservations_.may_reserve(number)) return;
+  const bool own_zone_first = reservations_.tried(number).empty();
   reservations_.on_round(number);
   std::set<std::string> excluded = reservations_.tried(number);
   excluded.insert(session.tried_backends.begin(), session.tried_backends.end());
-  const std::vector<BackendChoice> engines = pool_.slot_candidates(
-      planner_.backend_requirements(session, now), excluded, SlotReservations::kCopies, now);
+  const std::vector<BackendChoice> engines =
+      pool_.slot_candidates(planner_.backend_requirements(session, now), excluded,
+                            SlotReservations::kCopies, own_zone_first, now);
   SlotRequest request;
   request.number = number;
   request.priority = std::clamp(session.priority, kMostUrgentPriority, kLeastUrgentPriority);
