Queue requests that can only be late, for as long as they waited without queues

Cause: a request that could not be in time any more had a useful time below zero and was queued nowhere. It waited for a credit that agents do not give while others wait.

--- a/src/gateway/requests/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -67,8 +67,10 @@
 
 Duration RequestPlanner::slot_useful_for(const RequestSession& session, double expected_ms,
                                          TimePoint now) const {
-  if (session.returning) return session.wait_until - now;
-  return from_seconds((admission_limit_ms(session, now) - expected_ms) / kMillisecondsPerSecond);
+  const Duration usual = session.wait_until - now;
+  if (session.returning) return usual;
+  const double in_time_ms = admission_limit_ms(session, now) - expected_ms;
+  return std::max(usual, from_seconds(in_time_ms / kMillisecondsPerSecond));
 }
 
 double RequestPlanner::admission_limit_ms(const RequestSession& session, TimePoint now) const {
