--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -51,7 +51,7 @@
 bool RequestForwarder::use_granted_slot(RequestNumber number, RequestSession& session,
                                         const std::string& backend, TimePoint now,
                                         ForwarderActions& actions) {
-  if (backend.empty() || !session.ordered_by_priority) return false;
+  if (backend.empty() || !session.ordered_by_priority || now >= session.wait_until) return false;
   if (quarantine_.quarantined(session.fingerprint, now)) return false;
   BackendRequirements requirements = planner_.backend_requirements(session, now);
   requirements.granted_backend = backend;
