Do not refuse requests because the agents where they are queued are lost

Cause: the loss of an agent was handled like its denial. Without other engines the request was refused at once, although a gateway without reports sends on estimates.

--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -82,7 +82,8 @@
   for (const RequestNumber number : reservations_.on_queue_lost(engine)) {
     const auto found = sessions_.find(number);
     if (found == sessions_.end() || !found->second.waiting || reservations_.waits(number)) continue;
-    queue_elsewhere(number, found->second, now, actions);
+    // This is no denial: without other engines it waits on, and may be sent on an estimate.
+    queue_for_slot(number, found->second, now, actions);
   }
 }
 
