Bound the retry time after denials by the time that callers wait

Cause: the expected wait, up to a minute, was added to a spread of up to 2 s; callers wait for a third of their time whatever they are told, and with a short expected wait they came back almost at once.

--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -114,8 +114,10 @@
 Duration RequestForwarder::choose_retry_after(const RequestSession& session, TimePoint now) {
   if (session.service == nullptr) return planner_.random_retry_after(session, now);
   const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
-  return planner_.random_retry_after(session, now,
-                                     resumes_at ? resumes_at : session.slot_expected_at);
+  if (!resumes_at && session.slot_expected_at) {
+    return planner_.random_retry_after_slot(session, now, *session.slot_expected_at);
+  }
+  return planner_.random_retry_after(session, now, resumes_at);
 }
 
 std::optional<RefusalReason> RequestForwarder::placement_refusal(
--- a/src/gateway/requests/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -91,13 +91,17 @@
                                     returns_at - session.first_arrival);
 }
 
+Duration RequestPlanner::longest_retry_after(Duration left) const {
+  constexpr Duration kMinimumUsefulTime = milliseconds(300);
+  if (left < kMinimumUsefulTime) return Duration::zero();
+  return std::min(options_.max_retry_after, scaled(left, options_.retry_after_fraction));
+}
+
 Duration RequestPlanner::random_retry_after(const RequestSession& session, TimePoint now,
                                             std::optional<TimePoint> earliest) {
-  constexpr Duration kMinimumUsefulTime = milliseconds(300);
   const Duration left = session.route == nullptr ? kDefaultTimeLeft : session.deadline - now;
-  if (left < kMinimumUsefulTime) return Duration::zero();
-  const Duration longest =
-      std::min(options_.max_retry_after, scaled(left, options_.retry_after_fraction));
+  const Duration longest = longest_retry_after(left);
+  if (longest == Duration::zero()) return longest;
   if (earliest && *earliest > now) {
     std::uniform_real_distribution<double> spread(0, 1);
     return *earliest - now + scaled(longest, spread(random_));
@@ -106,4 +110,18 @@
   return scaled(longest, upper_half(random_));
 }
 
+Duration RequestPlanner::random_retry_after_slot(const RequestSession& session, TimePoint now,
+                                                 TimePoint expected_at) {
+  const Duration left = session.deadline - now;
+  const Duration longest = longest_retry_after(left);
+  if (longest == Duration::zero()) return longest;
+  const Duration half = longest / 2;
+  const Duration latest = scaled(left, options_.retry_after_fraction);
+  // Callers with long expected waits are still spread out, if less.
+  const Duration from = std::clamp(expected_at - now, half, latest - half / 2);
+  const Duration to = std::min(from + half, latest);
+  std::uniform_real_distribution<double> spread(0, 1);
+  return from + scaled(to - from, spread(random_));
+}
+
 }  // namespace pumicemast
--- a/src/gateway/requests/request_planner.h
+++ b/src/gateway/requests/request_planner.h
@@ -32,10 +32,16 @@
   /// @param earliest  before this time a retry would be refused again.
   Duration random_retry_after(const RequestSession& session, TimePoint now,
                               std::optional<TimePoint> earliest = std::nullopt);
+  /// The same for a caller to whom engines denied a slot: not before the time at which they expect
+  /// one, but never later than callers wait.
+  Duration random_retry_after_slot(const RequestSession& session, TimePoint now,
+                                   TimePoint expected_at);
   /// Records the Retry-After time sent to the caller, to recognize the request when it returns.
   void record_retry_after(const RequestSession& session, Duration retry_after, TimePoint now);
 
  private:
+  /// Upper bound of a random Retry-After time; zero when too little time is left for a retry.
+  Duration longest_retry_after(Duration left) const;
   void estimate_first_arrival(RequestSession& session);
 
   const WeightTargets& targets_;
--- a/tests/gateway/requests/slot_waiting_test.cpp
+++ b/tests/gateway/requests/slot_waiting_test.cpp
@@ -176,6 +176,13 @@
     CPPUNIT_ASSERT_EQUAL(503, harness.refusal_status());
     CPPUNIT_ASSERT(refusal_reason() == RefusalReason::more_urgent_first);
     CPPUNIT_ASSERT(harness.ports<LeaveSlotQueue>().empty());
+    const RequestSummary summary = harness.forwarder.take_summaries().back();
+    CPPUNIT_ASSERT_EQUAL(2, summary.priority);
+    for (const std::uint16_t port : first) {
+      const std::string denial = "e" + std::to_string(port) + "/no_capacity,";
+      CPPUNIT_ASSERT(summary.denied_by.find(denial) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(summary.denied_by.ends_with("/more_urgent_first"));
   }
 
   void retry_time_follows_the_expected_wait_within_the_time_that_callers_wait() {
@@ -194,6 +201,7 @@
     CPPUNIT_ASSERT(*retry_times(milliseconds(10)).begin() >= milliseconds(900));
     CPPUNIT_ASSERT(*retry_times(milliseconds(950)).begin() >= milliseconds(950));
     // Callers with 6 s left wait for at most 2 s.
+    CPPUNIT_ASSERT(*retry_times(milliseconds(1200)).begin() >= milliseconds(1200));
     CPPUNIT_ASSERT(*retry_times(milliseconds(1200)).rbegin() <= seconds(2));
     CPPUNIT_ASSERT(*retry_times(seconds(20)).rbegin() <= seconds(2));
   }
