--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -39,7 +39,8 @@
        << " configuration=" << summary.configuration << " weights=" << summary.weight_version
        << " named_ms=" << to_milliseconds(summary.naming_age)
        << " taken_back=" << summary.taken_back
-       << " begun_late=" << (summary.begun_late ? "yes" : "no");
+       << " begun_late=" << (summary.begun_late ? "yes" : "no") << " priority=" << summary.priority
+       << " denied_by=" << (summary.denied_by.empty() ? "-" : summary.denied_by);
   log_line("request_" + summary.outcome, text.str());
 }
 
--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -70,6 +70,10 @@
   const auto found = sessions_.find(denial.number);
   if (found == sessions_.end() || !found->second.waiting) return;
   RequestSession& session = found->second;
+  const std::string backend = pool_.id_at(engine);
+  session.slot_denials += (session.slot_denials.empty() ? "" : ",") +
+                          (backend.empty() ? engine.to_string() : backend) + "/" +
+                          to_string(denial.reason);
   if (denial.expected_wait > Duration::zero()) {
     const TimePoint expected = now + denial.expected_wait;
     session.slot_expected_at = std::min(expected, session.slot_expected_at.value_or(expected));
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -63,6 +63,8 @@
   summary.outcome = outcome;
   summary.reason = reason;
   summary.backends = tried_backend_names;
+  summary.priority = priority;
+  summary.denied_by = slot_denials;
   summary.status = status;
   summary.sends = sends;
   summary.configuration = routes ? routes->version() : 0;
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -26,6 +26,8 @@
   std::string outcome;             ///< finished, refused, aborted or gone.
   std::string reason;
   std::string backends;  ///< Back ends tried, in order.
+  int priority = 0;
+  std::string denied_by;  ///< Engines that denied a slot, each with its reason, in order.
   int status = 0;
   std::uint32_t sends = 0;
   std::uint64_t configuration = 0;
@@ -94,15 +96,16 @@
   Duration naming_age = Duration::zero();  ///< Of the newest weights, at the last send.
   /// Whether the request may run more than once.
   bool repeatable() const;
-  /// Key of the requests that share the same capacity: those of the same service and allowed
-  /// regions. Requires a service.
   /// Level at which its refusal shows a lack of capacity; services without an order have one.
   int overload_level() const { return ordered_by_priority ? priority : 0; }
+  /// Key of the requests that share the same capacity: those of the same service and allowed
+  /// regions. Requires a service.
   std::string capacity_group() const { return service->name + allowed_regions.key(); }
   RequestSummary summarize(const char* outcome, const char* reason, int status,
                            TimePoint now) const;
 
   std::string tried_backend_names;
+  std::string slot_denials;  ///< As `RequestSummary::denied_by`.
   double expected_ms = 0;
   TimePoint first_sent{};
   TimePoint first_event{};
