Look at all engines for waiting requests only if one could take a request

Change: where priorities differ, one pass over the engines finds out whether any has a credit or needs a permit. A service with one priority is handled as before.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -259,6 +259,20 @@
   return result;
 }
 
+bool BackendPool::may_have_room(const ServiceProfile& service, TimePoint now) {
+  if (!service.engine) return true;
+  BackendRequirements any;
+  any.service = &service;
+  return std::any_of(backends_.begin(), backends_.end(), [&](auto& entry) {
+    auto& [id, backend] = entry;
+    if (backend.record.service != service.name || backend.record.draining) return false;
+    if (!subscribed(backend) || !usable(backend, now)) return false;
+    if (needs_permit(id, backend, now)) return true;
+    engine_wait_ms(backend, *service.engine, any, now);  // Discards sends that the report includes.
+    return has_credit(backend, any, now);
+  });
+}
+
 std::string BackendPool::id_at(const Address& address) const {
   const auto found = ids_by_address_.find(address);
   return found == ids_by_address_.end() ? "" : found->second;
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -399,10 +399,22 @@
 
 void RequestForwarder::on_capacity(TimePoint now, ForwarderActions& actions) {
   const auto waiting = waiting_;
+  std::set<const ServiceProfile*> without_room;
   for (const WaitingRank& rank : waiting) {
     const auto found = sessions_.find(rank.number);
     if (found == sessions_.end() || must_yield(found->second, now)) continue;
-    dispatch(rank.number, found->second, now, actions);
+    RequestSession& session = found->second;
+    // Queued requests wait longer, so that many of them would each look at all engines in vain.
+    if (session.ordered_by_priority && !quarantine_.quarantined(session.fingerprint, now)) {
+      if (!without_room.contains(session.service) && !pool_.may_have_room(*session.service, now)) {
+        without_room.insert(session.service);
+      }
+      if (without_room.contains(session.service)) {
+        session.last_reason = RefusalReason::no_backend;
+        continue;
+      }
+    }
+    dispatch(rank.number, session, now, actions);
   }
 }
 
