--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST_SUITE(TranslationTest);
   CPPUNIT_TEST(reads_the_request_fields_used_by_the_gateway);
   CPPUNIT_TEST(forwards_the_request_without_key_or_forged_headers);
+  CPPUNIT_TEST(only_the_gateway_states_a_priority);
   CPPUNIT_TEST(out_of_range_numbers_are_clamped);
   CPPUNIT_TEST(a_resumed_request_carries_one_last_event_id);
   CPPUNIT_TEST(only_explicit_refusals_count_as_not_run);
@@ -139,6 +140,17 @@
     }
   }
 
+  void only_the_gateway_states_a_priority() {
+    const std::string name = "X-Pumicemast-Request-Priority";
+    const std::string forged = "GET / HTTP/1.1\r\nHost: h\r\n" + name + ": 0\r\n\r\n";
+    SendToBackend send;
+    CPPUNIT_ASSERT(translation.encode_request(read(forged), send).find(name) == std::string::npos);
+    send.priority = 7;
+    const std::string text = translation.encode_request(read(forged), send);
+    CPPUNIT_ASSERT(text.find(name + ": 7\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(text.find(name + ": 0") == std::string::npos);
+  }
+
   void a_resumed_request_carries_one_last_event_id() {
     SendToBackend send;
     send.backend = "i-1";
