--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -113,8 +113,10 @@
 Duration RequestForwarder::choose_retry_after(const RequestSession& session, TimePoint now) {
   if (session.service == nullptr) return planner_.random_retry_after(session, now);
   const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
-  return planner_.random_retry_after(session, now,
-                                     resumes_at ? resumes_at : session.slot_expected_at);
+  if (!resumes_at && session.slot_expected_at) {
+    return planner_.random_retry_after_slot(session, now, *session.slot_expected_at);
+  }
+  return planner_.random_retry_after(session, now, resumes_at);
 }
 
 std::optional<RefusalReason> RequestForwarder::placement_refusal(
@@ -396,10 +398,22 @@
 
 void RequestForwarder::on_capacity(TimePoint now, ForwarderActions& actions) {
   const auto waiting = waiting_;
+  std::set<const ServiceProfile*> without_room;
   for (const WaitingRank& rank : waiting) {
     const auto found = sessions_.find(rank.number);
     if (found == sessions_.end() || must_yield(found->second, now)) continue;
-    dispatch(rank.number, found->second, now, actions);
+    RequestSession& session = found->second;
+    // Queued requests wait longer, so that many of them would each look at all engines in vain.
+    if (session.ordered_by_priority && !quarantine_.quarantined(session.fingerprint, now)) {
+      if (!without_room.contains(session.service) && !pool_.may_have_room(*session.service, now)) {
+        without_room.insert(session.service);
+      }
+      if (without_room.contains(session.service)) {
+        session.last_reason = RefusalReason::no_backend;
+        continue;
+      }
+    }
+    dispatch(rank.number, session, now, actions);
   }
 }
 
--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -9,11 +9,13 @@
 void RequestForwarder::queue_for_slot(RequestNumber number, RequestSession& session, TimePoint now,
                                       ForwarderActions& actions) {
   if (!session.ordered_by_priority || !reservations_.may_reserve(number)) return;
+  const bool own_zone_first = reservations_.tried(number).empty();
   reservations_.on_round(number);
   std::set<std::string> excluded = reservations_.tried(number);
   excluded.insert(session.tried_backends.begin(), session.tried_backends.end());
-  const std::vector<BackendChoice> engines = pool_.slot_candidates(
-      planner_.backend_requirements(session, now), excluded, SlotReservations::kCopies, now);
+  const std::vector<BackendChoice> engines =
+      pool_.slot_candidates(planner_.backend_requirements(session, now), excluded,
+                            SlotReservations::kCopies, own_zone_first, now);
   SlotRequest request;
   request.number = number;
   request.priority = std::clamp(session.priority, kMostUrgentPriority, kLeastUrgentPriority);
@@ -49,7 +51,7 @@
 bool RequestForwarder::use_granted_slot(RequestNumber number, RequestSession& session,
                                         const std::string& backend, TimePoint now,
                                         ForwarderActions& actions) {
-  if (backend.empty() || !session.ordered_by_priority) return false;
+  if (backend.empty() || !session.ordered_by_priority || now >= session.wait_until) return false;
   if (quarantine_.quarantined(session.fingerprint, now)) return false;
   BackendRequirements requirements = planner_.backend_requirements(session, now);
   requirements.granted_backend = backend;
@@ -68,6 +70,10 @@
   const auto found = sessions_.find(denial.number);
   if (found == sessions_.end() || !found->second.waiting) return;
   RequestSession& session = found->second;
+  const std::string backend = pool_.id_at(engine);
+  session.slot_denials += (session.slot_denials.empty() ? "" : ",") +
+                          (backend.empty() ? engine.to_string() : backend) + "/" +
+                          to_string(denial.reason);
   if (denial.expected_wait > Duration::zero()) {
     const TimePoint expected = now + denial.expected_wait;
     session.slot_expected_at = std::min(expected, session.slot_expected_at.value_or(expected));
@@ -80,7 +86,8 @@
   for (const RequestNumber number : reservations_.on_queue_lost(engine)) {
     const auto found = sessions_.find(number);
     if (found == sessions_.end() || !found->second.waiting || reservations_.waits(number)) continue;
-    queue_elsewhere(number, found->second, now, actions);
+    // This is no denial: without other engines it waits on, and may be sent on an estimate.
+    queue_for_slot(number, found->second, now, actions);
   }
 }
 
--- a/src/gateway/requests/request_planner.h
+++ b/src/gateway/requests/request_planner.h
@@ -24,18 +24,24 @@
   /// Longest predicted time to the first token at which the request is still sent.
   double admission_limit_ms(const RequestSession& session, TimePoint now) const;
   /// How long from now a slot of an engine would still be of use to a request that waits for one:
-  /// until its first token could not come in time any more. A returning caller's response comes
-  /// late anyway, and waits no longer than without a queue.
+  /// until its first token could not come in time any more. A returning caller's response, and one
+  /// that can only be late, waits no longer than without a queue.
   /// @param expected_ms  predicted time from sending the request to its first token.
   Duration slot_useful_for(const RequestSession& session, double expected_ms, TimePoint now) const;
   /// Random Retry-After time for a refused caller; zero when too little time is left for a retry.
   /// @param earliest  before this time a retry would be refused again.
   Duration random_retry_after(const RequestSession& session, TimePoint now,
                               std::optional<TimePoint> earliest = std::nullopt);
+  /// The same for a caller to whom engines denied a slot: not before the time at which they expect
+  /// one, but never later than callers wait.
+  Duration random_retry_after_slot(const RequestSession& session, TimePoint now,
+                                   TimePoint expected_at);
   /// Records the Retry-After time sent to the caller, to recognize the request when it returns.
   void record_retry_after(const RequestSession& session, Duration retry_after, TimePoint now);
 
  private:
+  /// Upper bound of a random Retry-After time; zero when too little time is left for a retry.
+  Duration longest_retry_after(Duration left) const;
   void estimate_first_arrival(RequestSession& session);
 
   const WeightTargets& targets_;
