Guarantee a large class or tenant no more when it asks for more

Half of any part of the requests was guaranteed, so a class or tenant that tripled its requests was guaranteed nearly twice as much. Parts above a third are guaranteed what a third is, or 0.28 of the part, a little more than the required quarter, if that is more. Ruled out: a lower fraction for all, which still grows with the requests.

--- a/src/scheduling/guaranteed_shares.cpp
+++ b/src/scheduling/guaranteed_shares.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/guaranteed_shares.h"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 
@@ -63,10 +64,15 @@
   return {found->second.requested / unit(now), found->second.granted / unit(now)};
 }
 
+double GuaranteedShares::guaranteed(double part) const {
+  return std::max(options_.guaranteed_fraction * std::min(part, options_.large_part),
+                  options_.large_fraction * part);
+}
+
 double GuaranteedShares::guaranteed_part(Group group, TimePoint now) const {
   const double requested = total(now).requested;
   if (requested <= 0) return 0;
-  return options_.guaranteed_fraction * usage_of(group, now).requested / requested;
+  return guaranteed(usage_of(group, now).requested / requested);
 }
 
 std::optional<GuaranteedShares::Group> GuaranteedShares::most_deprived(
@@ -77,9 +83,8 @@
   double largest_deficit = kMinimumDeficit;
   for (const Group group : waiting) {
     const Usage usage = usage_of(group, now);
-    const double guaranteed =
-        options_.guaranteed_fraction * usage.requested / all.requested * all.granted;
-    const double deficit = guaranteed - usage.granted;
+    const double deficit =
+        guaranteed(usage.requested / all.requested) * all.granted - usage.granted;
     if (deficit <= largest_deficit) continue;
     largest_deficit = deficit;
     result = group;
--- a/src/scheduling/guaranteed_shares.h
+++ b/src/scheduling/guaranteed_shares.h
@@ -1,7 +1,7 @@
 /// Keeps a minimum part of a contended resource for groups that a strict order would starve.
 ///
-/// A decision core: no I/O. A group that asks for a part x of all that is asked for is guaranteed
-/// a fraction of x of all grants; what it does not use goes to the others.
+/// A decision core: no I/O. A group that asks for a part of all that is asked for is guaranteed a
+/// fraction of that part of all grants, up to a limit; what it does not use goes to the others.
 #pragma once
 
 #include <cstddef>
@@ -25,6 +25,12 @@
     Duration half_life = seconds(2);
     /// Bounds the memory; further groups share one account.
     std::size_t maximum_groups = 1024;
+    /// A group that asks for more than this part of all is guaranteed no more than for this part,
+    /// so that asking for more takes nothing from the others.
+    double large_part = 1.0 / 3;
+    /// At least this fraction of its part is guaranteed to a large group: somewhat more than the
+    /// quarter that each group must be served relative to all.
+    double large_fraction = 0.28;
   };
 
   explicit GuaranteedShares(Options options);
@@ -54,6 +60,8 @@
   };
   /// The account of the group: its own, or the shared one if there are too many groups.
   Group account_of(Group group) const;
+  /// Part of all grants that is guaranteed to a group with this part of all requests.
+  double guaranteed(double part) const;
   /// The weight of one unit at `now`.
   double unit(TimePoint now) const;
   /// Scales the weights back before they become too large.
