Keep the place of a request that is repeated, and count it once

A repeated number lost its place in the order of arrival, and raised the guaranteed shares of its level and tenant each time. The test failed before.

--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -42,9 +42,13 @@
 }
 
 void SlotQueue::add(PeerId gateway, const SlotRequest& request, TimePoint now) {
+  const auto [entry, added] = waiting_.try_emplace({gateway, request.number});
+  entry->second.request = request;
+  entry->second.since = now;
+  if (!added) return;
+  entry->second.arrival = arrivals_++;
   level_shares_.on_requested(level_of(request), now);
   tenant_shares_.on_requested(request.tenant, now);
-  waiting_[{gateway, request.number}] = {request, now, arrivals_++};
   if (now - swept_at_ < kSweepInterval) return;
   swept_at_ = now;
   level_shares_.sweep(now);
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -53,7 +53,8 @@
 
   explicit SlotQueue(Options options);
 
-  /// A request of `gateway` waits for a slot. A repeated number replaces the earlier request.
+  /// A request of `gateway` waits for a slot. A repeated number replaces the earlier
+  /// request, in its place.
   void add(PeerId gateway, const SlotRequest& request, TimePoint now);
   /// The gateway needs no slot for the request any more, whether or not one was granted.
   void withdraw(PeerId gateway, std::uint64_t number);
--- a/tests/scheduling/slot_queue_test.cpp
+++ b/tests/scheduling/slot_queue_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(a_pause_of_the_engine_does_not_deny_requests_after_it);
   CPPUNIT_TEST(an_engine_that_stands_still_denies_by_its_silence);
   CPPUNIT_TEST(a_tenant_with_few_grants_is_not_denied_behind_others);
+  CPPUNIT_TEST(a_repeated_request_keeps_its_place_and_counts_once);
   CPPUNIT_TEST(a_returned_grant_is_free_again);
   CPPUNIT_TEST(grants_lapse_for_a_load_read_after_their_transit);
   CPPUNIT_TEST(displaced_requests_are_denied_with_the_reason);
@@ -167,6 +168,14 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, grant(1).at(0));
   }
 
+  void a_repeated_request_keeps_its_place_and_counts_once() {
+    queue.add(1, request(1, 0, 1), now);
+    queue.add(1, request(2, 0, 1), now);
+    queue.add(1, request(1, 0, 1), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.waiting());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, grant(1).at(0));
+  }
+
   void a_returned_grant_is_free_again() {
     queue.add(1, request(1), now);
     queue.add(2, request(1), now);
