Bound the values of a request in the slot queue

An endless useful time overflowed when it was added to the time of arrival, so that the request counted as expired; with the largest number of slots, the one granted ahead overflowed to none. The decoder bounds these already; the queue now does not rely on it. The test failed before.

--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -17,9 +17,21 @@
 /// Intervals up to this are measured whole, however small the mean is.
 constexpr double kAlwaysMeasuredIntervalMs = 100;
 constexpr Duration kSweepInterval = seconds(5);
+/// Bounds what a request may state, so that sums with it neither overflow nor divide by zero.
+constexpr Duration kMaximumUsefulTime = seconds(60);
+constexpr std::uint32_t kMaximumCopies = 16;
+constexpr std::uint32_t kMaximumPromptTokens = 10'000'000;
+
+SlotRequest bounded(SlotRequest request) {
+  request.priority = std::clamp(request.priority, kMostUrgentPriority, kLeastUrgentPriority);
+  request.copies = std::clamp<std::uint32_t>(request.copies, 1, kMaximumCopies);
+  request.prompt_tokens = std::min(request.prompt_tokens, kMaximumPromptTokens);
+  request.useful_for = std::clamp(request.useful_for, Duration::zero(), kMaximumUsefulTime);
+  return request;
+}
 
 double part_of_request(const SlotRequest& request) {
-  return 1.0 / static_cast<double>(std::max<std::uint32_t>(1, request.copies));
+  return 1.0 / static_cast<double>(request.copies);
 }
 
 Duration times(Duration duration, double factor) {
@@ -41,7 +53,8 @@
   return waiting.since + waiting.request.useful_for;
 }
 
-void SlotQueue::add(PeerId gateway, const SlotRequest& request, TimePoint now) {
+void SlotQueue::add(PeerId gateway, const SlotRequest& stated, TimePoint now) {
+  const SlotRequest request = bounded(stated);
   const auto [entry, added] = waiting_.try_emplace({gateway, request.number});
   entry->second.request = request;
   entry->second.since = now;
@@ -105,8 +118,8 @@
 }
 
 void SlotQueue::grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now) {
-  const std::uint32_t usable = capacity.slots + options_.grants_ahead;
-  std::uint32_t taken = capacity.occupied + grants_in_transit(capacity.read_at);
+  const std::uint64_t usable = std::uint64_t{capacity.slots} + options_.grants_ahead;
+  std::uint64_t taken = std::uint64_t{capacity.occupied} + grants_in_transit(capacity.read_at);
   const double readable_tokens = options_.maximum_backlog_passes * capacity.prefill_chunk_tokens;
   double pending_tokens =
       capacity.pending_prompt_tokens + prompt_tokens_in_transit(capacity.read_at);
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -54,8 +54,8 @@
   explicit SlotQueue(Options options);
 
   /// A request of `gateway` waits for a slot. A repeated number replaces the earlier
-  /// request, in its place.
-  void add(PeerId gateway, const SlotRequest& request, TimePoint now);
+  /// request, in its place. Values out of range are replaced by the nearest valid ones.
+  void add(PeerId gateway, const SlotRequest& stated, TimePoint now);
   /// The gateway needs no slot for the request any more, whether or not one was granted.
   void withdraw(PeerId gateway, std::uint64_t number);
   /// The link to the gateway was lost; its requests and unused grants are dropped.
--- a/tests/scheduling/slot_queue_test.cpp
+++ b/tests/scheduling/slot_queue_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(a_repeated_request_keeps_its_place_and_counts_once);
   CPPUNIT_TEST(a_returned_grant_is_free_again);
   CPPUNIT_TEST(grants_lapse_for_a_load_read_after_their_transit);
+  CPPUNIT_TEST(extreme_values_are_bounded);
   CPPUNIT_TEST(displaced_requests_are_denied_with_the_reason);
   CPPUNIT_TEST(an_unavailable_engine_denies_all);
   CPPUNIT_TEST(random_histories_keep_the_invariants);
@@ -196,6 +197,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, queue.grants_in_transit(now + milliseconds(15)));
   }
 
+  void extreme_values_are_bounded() {
+    SlotRequest extreme = request(std::numeric_limits<std::uint64_t>::max());
+    extreme.useful_for = Duration::max();
+    extreme.copies = 0;
+    extreme.prompt_tokens = std::numeric_limits<std::uint32_t>::max();
+    queue.add(1, extreme, now);
+    extreme.number = 0;
+    extreme.useful_for = Duration::min();
+    queue.add(1, extreme, now);
+    SlotCapacity many = capacity(std::numeric_limits<std::uint32_t>::max(),
+                                 std::numeric_limits<std::uint32_t>::max());
+    const auto replies = queue.decide(many, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.at(1).granted.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, replies.at(1).denied.at(0).number);
+    CPPUNIT_ASSERT(queue.decide(many, now + seconds(61)).empty());
+  }
+
   void displaced_requests_are_denied_with_the_reason() {
     for (std::uint64_t number = 1; number <= 512; ++number) queue.add(1, request(number, 2), now);
     CPPUNIT_ASSERT(queue.decide(capacity(2), now).empty());
