--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -11,10 +11,27 @@
 constexpr double kIntervalSmoothing = 0.1;
 /// Nothing is denied by prediction before this many intervals have been measured.
 constexpr std::uint32_t kMinimumIntervals = 5;
+/// A longer interval than this many means is a pause of the engine, not its speed; counted whole,
+/// it would deny requests for seconds after the pause.
+constexpr double kLongestIntervalRatio = 4;
+/// Intervals up to this are measured whole, however small the mean is.
+constexpr double kAlwaysMeasuredIntervalMs = 100;
 constexpr Duration kSweepInterval = seconds(5);
+/// Bounds what a request may state, so that sums with it neither overflow nor divide by zero.
+constexpr Duration kMaximumUsefulTime = seconds(60);
+constexpr std::uint32_t kMaximumCopies = 16;
+constexpr std::uint32_t kMaximumPromptTokens = 10'000'000;
+
+SlotRequest bounded(SlotRequest request) {
+  request.priority = std::clamp(request.priority, kMostUrgentPriority, kLeastUrgentPriority);
+  request.copies = std::clamp<std::uint32_t>(request.copies, 1, kMaximumCopies);
+  request.prompt_tokens = std::min(request.prompt_tokens, kMaximumPromptTokens);
+  request.useful_for = std::clamp(request.useful_for, Duration::zero(), kMaximumUsefulTime);
+  return request;
+}
 
 double part_of_request(const SlotRequest& request) {
-  return 1.0 / static_cast<double>(std::max<std::uint32_t>(1, request.copies));
+  return 1.0 / static_cast<double>(request.copies);
 }
 
 Duration times(Duration duration, double factor) {
@@ -36,10 +53,15 @@
   return waiting.since + waiting.request.useful_for;
 }
 
-void SlotQueue::add(PeerId gateway, const SlotRequest& request, TimePoint now) {
+void SlotQueue::add(PeerId gateway, const SlotRequest& stated, TimePoint now) {
+  const SlotRequest request = bounded(stated);
+  const auto [entry, added] = waiting_.try_emplace({gateway, request.number});
+  entry->second.request = request;
+  entry->second.since = now;
+  if (!added) return;
+  entry->second.arrival = arrivals_++;
   level_shares_.on_requested(level_of(request), now);
   tenant_shares_.on_requested(request.tenant, now);
-  waiting_[{gateway, request.number}] = {request, now, arrivals_++};
   if (now - swept_at_ < kSweepInterval) return;
   swept_at_ = now;
   level_shares_.sweep(now);
@@ -96,23 +118,25 @@
 }
 
 void SlotQueue::grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now) {
-  const std::uint32_t usable = capacity.slots + options_.grants_ahead;
-  std::uint32_t taken = capacity.occupied + grants_in_transit(capacity.read_at);
+  const std::uint64_t usable = std::uint64_t{capacity.slots} + options_.grants_ahead;
+  std::uint64_t taken = std::uint64_t{capacity.occupied} + grants_in_transit(capacity.read_at);
   const double readable_tokens = options_.maximum_backlog_passes * capacity.prefill_chunk_tokens;
   double pending_tokens =
       capacity.pending_prompt_tokens + prompt_tokens_in_transit(capacity.read_at);
+  std::size_t grants = 0;
   while (!waiting_.empty() && taken < usable && pending_tokens < readable_tokens) {
     const auto chosen = next(now);
-    if (chosen == waiting_.end()) return;
+    if (chosen == waiting_.end()) break;
     pending_tokens += chosen->second.request.prompt_tokens;
     ++taken;
+    ++grants;
     grant(chosen, replies, now);
   }
+  measure_interval(grants, now);
 }
 
 void SlotQueue::grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now) {
   const auto& [key, waiting] = *next;
-  measure_interval(now);
   level_shares_.on_granted(level_of(waiting.request), now);
   tenant_shares_.on_granted(waiting.request.tenant, now);
   replies[key.gateway].granted.push_back(key.number);
@@ -120,12 +144,20 @@
   waiting_.erase(next);
 }
 
-void SlotQueue::measure_interval(TimePoint now) {
+void SlotQueue::measure_interval(std::size_t grants, TimePoint now) {
+  if (grants == 0) return;
   if (contended_since_grant_) {
-    const double interval_ms = to_fractional_milliseconds(now - *contended_since_grant_);
-    ++measured_intervals_;
-    const double weight = std::max(kIntervalSmoothing, 1.0 / measured_intervals_);
-    mean_interval_ms_ += (interval_ms - mean_interval_ms_) * weight;
+    double interval_ms =
+        to_fractional_milliseconds(now - *contended_since_grant_) / static_cast<double>(grants);
+    if (measured_intervals_ >= kMinimumIntervals) {
+      interval_ms = std::min(interval_ms, std::max(kLongestIntervalRatio * mean_interval_ms_,
+                                                   kAlwaysMeasuredIntervalMs));
+    }
+    for (std::size_t count = 0; count < grants; ++count) {
+      ++measured_intervals_;
+      const double weight = std::max(kIntervalSmoothing, 1.0 / measured_intervals_);
+      mean_interval_ms_ += (interval_ms - mean_interval_ms_) * weight;
+    }
   }
   contended_since_grant_ = now;
 }
@@ -177,12 +209,21 @@
 }
 
 std::vector<SlotQueue::Key> SlotQueue::expected_order(TimePoint now) const {
-  using Rank = std::tuple<int, bool, bool, std::uint64_t, Key>;
+  using Entry = std::pair<std::uint64_t, const std::pair<const Key, Waiting>*>;
+  std::vector<Entry> arrivals;
+  for (const auto& entry : waiting_) arrivals.emplace_back(entry.second.arrival, &entry);
+  std::sort(arrivals.begin(), arrivals.end());
+  /// Grants that the tenant will have had when a request's turn comes, by level and returning.
+  std::map<std::tuple<int, bool, std::uint64_t>, double> grants_before;
+  using Rank = std::tuple<int, bool, double, std::uint64_t, Key>;
   std::vector<Rank> ranks;
-  for (const auto& [key, waiting] : waiting_) {
-    const SlotRequest& request = waiting.request;
-    ranks.emplace_back(request.priority, request.returning,
-                       tenant_shares_.above_mean(request.tenant, now), waiting.arrival, key);
+  for (const auto& [arrival, entry] : arrivals) {
+    const SlotRequest& request = entry->second.request;
+    const auto [before, first] =
+        grants_before.try_emplace({request.priority, request.returning, request.tenant}, 0);
+    if (first) before->second = tenant_shares_.recent_grants(request.tenant, now);
+    ranks.emplace_back(request.priority, request.returning, before->second, arrival, entry->first);
+    before->second += part_of_request(request);
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<Key> order;
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -53,8 +53,9 @@
 
   explicit SlotQueue(Options options);
 
-  /// A request of `gateway` waits for a slot. A repeated number replaces the earlier request.
-  void add(PeerId gateway, const SlotRequest& request, TimePoint now);
+  /// A request of `gateway` waits for a slot. A repeated number replaces the earlier
+  /// request, in its place. Values out of range are replaced by the nearest valid ones.
+  void add(PeerId gateway, const SlotRequest& stated, TimePoint now);
   /// The gateway needs no slot for the request any more, whether or not one was granted.
   void withdraw(PeerId gateway, std::uint64_t number);
   /// The link to the gateway was lost; its requests and unused grants are dropped.
@@ -104,8 +105,8 @@
   std::optional<GuaranteedShares::Group> next_level(TimePoint now) const;
   void grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now);
   void grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now);
-  /// Learns how fast slots are granted while requests wait.
-  void measure_interval(TimePoint now);
+  /// Learns from `grants` at once how fast slots are granted while requests wait.
+  void measure_interval(std::size_t grants, TimePoint now);
   /// The interval between grants; empty until enough of them were seen.
   std::optional<Duration> grant_interval(TimePoint now) const;
   void deny_all(SlotDenialReason reason, Replies& replies);
--- a/tests/scheduling/slot_queue_test.cpp
+++ b/tests/scheduling/slot_queue_test.cpp
@@ -14,9 +14,13 @@
   CPPUNIT_TEST(grants_in_the_order_of_the_page);
   CPPUNIT_TEST(a_request_past_its_useful_time_is_denied_even_if_a_slot_is_free);
   CPPUNIT_TEST(slots_that_were_free_before_say_nothing_about_the_interval);
+  CPPUNIT_TEST(a_pause_of_the_engine_does_not_deny_requests_after_it);
   CPPUNIT_TEST(an_engine_that_stands_still_denies_by_its_silence);
+  CPPUNIT_TEST(a_tenant_with_few_grants_is_not_denied_behind_others);
+  CPPUNIT_TEST(a_repeated_request_keeps_its_place_and_counts_once);
   CPPUNIT_TEST(a_returned_grant_is_free_again);
   CPPUNIT_TEST(grants_lapse_for_a_load_read_after_their_transit);
+  CPPUNIT_TEST(extreme_values_are_bounded);
   CPPUNIT_TEST(displaced_requests_are_denied_with_the_reason);
   CPPUNIT_TEST(an_unavailable_engine_denies_all);
   CPPUNIT_TEST(random_histories_keep_the_invariants);
@@ -116,6 +120,19 @@
     CPPUNIT_ASSERT(queue.waiting() <= 10);
   }
 
+  // An interval of 3 s raised the mean of 0.1 s to 0.4 s, and requests were
+  // denied for a second.
+  void a_pause_of_the_engine_does_not_deny_requests_after_it() {
+    learn_interval();
+    now += seconds(3);
+    queue.decide(capacity(1), now);
+    for (std::uint64_t number = 2000; number < 2005; ++number) {
+      queue.add(1, request(number), now);
+    }
+    CPPUNIT_ASSERT(grant(1).size() == 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, queue.waiting());
+  }
+
   void an_engine_that_stands_still_denies_by_its_silence() {
     learn_interval();
     now += seconds(10);
@@ -128,6 +145,38 @@
     CPPUNIT_ASSERT(replies.at(1).denied.front().expected_wait >= seconds(1));
   }
 
+  // Tenants below the mean were expected in the order of arrival, although the
+  // one with the fewest grants is granted the next slot: its request was
+  // denied.
+  void a_tenant_with_few_grants_is_not_denied_behind_others() {
+    // Tenant 1 takes most, tenant 2 a little less than the mean.
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+      SlotRequest waiting = request(number, 0, number % 4 == 0 ? 2 : 1);
+      waiting.useful_for = seconds(60);
+      queue.add(1, waiting, now);
+    }
+    grant(40);
+    for (std::uint64_t number = 100; number < 108; ++number) {
+      SlotRequest waiting = request(number, 0, 2);
+      waiting.useful_for = seconds(60);
+      queue.add(1, waiting, now);
+    }
+    SlotRequest small = request(200, 0, 3);
+    small.useful_for = milliseconds(300);
+    queue.add(2, small, now);
+    const auto replies = queue.decide(capacity(2), now);
+    CPPUNIT_ASSERT(replies.count(2) == 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, grant(1).at(0));
+  }
+
+  void a_repeated_request_keeps_its_place_and_counts_once() {
+    queue.add(1, request(1, 0, 1), now);
+    queue.add(1, request(2, 0, 1), now);
+    queue.add(1, request(1, 0, 1), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.waiting());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, grant(1).at(0));
+  }
+
   void a_returned_grant_is_free_again() {
     queue.add(1, request(1), now);
     queue.add(2, request(1), now);
@@ -148,6 +197,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, queue.grants_in_transit(now + milliseconds(15)));
   }
 
+  void extreme_values_are_bounded() {
+    SlotRequest extreme = request(std::numeric_limits<std::uint64_t>::max());
+    extreme.useful_for = Duration::max();
+    extreme.copies = 0;
+    extreme.prompt_tokens = std::numeric_limits<std::uint32_t>::max();
+    queue.add(1, extreme, now);
+    extreme.number = 0;
+    extreme.useful_for = Duration::min();
+    queue.add(1, extreme, now);
+    SlotCapacity many = capacity(std::numeric_limits<std::uint32_t>::max(),
+                                 std::numeric_limits<std::uint32_t>::max());
+    const auto replies = queue.decide(many, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.at(1).granted.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, replies.at(1).denied.at(0).number);
+    CPPUNIT_ASSERT(queue.decide(many, now + seconds(61)).empty());
+  }
+
   void displaced_requests_are_denied_with_the_reason() {
     for (std::uint64_t number = 1; number <= 512; ++number) queue.add(1, request(number, 2), now);
     CPPUNIT_ASSERT(queue.decide(capacity(2), now).empty());
