Date an engine's load by the poll that it answers

Cause: the engine's client ignores a poll while an earlier one is unanswered, but each poll moved the time to which the next answer was taken to belong. Change: the answer carries the time at which it was asked for.

--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -312,11 +312,12 @@
 }
 
 void HostDaemon::poll_engine() {
-  load_asked_at_ = loop_now();
-  engine_->read_load([this](const LoadReport& report) { on_load(report); });
+  // A poll is ignored while an earlier one is unanswered.
+  engine_->read_load(
+      [this, asked_at = loop_now()](const LoadReport& report) { on_load(report, asked_at); });
 }
 
-void HostDaemon::on_load(const LoadReport& report) {
+void HostDaemon::on_load(const LoadReport& report, TimePoint asked_at) {
   if (report.alive != load_.alive) {
     log_line("engine",
              std::string("engine state=") + (report.alive ? "LOST->ANSWERING" : "ANSWERING->LOST"));
@@ -329,7 +330,7 @@
   if (engine_restarted) permits_.on_restarted(loop_now());
   if (engine_restarted && cold_start_) limit_cold_engine(loop_now() + cold_start_->duration);
   load_ = report;
-  load_read_at_ = load_asked_at_;
+  load_read_at_ = asked_at;
   report_limit_change();
   slots_.on_capacity(slot_capacity(loop_now()), loop_now());
   send_report(false);
--- a/src/host/host_daemon.h
+++ b/src/host/host_daemon.h
@@ -82,7 +82,8 @@
   void remove_subscriber(PeerId peer);
   void remove_expired_subscribers(TimePoint now);
   void poll_engine();
-  void on_load(const LoadReport& report);
+  /// @param asked_at  when the engine was asked for the report.
+  void on_load(const LoadReport& report, TimePoint asked_at);
   /// The engine's last load report, with starts that the stagers have ordered or scheduled.
   LoadReport current_load(TimePoint now);
   std::uint32_t largest_zone_gateways() const;
@@ -123,8 +124,7 @@
   EngineList engine_list_;
   std::uint64_t list_request_count_ = 0;
   LoadReport load_;
-  TimePoint load_asked_at_{};  ///< When the last load poll was sent.
-  TimePoint load_read_at_{};   ///< When the poll that `load_` answers was sent.
+  TimePoint load_read_at_{};  ///< When the poll that `load_` answers was sent.
   CreditAllocator credit_allocator_;
   EngineCapacity capacity_;
   ReportSchedule schedule_;
