Deny the slot requests of a gateway that is not subscribed

Cause: an agent ignored them. A gateway that was frozen until its subscription expired still finds reports to read when it resumes, and would wait for an answer that never comes. Change: they are denied with engine_unavailable; the gateway queues elsewhere.

--- a/src/host/host_daemon_reports.cpp
+++ b/src/host/host_daemon_reports.cpp
@@ -173,7 +173,11 @@
 }
 
 void HostDaemon::on_slot_requests(PeerId peer, const SlotRequests& requests) {
-  if (!subscribers_.contains(peer)) return;
+  if (!subscribers_.contains(peer)) {
+    // For example a gateway that was frozen until its subscription expired.
+    slots_.deny_all(peer, requests);
+    return;
+  }
   slots_.on_requests(peer, requests, slot_capacity(loop_now()), loop_now());
 }
 
--- a/src/host/slot_service.cpp
+++ b/src/host/slot_service.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/event_loop.h"
 #include "transport/slot_messages.h"
 
 namespace pumicemast {
@@ -27,6 +28,17 @@
   decide(capacity, now);
 }
 
+void SlotService::deny_all(PeerId gateway, const SlotRequests& requests) {
+  SlotDecisions decisions;
+  for (const SlotRequest& request : requests.requests) {
+    decisions.denied.push_back(
+        {request.number, SlotDenialReason::engine_unavailable, Duration::zero()});
+  }
+  if (decisions.empty()) return;
+  count(gateway, decisions, loop_now());
+  send(gateway, decisions);
+}
+
 void SlotService::on_capacity(const SlotCapacity& capacity, TimePoint now) {
   decide(capacity, now);
 }
@@ -40,11 +52,15 @@
 void SlotService::decide(const SlotCapacity& capacity, TimePoint now) {
   for (const auto& [gateway, decisions] : queue_.decide(capacity, now)) {
     count(gateway, decisions, now);
-    links_.send(gateway, encode(decisions, engine_));
+    send(gateway, decisions);
   }
   report_state();
 }
 
+void SlotService::send(PeerId gateway, const SlotDecisions& decisions) {
+  links_.send(gateway, encode(decisions, engine_));
+}
+
 void SlotService::count(PeerId gateway, const SlotDecisions& decisions, TimePoint now) {
   auto& asked = asked_[gateway];
   for (const std::uint64_t number : decisions.granted) {
--- a/src/host/slot_service.h
+++ b/src/host/slot_service.h
@@ -25,6 +25,8 @@
 
   void on_requests(PeerId gateway, const SlotRequests& requests, const SlotCapacity& capacity,
                    TimePoint now);
+  /// Denies all requests of a gateway for which none are queued.
+  void deny_all(PeerId gateway, const SlotRequests& requests);
   /// The engine's load was read.
   void on_capacity(const SlotCapacity& capacity, TimePoint now);
   void remove_gateway(PeerId gateway);
@@ -42,6 +44,7 @@
   };
 
   void decide(const SlotCapacity& capacity, TimePoint now);
+  void send(PeerId gateway, const SlotDecisions& decisions);
   void count(PeerId gateway, const SlotDecisions& decisions, TimePoint now);
   void report_state();
 
--- a/tests/host/slot_requests_test.cpp
+++ b/tests/host/slot_requests_test.cpp
@@ -66,6 +66,7 @@
 class SlotRequestsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SlotRequestsTest);
   CPPUNIT_TEST(a_slow_answer_of_the_engine_shows_no_grants_since_it_was_asked);
+  CPPUNIT_TEST(a_gateway_that_is_not_subscribed_is_denied);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -118,6 +119,14 @@
     CPPUNIT_ASSERT_EQUAL(2, granted_);
   }
 
+  // Guards against requests that wait in vain: a gateway that was frozen for long is no longer
+  // subscribed when it resumes, and its requests were ignored.
+  void a_gateway_that_is_not_subscribed_is_denied() {
+    request({1}, seconds(20));
+    run_until([&] { return denied_.size() == 1; });
+    CPPUNIT_ASSERT(denied_.front().reason == SlotDenialReason::engine_unavailable);
+  }
+
  private:
   static constexpr PeerId kAgent = 1;
 
