Send slot messages of more than 512 entries in parts

Cause: the receiver of a message reads 512 entries of a kind and drops the rest. An agent with a full queue may deny more at once, and a gateway that loses an engine may withdraw more: such requests waited without an answer, and such slots stayed reserved until the requests expired. Change: senders split their messages at the bound; withdrawals go first. Ruled out: a higher bound, which only moves the point of loss.

--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -290,7 +290,9 @@
 }
 
 void FleetLinks::send_slot_requests(const Address& engine, const SlotRequests& requests) {
-  if (const auto agent = agent_of(engine)) links_.send(*agent, encode(requests));
+  const auto agent = agent_of(engine);
+  if (!agent) return;
+  for (const SlotRequests& part : split(requests)) links_.send(*agent, encode(part));
 }
 
 void FleetLinks::on_slot_decisions(PeerId agent, const wire::SlotDecisions& message) {
--- a/src/host/slot_service.cpp
+++ b/src/host/slot_service.cpp
@@ -58,7 +58,7 @@
 }
 
 void SlotService::send(PeerId gateway, const SlotDecisions& decisions) {
-  links_.send(gateway, encode(decisions, engine_));
+  for (const SlotDecisions& part : split(decisions)) links_.send(gateway, encode(part, engine_));
 }
 
 void SlotService::count(PeerId gateway, const SlotDecisions& decisions, TimePoint now) {
--- a/src/transport/slot_messages.cpp
+++ b/src/transport/slot_messages.cpp
@@ -80,8 +80,38 @@
   }
 }
 
+/// Adds `entry` to `list` of the last part, or of a new part if that list is full.
+template <class Message, class Entry>
+void append(std::vector<Message>& parts, std::vector<Entry> Message::*list, const Entry& entry) {
+  if (parts.empty() || (parts.back().*list).size() >= kMaximumEntries) parts.emplace_back();
+  (parts.back().*list).push_back(entry);
+}
+
 }  // namespace
 
+std::vector<SlotRequests> split(const SlotRequests& requests) {
+  std::vector<SlotRequests> parts;
+  // All withdrawals precede the requests: a number may be withdrawn and then used again.
+  for (const std::uint64_t number : requests.withdrawn) {
+    append(parts, &SlotRequests::withdrawn, number);
+  }
+  for (const SlotRequest& request : requests.requests) {
+    append(parts, &SlotRequests::requests, request);
+  }
+  return parts;
+}
+
+std::vector<SlotDecisions> split(const SlotDecisions& decisions) {
+  std::vector<SlotDecisions> parts;
+  for (const std::uint64_t number : decisions.granted) {
+    append(parts, &SlotDecisions::granted, number);
+  }
+  for (const SlotDenial& denial : decisions.denied) {
+    append(parts, &SlotDecisions::denied, denial);
+  }
+  return parts;
+}
+
 wire::SlotRequestsT encode(const SlotRequests& requests) {
   wire::SlotRequestsT message;
   for (const SlotRequest& request : requests.requests) {
