Give up reservations at engines that a gateway no longer subscribes to

Cause: decisions of their agents are ignored, so that requests queued there waited until they expired, and were not queued elsewhere. Change: such an engine counts as lost, also if its agent now has another one. Ruled out: withdrawals to the old agent; its queue drops the requests when they expire, and a grant counts for 15 ms.

--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -140,6 +140,10 @@
     links_.set_address(peer, agent);
     subscribe(peer);
   }
+  // What an agent decides about requests is ignored from now on.
+  for (const auto& [peer, engine] : before) {
+    if (!agent_of(engine.address)) listener_.on_engine_agent_lost(engine.address);
+  }
 }
 
 void FleetLinks::relay_changes(const BackendChanges& to_gateways, const BackendChanges& to_agents) {
--- a/src/gateway/peers/fleet_links.h
+++ b/src/gateway/peers/fleet_links.h
@@ -40,6 +40,7 @@
   virtual void on_others_backlog(const Address& engine, std::uint32_t pending_tokens) = 0;
   /// The round-trip time of a message to the engine's agent.
   virtual void on_round_trip_time(const Address& engine, Duration round_trip_time) = 0;
+  /// The link to the engine's agent was lost, or this gateway no longer subscribes to its reports.
   virtual void on_engine_agent_lost(const Address& engine) = 0;
   virtual void on_gossip_state(const GossipState& state) = 0;
   virtual void on_fetched_configuration(const FetchedConfiguration& fetched) = 0;
--- a/tests/gateway/peers/fleet_links_agents_test.cpp
+++ b/tests/gateway/peers/fleet_links_agents_test.cpp
@@ -45,6 +45,7 @@
 class FleetLinksAgentsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetLinksAgentsTest);
   CPPUNIT_TEST(weights_named_while_a_link_was_lost_are_resent);
+  CPPUNIT_TEST(engines_no_longer_subscribed_to_are_lost);
   CPPUNIT_TEST(a_restarted_gateway_receives_the_gateway_list_again);
   CPPUNIT_TEST_SUITE_END();
 
@@ -76,6 +77,20 @@
     CPPUNIT_ASSERT_EQUAL(received, received_count_);  // Not sent again on an intact link.
   }
 
+  // Guards against requests that wait for a slot of an engine whose agent is not heard any more:
+  // decisions of an agent that this gateway does not subscribe to are ignored.
+  void engines_no_longer_subscribed_to_are_lost() {
+    const std::uint16_t port = free_port();
+    Metrics metrics;
+    NamedWeightsListener listener;
+    FleetLinks links({"127.0.0.1", port}, "z1", {}, metrics, listener);
+    links.set_engines({{{"127.0.0.12", 1}, "z1"}, {{"127.0.0.13", 1}, "z1"}});
+    links.set_engines({{{"127.0.0.13", 1}, "z1"}});
+    CPPUNIT_ASSERT_EQUAL(1, listener.agents_lost);
+    links.set_engines({{{"127.0.0.13", 2}, "z1"}});  // Another engine on the same host.
+    CPPUNIT_ASSERT_EQUAL(2, listener.agents_lost);
+  }
+
   // Only the gateway's previous process received the list. The contact that it asks may not be a
   // store reader.
   void a_restarted_gateway_receives_the_gateway_list_again() {
