Collect slot requests for one message to an agent per loop iteration

Cause: they were sent after the actions of each event, so that ten callers' requests read in one iteration made ten messages to each of three agents; and what waited for a lost agent went to its successor. Change: a zero timer sends what the iteration collected (SlotRequestOutbox); the loss of an agent drops it.

--- a/src/gateway/gateway_daemon_actions.cpp
+++ b/src/gateway/gateway_daemon_actions.cpp
@@ -29,7 +29,6 @@
   }
   flush_responses();
   fleet_.send_backlogs();
-  fleet_.send_slot_requests();
   fleet_.exchange_permits(forwarder_.waiting() > 0);
   executing_actions_ = false;
 }
@@ -106,11 +105,11 @@
 }
 
 void GatewayDaemon::execute(const QueueForSlot& action) {
-  fleet_.queue_for_slot(action.engine, action.request);
+  fleet_.slot_requests().queue(action.engine, action.request);
 }
 
 void GatewayDaemon::execute(const LeaveSlotQueue& action) {
-  fleet_.leave_slot_queue(action.engine, action.request);
+  fleet_.slot_requests().withdraw(action.engine, action.request);
 }
 
 }  // namespace pumicemast
--- a/src/gateway/peers/fleet_state.cpp
+++ b/src/gateway/peers/fleet_state.cpp
@@ -80,6 +80,9 @@
       quarantine_(quarantine_options(settings), loop_now()),
       links_(settings.internal_address, settings.zone, settings.seeds, metrics, *this),
       permits_(self_, pool_, links_, [this] { callbacks_.on_report(); }),
+      slot_requests_([this](const Address& engine, const SlotRequests& requests) {
+        links_.send_slot_requests(engine, requests);
+      }),
       backend_list_holders_(self_),
       store_reader_(settings.internal_address, self_, feed.contacts(),
                     {[this](bool reads) { on_reader_change(reads); },
@@ -263,23 +266,6 @@
   }
 }
 
-void FleetState::queue_for_slot(const Address& engine, const SlotRequest& request) {
-  unsent_slot_requests_[engine].requests.push_back(request);
-}
-
-void FleetState::leave_slot_queue(const Address& engine, std::uint64_t request) {
-  SlotRequests& unsent = unsent_slot_requests_[engine];
-  // The agent handles withdrawals first, and would keep a request of the same message.
-  std::erase_if(unsent.requests,
-                [&](const SlotRequest& queued) { return queued.number == request; });
-  unsent.withdrawn.push_back(request);
-}
-
-void FleetState::send_slot_requests() {
-  const auto unsent = std::exchange(unsent_slot_requests_, {});
-  for (const auto& [engine, requests] : unsent) links_.send_slot_requests(engine, requests);
-}
-
 void FleetState::on_slot_decisions(const Address& engine, const SlotDecisions& decisions) {
   callbacks_.on_slot_decisions(engine, decisions);
 }
@@ -383,6 +369,7 @@
 
 void FleetState::on_engine_agent_lost(const Address& engine) {
   pool_.on_agent_lost(engine);
+  slot_requests_.drop(engine);
   callbacks_.on_slot_queue_lost(engine);
 }
 
--- a/src/gateway/peers/fleet_state.h
+++ b/src/gateway/peers/fleet_state.h
@@ -18,6 +18,7 @@
 #include "gateway/peers/backend_list_relay.h"
 #include "gateway/peers/fleet_links.h"
 #include "gateway/peers/permit_exchange.h"
+#include "gateway/peers/slot_request_outbox.h"
 #include "gateway/peers/store_reader_loop.h"
 #include "gateway/quarantine/request_quarantine.h"
 #include "gateway/requests/retry_share.h"
@@ -49,12 +50,8 @@
   /// Reports to agents how many prompt tokens of this gateway are pending at their engines, where
   /// that has changed.
   void send_backlogs();
-  /// Queues a request at the engine's agent with the next `send_slot_requests`.
-  void queue_for_slot(const Address& engine, const SlotRequest& request);
-  /// Withdraws a request from the engine's agent with the next `send_slot_requests`.
-  void leave_slot_queue(const Address& engine, std::uint64_t request);
-  /// Sends what has been collected, in one message for each agent.
-  void send_slot_requests();
+  /// What the agents of engines are told about requests that wait for slots.
+  SlotRequestOutbox& slot_requests() { return slot_requests_; }
   /// Logs what responses of back ends have changed: their announcements and pauses, and their rate
   /// limits. What other gateways need is sent to the agents or gossiped.
   void propagate_backend_changes();
@@ -145,7 +142,7 @@
   RequestQuarantine quarantine_;
   FleetLinks links_;
   PermitExchange permits_;
-  std::map<Address, SlotRequests> unsent_slot_requests_;
+  SlotRequestOutbox slot_requests_;
   RouteTablePointer routes_;
   BackendListRelay list_relay_;
   BackendListHolders backend_list_holders_;
