--- a/src/gateway/peers/fleet_links.cpp
+++ b/src/gateway/peers/fleet_links.cpp
@@ -140,6 +140,10 @@
     links_.set_address(peer, agent);
     subscribe(peer);
   }
+  // What an agent decides about requests is ignored from now on.
+  for (const auto& [peer, engine] : before) {
+    if (!agent_of(engine.address)) listener_.on_engine_agent_lost(engine.address);
+  }
 }
 
 void FleetLinks::relay_changes(const BackendChanges& to_gateways, const BackendChanges& to_agents) {
@@ -290,7 +294,9 @@
 }
 
 void FleetLinks::send_slot_requests(const Address& engine, const SlotRequests& requests) {
-  if (const auto agent = agent_of(engine)) links_.send(*agent, encode(requests));
+  const auto agent = agent_of(engine);
+  if (!agent) return;
+  for (const SlotRequests& part : split(requests)) links_.send(*agent, encode(part));
 }
 
 void FleetLinks::on_slot_decisions(PeerId agent, const wire::SlotDecisions& message) {
