Play routes of different priorities and tenants in the soak

Cause: no soak exercised the agents' queues for slots. Every request that is refused with 503 must carry a time to return (unless quarantined) and must never have run.

--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -52,7 +52,8 @@
         self.cold_left_ms = {}  # By back end.
         self.evacuations = False  # Whether gateways follow evacuations.
         self.route_fields = {}  # Of every route.
-        self.tenant_fields = {}
+        self.tenant_fields = {}  # Of the first tenant.
+        self.other_tenants = []
         self.plain_fields = {}  # Of the plain service.
 
     async def start(self):
@@ -87,7 +88,8 @@
             "version": version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536,
                        "headerTimeoutMs": header_timeout_ms, "idleTimeoutMs": 15000},
-            "tenants": [{"name": "acme", "apiKeys": ["key"], **self.tenant_fields}]})
+            "tenants": [{"name": "acme", "apiKeys": ["key"], **self.tenant_fields},
+                        *self.other_tenants]})
 
     @staticmethod
     def route(prefix, kind, service, attempts, resumable=False):
--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -3,7 +3,7 @@
 One seed determines all random choices. During a run the system's guarantees are checked from the
 requests and responses at callers and back ends; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
-       [--limits] [--notices] [--restores] [--regressions] [--keep FOLDER]
+       [--limits] [--notices] [--restores] [--priorities] [--regressions] [--keep FOLDER]
 """
 
 import argparse
@@ -26,6 +26,7 @@
 from soak_limits import Limits  # noqa: E402
 from soak_load import Load  # noqa: E402
 from soak_notices import Notices  # noqa: E402
+from soak_priorities import Priorities  # noqa: E402
 from soak_restores import Restores  # noqa: E402
 
 PLANNED_WORK_S = 10.0  # Seconds of planned work after the faults, without any; all bounds apply.
@@ -44,10 +45,12 @@
     limits: bool = False  # Back ends set rate limits in addition to the faults.
     notices: bool = False  # Back ends announce their leaving and ask for pauses.
     restores: bool = False  # The store comes back from older copies.
+    priorities: bool = False  # Routes of different priorities and tenants compete for slots.
 
     def __str__(self):
         fault_list = " of " + ",".join(self.faults) if self.faults else ""
-        extras = [name for name in ("limits", "notices", "restores") if getattr(self, name)]
+        extras = [name for name in ("limits", "notices", "restores", "priorities")
+                  if getattr(self, name)]
         return f"seed {self.seed}{fault_list}" + "".join(f" with {name}" for name in extras)
 
 
@@ -71,17 +74,24 @@
         self.restores = None
         self.restores_enabled = False
         self.restore_random = random.Random(f"restores {seed}")
+        self.priorities = Priorities(self.platform, self.checks, self.load,
+                                     random.Random(f"priorities {seed}"))
+        self.priorities_enabled = False
         self.simulates_suspend = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
         if self.simulates_suspend:
             self.platform.suspend_when_frozen()
+        if self.priorities_enabled:
+            self.priorities.configure()
         await self.platform.start()
         self.checks.started_at = time.monotonic()
         self.end = self.checks.started_at + self.seconds
         self.load.end = float("inf")
         heartbeats = asyncio.create_task(self.send_heartbeats())
         callers = self.load.start()
+        if self.priorities_enabled:
+            callers += self.priorities.start()
         limits = asyncio.create_task(self.limits.run()) if self.limits_enabled else None
         notices = asyncio.create_task(self.notices.run()) if self.notices_enabled else None
         self.restores = Restores(self.platform, self.checks, self.restore_random)
@@ -157,6 +167,7 @@
     soak.faults.enabled = plan.faults or soak.faults.enabled
     soak.limits_enabled = plan.limits
     soak.notices_enabled, soak.restores_enabled = plan.notices, plan.restores
+    soak.priorities_enabled = plan.priorities
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (frozen processes see a suspended machine)" if soak.simulates_suspend else ""
@@ -165,7 +176,9 @@
           + (f", limits set {soak.limits.limits_set}" if plan.limits else "")
           + (f", leaving announced {soak.notices.announced}, pauses {soak.notices.paused}"
              if plan.notices else "")
-          + (f", restores {soak.restores.restored}" if plan.restores else ""), flush=True)
+          + (f", restores {soak.restores.restored}" if plan.restores else "")
+          + (", requests by priority: " + format_counts(soak.priorities.outcomes)
+             if plan.priorities else ""), flush=True)
     for violation in checks.violations:
         print("  " + violation, flush=True)
     if checks.violations and keep:
@@ -217,6 +230,8 @@
                         help="back ends also announce their leaving and ask for pauses")
     parser.add_argument("--restores", action="store_true",
                         help="the store also comes back from older copies")
+    parser.add_argument("--priorities", action="store_true",
+                        help="routes of different priorities and tenants compete for slots")
     parser.add_argument("--regressions", action="store_true", help="also run the regression seeds")
     parser.add_argument("--keep", help="folder in which to keep the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -227,7 +242,7 @@
     platform_test.BUILD = arguments.build.resolve()
     only = arguments.only.split(",") if arguments.only else []
     plans = [Plan(seed, arguments.seconds, only, arguments.limits, arguments.notices,
-                  arguments.restores)
+                  arguments.restores, arguments.priorities)
              for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -83,7 +83,8 @@
         self.started_at = time.monotonic()
         self.incarnations = {}  # By gateway: the number of its starts.
         self.start_counts = {}  # By request id: how often it started at a back end.
-        self.refused_requests = set()  # Non-repeatable requests that were refused as not run.
+        self.refused_requests = set()  # Requests that were refused as not run.
+        self.checks_all_refusals = False  # Also of requests that may be repeated, and their headers.
         self.newest_route = {}  # By (gateway, incarnation): the newest route that was in force.
         self.named_at = {1: 0.0}
         self.retry_counts = {"engines": RetryCount(), "plain": RetryCount()}
@@ -280,7 +281,10 @@
         if response.body == b"quarantined" and not identity.startswith("killer"):
             self.report_violation("BYSTANDER",
                                   f"{identity} was quarantined but crashes no engine")
-        if kind == "write" and response.status in (429, 503):
+        refused = response.status in (429, 503)
+        if self.checks_all_refusals and response.status == 503:
+            self.check_retry_time(identity, response)
+        if refused and (kind == "write" or self.checks_all_refusals):
             self.refused_requests.add(identity)
             if self.start_counts.get(identity):
                 self.report_violation("REFUSED",
@@ -290,6 +294,12 @@
         elif response.status in (401, 404):
             self.report_violation("DENIED", f"{identity} was answered {response.status}")
 
+    def check_retry_time(self, identity, response):
+        """A refusal says when to return, unless the request is not to return at all."""
+        if response.body != b"quarantined" and not float(response.headers.get("retry-after", 0)) > 0:
+            self.report_violation("RETRY", f"{identity} was refused without a time to return: "
+                                           f"{response.body[:80]!r}")
+
     def check_route(self, response, incarnation, version):
         newest = self.newest_route.get(incarnation, 1)
         if response.status == 404 and 1 < version <= newest \
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -40,8 +40,9 @@
                                draining_since=draining_since, wrong_chunks=wrong_chunks or {},
                                announced_at=announced_at)
 
-    def check(self, kind, identity, status=200, body=b"", complete=True, version=1):
-        response = SimpleNamespace(status=status, body=body, complete=complete)
+    def check(self, kind, identity, status=200, body=b"", complete=True, version=1, headers=None):
+        response = SimpleNamespace(status=status, body=body, complete=complete,
+                                   headers=headers or {})
         self.checks.check_response(kind, identity, response, (GATEWAY, 1), version)
 
 
@@ -96,6 +97,17 @@
         self.checks.on_request_started(self.backend(), "write-2")
         self.assertEqual(["REFUSED", "REFUSED"], self.violated_rules())
 
+    def test_with_priorities_a_refusal_without_a_time_to_return_or_of_a_repeatable_request(self):
+        self.checks.checks_all_refusals = True
+        self.check("chat", "chat-1", status=503, headers={"retry-after": "0.200"})
+        self.check("chat", "chat-2", status=503, body=b"quarantined")
+        self.check("chat", "killer-3", status=503, body=b"quarantined")
+        self.assertEqual(["BYSTANDER"], self.violated_rules())
+        self.checks.violations.clear()
+        self.check("chat", "chat-4", status=503)
+        self.checks.on_request_started(self.backend(), "chat-1")
+        self.assertEqual(["RETRY", "REFUSED"], self.violated_rules())
+
     def test_a_run_at_a_draining_back_end(self):
         since = time.monotonic() - DRAIN_LIMIT_S - 1
         self.checks.on_request_started(self.backend(draining_since=since), "read-1")
@@ -167,7 +179,7 @@
         self.assertEqual(["DENIED", "DENIED"], self.violated_rules())
 
     def test_a_response_after_the_deadline(self):
-        async def late(*_):
+        async def late(*_, **fields):
             await asyncio.sleep(0.2)
             return SimpleNamespace(status=200, body=b"read-1", complete=True)
         platform = SimpleNamespace(version=1, call_gateway=late)
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -25,6 +25,7 @@
         self.checks, self.random = checks, random
         self.version = 1
         self.routes = []
+        self.priority_routes = []  # In every configuration.
         self.gateways = {}
         self.hosts = {}
 
@@ -49,7 +50,7 @@
                         for backend in self.plain + self.engines}
         self.internal = platform_test.free_port()
         self.ports = {host: [platform_test.free_port() for _ in range(3)] for host in GATEWAYS}
-        self.configure(self.version)
+        self.configure(self.version, extra=self.priority_routes)
         for backend in self.plain + self.engines:
             self.register(backend, backend.service)
         self.store.put("versions", "m", {"model": "m", "version": 1})
@@ -115,9 +116,9 @@
         output = stdout or open(self.folder / f"{name}.log", "ab")
         return super().launch(name, program, settings, output)
 
-    async def call_gateway(self, host, method, target, identity, port=0):
+    async def call_gateway(self, host, method, target, identity, port=0, key="key"):
         reader, writer = await asyncio.open_connection(host, self.ports[host][port])
-        fields = {"Host": "api.example", "X-Api-Key": "key", "X-Pumicemast-Request-Id": identity,
+        fields = {"Host": "api.example", "X-Api-Key": key, "X-Pumicemast-Request-Id": identity,
                   "X-Pumicemast-Deadline-Ms": str(int(DEADLINE_S * 1000)),
                   "X-Pumicemast-Model": "m", "X-Pumicemast-Token-Usage": "100,50",
                   "Content-Length": "0"}
@@ -139,7 +140,7 @@
     def add_route(self):
         self.version += 1
         self.routes = (self.routes + [self.route(f"/v{self.version}/", "safe", "plain", 1)])[-40:]
-        self.configure(self.version, extra=self.routes)
+        self.configure(self.version, extra=self.priority_routes + self.routes)
 
     def name_weights(self):
         version = self.origin.newest + 1
--- a/tests/soak/soak_load.py
+++ b/tests/soak/soak_load.py
@@ -29,17 +29,18 @@
             await self.send_request(kind, host, f"{kind}-{self.number}")
             await asyncio.sleep(self.random.uniform(0.0, MAX_PAUSE_S))
 
-    async def send_request(self, kind, host, identity):
+    async def send_request(self, kind, host, identity, target=None, key="key"):
+        """Returns the response, or None without one."""
         checks, incarnation = self.checks, (host, self.checks.incarnations[host])
         version = self.platform.version
-        target = f"/v{version}/1" if kind == "route" else f"/{kind}/1"
+        target = target or (f"/v{version}/1" if kind == "route" else f"/{kind}/1")
         method = "POST" if kind == "chat" else "GET"
         limit = soak_checks.DEADLINE_S + 2 * soak_checks.DEADLINE_TOLERANCE_S
         started_at = time.monotonic()
         checks.on_sent(kind, identity, incarnation)
         try:
             response = await asyncio.wait_for(
-                self.platform.call_gateway(host, method, target, identity), limit)
+                self.platform.call_gateway(host, method, target, identity, key=key), limit)
         except asyncio.TimeoutError:
             checks.on_response_timeout(identity)
             return checks.count_outcome(kind, "no response")
@@ -47,4 +48,5 @@
             return checks.count_outcome(kind, "closed")
         checks.on_response_time(identity, time.monotonic() - started_at)
         checks.check_response(kind, identity, response, incarnation, version)
-        return checks.count_outcome(kind, str(response.status) if response.complete else "interrupted")
+        checks.count_outcome(kind, str(response.status) if response.complete else "interrupted")
+        return response
