Simulate competing classes, tenants, bursts and the agents' queues under load

Cause: the virtual-time model of gateways and engines knew one priority and only credits. Waiting jobs of the modelled engine run in the order of their priority.

--- a/tests/support/modelled_engine.cpp
+++ b/tests/support/modelled_engine.cpp
@@ -4,6 +4,12 @@
 
 namespace pumicemast::tests {
 
+void ModelledEngine::submit(const EngineJob& job) {
+  const auto later = [&](const Entry& entry) { return entry.job.priority > job.priority; };
+  waiting_.insert(std::find_if(waiting_.begin(), waiting_.end(), later),
+                  {job, job.answer_tokens, 0});
+}
+
 void ModelledEngine::cancel(std::uint64_t request) {
   const auto is_it = [&](const Entry& entry) { return entry.job.request == request; };
   std::erase_if(waiting_, is_it);
--- a/tests/support/modelled_engine.h
+++ b/tests/support/modelled_engine.h
@@ -18,6 +18,7 @@
   std::uint64_t request = 0;
   double prompt_tokens = 0;
   double answer_tokens = 0;
+  int priority = 0;  ///< Waiting jobs run in this order, 0 first.
 };
 
 /// Output of one request at the end of a pass.
@@ -32,7 +33,7 @@
  public:
   explicit ModelledEngine(EngineProfile profile) : profile_(std::move(profile)) {}
 
-  void submit(const EngineJob& job) { waiting_.push_back({job, job.answer_tokens, 0}); }
+  void submit(const EngineJob& job);
   void cancel(std::uint64_t request);
   /// Runs all passes that end by `now`.
   /// @return their events, in order.
--- a/tests/support/overload_simulation.h
+++ b/tests/support/overload_simulation.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -15,6 +17,22 @@
 
 namespace pumicemast::tests {
 
+/// Faults that come every 5 s, the first after 5 s.
+enum class OverloadFault {
+  none,
+  agent_lost,      ///< The agent of one engine, for a second; the next one has an empty queue.
+  gateway_frozen,  ///< One gateway, for a second; what arrives there meanwhile waits.
+  late_reports,    ///< Reports arrive 250 ms late, all the time.
+  links_lost,      ///< Five times in the first second, a gateway's link to an agent breaks.
+};
+
+/// Additional callers of one kind, or of one tenant.
+struct OverloadBurst {
+  double factor = 3;  ///< Rate of the group, over its usual rate.
+  std::optional<std::size_t> kind;
+  std::optional<std::size_t> tenant;
+};
+
 struct OverloadOptions {
   std::uint64_t seed = 1;
   double load = 1;  ///< Arrival rate divided by the capacity of the engines.
@@ -25,6 +43,13 @@
   bool reports_demand = true;  ///< Gateways report their request rates to agents.
   /// In first attempts, callers state the route's timeout less a random time of at most this.
   Duration timeout_jitter = Duration::zero();
+  /// The classes and engines of docs/design/slot-scheduling.md, and agents that queue requests.
+  bool competing_classes = false;
+  bool priorities = false;  ///< The routes of these classes have different priorities.
+  /// The first tenant has a third of the callers, the others have equal parts of the rest.
+  std::size_t tenants = 0;
+  std::optional<OverloadBurst> burst;
+  OverloadFault fault = OverloadFault::none;
 };
 
 /// Outcomes per caller; a retry belongs to the caller of the first attempt.
@@ -47,6 +72,11 @@
   CallerCounts largest_tenth;  ///< Callers with the largest prompts of each kind.
   std::map<std::string, CallerCounts> by_kind;
   std::map<std::size_t, CallerCounts> by_gateway;
+  std::map<std::size_t, CallerCounts> by_tenant;
+  /// Slots without a running request, and those without even a queued one, while any request waits
+  /// at a gateway; both as parts of the slot time of the run.
+  double idle_share = 0;
+  double unassigned_share = 0;
   /// Retries sent to an engine within 100 ms after the same gateway refused a first attempt. This
   /// and the counts below leave out the warm-up, in which gateways learn the callers' timeouts.
   std::uint64_t retries_served_while_first_refused = 0;
@@ -66,9 +96,15 @@
   struct Gateway;
   struct Engine;
   struct Caller;
+  using Event = std::function<void()>;
 
+  EngineProfile profile() const;
   FleetConfiguration configuration(double prompt_rate) const;
   void start_callers();
+  void start_burst_callers();
+  void start_caller(Caller caller);
+  std::size_t random_tenant(std::mt19937_64& random);
+  double burst_rate() const;
   void send_request(std::uint64_t number);
   void execute_actions(Gateway& gateway, ForwarderActions& actions);
   void on_refusal(std::uint64_t request, Duration retry_after);
@@ -77,6 +113,16 @@
   void report();
   void send_backlogs();
   void send_due_retries();
+  // In overload_simulation_slots.cpp:
+  void send_message(std::size_t gateway, std::size_t engine, Duration delay, Event event);
+  void deliver(std::size_t gateway, Event event);
+  void deliver_messages();
+  void send_slot_requests(std::size_t gateway, std::size_t engine, const SlotRequests& requests);
+  void decide_slots(std::size_t engine);
+  void on_slot_decisions(std::size_t gateway, std::size_t engine, const SlotDecisions& decisions);
+  void lose_link(std::size_t gateway, std::size_t engine);
+  void inject_faults();
+  void measure_idle_slots();
   Duration random_arrival_gap();
   Duration random_duration(Duration maximum);
   void record_classification(bool is_retry, bool classified_as_retry);
@@ -89,6 +135,11 @@
   TimePoint next_arrival_ = now_;
   TimePoint begin_ = now_;
   double arrivals_per_s_ = 0;
+  std::mt19937_64 tenant_random_;
+  std::mt19937_64 burst_random_;
+  TimePoint next_burst_arrival_ = now_;
+  std::multimap<TimePoint, Event> messages_;  ///< On their way, by the time of their arrival.
+  std::uint64_t fault_step_ = 0;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::vector<Caller> callers_;
