Keep what a gateway holds within a memory budget

A gateway held up to 2 MB of unread responses for each caller and whole request bodies, with no bound over all callers. With [limits] memory_mb it holds back responses whose callers have more than 256 KB unread, refuses bodies while more than 0.75 of the budget is held or promised, and cuts off the slowest readers above it. Without the setting nothing changes.

Socket buffers are bounded with the setting, because the system otherwise keeps up to 4 MB for each caller, which containers count.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -63,6 +63,7 @@
       status_server_([this](const std::string& path) { return status(path); }),
       metrics_server_([this](const std::string& path) { return status(path); }) {
   forwarder_.set_retry_allowance(fleet_.retry_allowance(loop_now()));
+  if (settings_.memory_bytes) start_memory_budget(*settings_.memory_bytes);
 }
 
 GatewayDaemon::~GatewayDaemon() = default;
@@ -101,6 +102,7 @@
   const bool needs_restart = settings.callers_listen != settings_.callers_listen ||
                              settings.ready_listen != settings_.ready_listen ||
                              settings.internal_address != settings_.internal_address ||
+                             settings.memory_bytes != settings_.memory_bytes ||
                              settings.name != settings_.name || settings.zone != settings_.zone;
   log_.set_decisions(settings.decision_log);
   settings_.stop_grace = settings.stop_grace;
@@ -153,6 +155,8 @@
   auto connection = std::make_unique<CallerConnection>(descriptor, limits().request, *this);
   if (state_ == "STOPPING") connection->set_closing();
   const CallerConnection* key = connection.get();
+  connection->caller_number = next_caller_++;
+  if (memory_) track_memory(*connection);
   callers_[key] = std::move(connection);
 }
 
@@ -170,7 +174,9 @@
   exchange.request_id = metadata.id;
   metadata.content = fingerprint_content(to_view(request.head.method_string()), metadata.host,
                                          metadata.target, request.body);
+  metadata.body_refused = request.body_refused;
   exchange.request = std::move(request);
+  account_memory(connection);
   ForwarderActions actions;
   forwarder_.on_request(number, std::move(metadata), loop_now(), actions);
   execute_actions(actions);
@@ -186,6 +192,8 @@
 }
 
 void GatewayDaemon::on_caller_connection_closed(CallerConnection& connection) {
+  callers_by_number_.erase(connection.caller_number);
+  if (memory_) memory_->remove(connection.caller_number);
   auto node = callers_.extract(&connection);
   if (!node.empty()) deleter_.defer(std::move(node.mapped()));
 }
@@ -226,6 +234,7 @@
 }
 
 void GatewayDaemon::on_attempt_failed(RequestNumber number, ExchangeFailure failure) {
+  if (abort_if_held_back(number)) return;
   ForwarderActions actions;
   const AttemptFailure kind = failure == ExchangeFailure::not_sent ? AttemptFailure::not_sent
                               : failure == ExchangeFailure::malformed
@@ -281,6 +290,7 @@
     forwarder_.on_tick(now, actions);
     execute_actions(actions);
   }
+  enforce_memory(now);
   log_summaries();
   report_crashes();
   check_stopped(now);
@@ -367,6 +377,7 @@
     metrics_.update(fleet_.pool().permits().counters());
     metrics_.update(forwarder_.slot_counters());
     metrics_.update(fleet_.pool().notice_counters());
+    update_memory_metrics();
     return {kStatusOk, kMetricsContentType, metrics_.serialize()};
   }
   const TimePoint now = loop_now();
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/event_loop.h"
@@ -16,6 +17,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_protocol.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/memory/memory_budget.h"
 #include "gateway/peers/fleet_state.h"
 #include "gateway/requests/backend_connections.h"
 #include "gateway/requests/request_forwarder.h"
@@ -50,11 +52,14 @@
     std::string response_reason;
     int response_status = 0;
     bool response_started = false;
+    bool reading_paused = false;  ///< The response of its attempt is not read for now.
   };
 
   // TcpListener::Acceptor
   void on_accepted(int descriptor) override;
   // CallerConnectionObserver
+  bool admits_body(CallerConnection& connection, std::size_t bytes) override;
+  void on_caller_progress(CallerConnection& connection) override;
   void on_caller_request(CallerConnection& connection, ReceivedRequest request) override;
   void on_caller_disconnected(CallerConnection& connection) override;
   void on_caller_connection_closed(CallerConnection& connection) override;
@@ -88,6 +93,22 @@
   Exchange* find_exchange(RequestNumber number);
   void erase_exchange(RequestNumber number);
 
+  void start_memory_budget(std::size_t memory_bytes);
+  /// Tells the memory budget what is held for a caller, and pauses or resumes reading the response
+  /// that is relayed to it. Without a budget, this and the next functions do nothing.
+  void account_memory(CallerConnection& connection);
+  void track_memory(CallerConnection& connection);
+  CallerMemory measure_memory(const CallerConnection& connection);
+  void set_response_reading(RequestNumber number, Exchange& exchange, bool reading);
+  /// Accounts for all requests in progress, cuts off slow readers and logs changes of the level.
+  void enforce_memory(TimePoint now);
+  void on_memory_level(MemoryLevel previous);
+  void cut_off(CallerConnection& connection);
+  /// @return whether the attempt failed because its response was held back for too long, and the
+  ///         response was aborted.
+  bool abort_if_held_back(RequestNumber number);
+  void update_memory_metrics();
+
   void tick();
   void sweep();
   void update_retry_allowance(TimePoint now);
@@ -119,6 +140,10 @@
   std::unique_ptr<TcpListener> listener_;
   std::map<const CallerConnection*, std::unique_ptr<CallerConnection>> callers_;
   std::map<RequestNumber, Exchange> exchanges_;
+  std::optional<MemoryBudget> memory_;  ///< Unset without a limit of the memory.
+  MemoryLevel logged_memory_level_ = MemoryLevel::normal;
+  std::map<CallerNumber, CallerConnection*> callers_by_number_;
+  CallerNumber next_caller_ = 1;
   RequestNumber next_number_ = 1;
   std::uint64_t previous_first_attempts_ = 0;  ///< First attempts at the last update of `demand_`.
   double demand_ = 0;                          ///< First attempts for engines per second, smoothed.
--- a/src/gateway/gateway_daemon_actions.cpp
+++ b/src/gateway/gateway_daemon_actions.cpp
@@ -43,6 +43,7 @@
     if (exchange == nullptr) continue;
     CallerConnection& connection = *exchange->connection;
     connection.flush();
+    account_memory(connection);
     if (find_exchange(number) == nullptr || connection.queued_bytes() <= kMaximumUnreadBytes)
       continue;
     on_caller_disconnected(connection);
@@ -51,10 +52,12 @@
 }
 
 void GatewayDaemon::execute(const SendToBackend& action) {
-  const Exchange* exchange = find_exchange(action.request);
+  Exchange* exchange = find_exchange(action.request);
   if (exchange == nullptr) return;
   const bool head_request = exchange->request.head.method() == boost::beast::http::verb::head;
+  exchange->reading_paused = false;
   backends_.start(action, protocol_->encode_request(exchange->request, action), head_request);
+  account_memory(*exchange->connection);
 }
 
 void GatewayDaemon::execute(const CancelAttempt& action) { backends_.cancel(action.request); }
@@ -86,6 +89,7 @@
   CallerConnection& connection = *exchange->connection;
   erase_exchange(action.request);
   connection.end_response();
+  account_memory(connection);
 }
 
 void GatewayDaemon::execute(const SendRefusal& action) {
@@ -94,7 +98,9 @@
   CallerConnection& connection = *exchange->connection;
   const std::string fields = protocol_->refusal_headers(exchange->request_id, action.retry_after);
   erase_exchange(action.request);
+  if (action.reason == RefusalReason::memory) metrics_.on_memory_refusal();
   connection.respond(action.status, fields, to_string(action.reason));
+  account_memory(connection);
 }
 
 void GatewayDaemon::execute(const AbortResponse& action) {
--- /dev/null
+++ b/src/gateway/gateway_daemon_memory.cpp
@@ -0,0 +1,141 @@
+// Keeps what the gateway holds for callers and back ends within its memory budget.
+#include <algorithm>
+
+#include "gateway/gateway_daemon.h"
+
+namespace pumicemast {
+namespace {
+
+/// While the memory budget is not nearly used up, plain responses up to the first size are relayed
+/// only when complete; the second applies otherwise.
+constexpr std::size_t kBufferedResponseBytes = ForwarderOptions{}.max_buffered_response_bytes;
+constexpr std::size_t kBufferedResponseBytesWhenFull = 32U * 1024U;
+
+/// Size of the system's buffers for responses, per connection. Where the system accounts socket
+/// buffers to the process, they are part of its memory. More than a link of 200 Mbit/s needs at a
+/// round trip of 2 ms.
+constexpr int kSocketBufferBytes = 64 * 1024;
+
+}  // namespace
+
+void GatewayDaemon::start_memory_budget(std::size_t memory_bytes) {
+  // The other half is for the process itself and for unused parts of buffers.
+  memory_.emplace(memory_bytes / 2);
+  backends_.limit_receive_buffers(kSocketBufferBytes);
+}
+
+void GatewayDaemon::track_memory(CallerConnection& connection) {
+  callers_by_number_[connection.caller_number] = &connection;
+  connection.limit_send_buffer(kSocketBufferBytes);
+}
+
+bool GatewayDaemon::admits_body(CallerConnection&, std::size_t bytes) {
+  return !memory_ || memory_->admits_body(bytes);
+}
+
+void GatewayDaemon::on_caller_progress(CallerConnection& connection) { account_memory(connection); }
+
+CallerMemory GatewayDaemon::measure_memory(const CallerConnection& connection) {
+  CallerMemory memory;
+  memory.queued_response = connection.queued_bytes();
+  memory.response_read = connection.bytes_sent();
+  memory.held.unread_response = memory.queued_response;
+  memory.held.request_body = connection.received_bytes();
+  // The rest of the body, and the copy that will be sent to a back end.
+  const std::size_t expected = 2 * connection.expected_body_bytes();
+  memory.promised = expected - std::min(expected, memory.held.request_body);
+  if (!connection.handling()) return memory;
+  const Exchange* exchange = find_exchange(connection.request_number);
+  if (exchange == nullptr) return memory;
+  const std::size_t body = exchange->request.body.size();
+  memory.held.request_body += body;
+  memory.held.unread_response += forwarder_.buffered_bytes(connection.request_number);
+  const auto unsent = backends_.unsent_bytes(connection.request_number);
+  if (unsent) {
+    memory.held.unsent_request = *unsent;
+  } else {
+    memory.promised += body;
+  }
+  return memory;
+}
+
+void GatewayDaemon::account_memory(CallerConnection& connection) {
+  if (!memory_ || !connection.is_open()) return;
+  memory_->update(connection.caller_number, measure_memory(connection), loop_now());
+  if (!connection.handling()) return;
+  Exchange* exchange = find_exchange(connection.request_number);
+  // Before the response has started, nothing of it is queued for the caller.
+  if (exchange == nullptr || !exchange->response_started) return;
+  const bool pause = memory_->holds_back(connection.caller_number);
+  if (pause != exchange->reading_paused) {
+    set_response_reading(connection.request_number, *exchange, !pause);
+  }
+}
+
+void GatewayDaemon::set_response_reading(RequestNumber number, Exchange& exchange, bool reading) {
+  exchange.reading_paused = !reading;
+  backends_.set_reading(number, reading);
+  forwarder_.on_reading_paused(number, !reading, loop_now());
+}
+
+void GatewayDaemon::enforce_memory(TimePoint now) {
+  if (!memory_) return;
+  // Back ends read requests without an event here, and responses of attempts are buffered.
+  for (const auto& [number, exchange] : exchanges_) account_memory(*exchange.connection);
+  while (const auto slowest = memory_->next_to_cut_off(now)) {
+    CallerConnection& connection = *callers_by_number_.at(*slowest);
+    log_.log_line("memory", "memory event=cut_off caller=" + std::to_string(*slowest) +
+                                " unread_bytes=" + std::to_string(connection.queued_bytes()));
+    metrics_.on_slow_reader_cut();
+    cut_off(connection);
+  }
+  if (memory_->level() != logged_memory_level_) on_memory_level(logged_memory_level_);
+}
+
+void GatewayDaemon::on_memory_level(MemoryLevel previous) {
+  const MemoryLevel level = memory_->level();
+  logged_memory_level_ = level;
+  forwarder_.set_max_buffered_response_bytes(
+      level == MemoryLevel::normal ? kBufferedResponseBytes : kBufferedResponseBytesWhenFull);
+  const HeldBytes& held = memory_->held();
+  log_.log_line("memory", std::string("memory state=") + to_string(previous) + "->" +
+                              to_string(level) + " held_bytes=" + std::to_string(held.total()) +
+                              " promised_bytes=" + std::to_string(memory_->promised()) +
+                              " budget_bytes=" + std::to_string(memory_->budget()) +
+                              " request_body=" + std::to_string(held.request_body) +
+                              " unread_response=" + std::to_string(held.unread_response) +
+                              " unsent_request=" + std::to_string(held.unsent_request));
+}
+
+void GatewayDaemon::cut_off(CallerConnection& connection) {
+  if (connection.handling() && find_exchange(connection.request_number) != nullptr) {
+    ForwarderActions actions;
+    forwarder_.on_slow_reader(connection.request_number, loop_now(), actions);
+    execute_actions(actions);
+  }
+  if (!connection.is_open()) return;
+  // What is left belongs to an earlier response on this connection.
+  if (connection.handling()) on_caller_disconnected(connection);
+  connection.abort_response();
+}
+
+bool GatewayDaemon::abort_if_held_back(RequestNumber number) {
+  const Exchange* exchange = find_exchange(number);
+  if (!memory_ || exchange == nullptr || !exchange->reading_paused) return false;
+  // A back end cuts off a response that stays unread. That says nothing about the back end, and
+  // another attempt would be held back as well.
+  if (!memory_->reads_slowly(exchange->connection->caller_number, loop_now())) return false;
+  ForwarderActions actions;
+  forwarder_.on_slow_reader(number, loop_now(), actions);
+  execute_actions(actions);
+  return true;
+}
+
+void GatewayDaemon::update_memory_metrics() {
+  if (!memory_) return;
+  const auto paused = std::count_if(exchanges_.begin(), exchanges_.end(),
+                                    [](const auto& entry) { return entry.second.reading_paused; });
+  metrics_.update(memory_->held(), static_cast<std::size_t>(paused));
+}
+
+}  // namespace pumicemast
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -95,6 +95,16 @@
   set("returned", slots.returned);
 }
 
+void GatewayMetrics::update(const HeldBytes& held, std::size_t reads_paused) {
+  const auto set = [this](const char* kind, std::size_t bytes) {
+    metrics_.gauge("pumicemast_gateway_held_bytes", {{"kind", kind}}, static_cast<double>(bytes));
+  };
+  set("request_body", held.request_body);
+  set("unread_response", held.unread_response);
+  set("unsent_request", held.unsent_request);
+  metrics_.gauge("pumicemast_gateway_reads_paused", {}, static_cast<double>(reads_paused));
+}
+
 void GatewayMetrics::update(const PermitCounters& permits) {
   const auto set = [this](const char* result, std::uint64_t count) {
     metrics_.gauge("pumicemast_gateway_permits", {{"result", result}}, static_cast<double>(count));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "common/metrics.h"
+#include "gateway/memory/memory_budget.h"
 #include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast {
@@ -34,6 +35,10 @@
   void update(const PermitCounters& permits);
   void update(const NoticeCounters& notices);
   void update(const SlotReservationCounters& slots);
+  /// @param reads_paused  responses that are held back now.
+  void update(const HeldBytes& held, std::size_t reads_paused);
+  void on_memory_refusal() { metrics_.count("pumicemast_gateway_memory_refusals_total"); }
+  void on_slow_reader_cut() { metrics_.count("pumicemast_gateway_slow_readers_cut_total"); }
   std::string serialize() const { return metrics_.serialize(); }
   Metrics& registry() { return metrics_; }
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -32,6 +32,19 @@
   return result;
 }
 
+std::optional<std::size_t> read_memory_bytes(Settings& settings) {
+  // The process itself, without any requests, needs about half of this.
+  constexpr std::int64_t kMinimumMegabytes = 64;
+  constexpr std::int64_t kMaximumMegabytes = 1 << 20;
+  constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
+  const std::int64_t megabytes =
+      settings.integer_or("limits", "memory_mb", 0, {0, kMaximumMegabytes});
+  if (megabytes == 0) return std::nullopt;
+  settings.require(megabytes >= kMinimumMegabytes, "limits", "memory_mb",
+                   "less than " + std::to_string(kMinimumMegabytes));
+  return static_cast<std::size_t>(megabytes) * kMegabyte;
+}
+
 }  // namespace
 
 GatewaySettings GatewaySettings::read(Settings& settings) {
@@ -64,6 +77,7 @@
   result.retry_window = settings.milliseconds_or("retry", "window_ms", 10000, kDurationMs);
   result.quarantine_hold = settings.milliseconds_or("quarantine", "hold_ms", 600000, kDurationMs);
   result.pardoned = read_pardoned(settings);
+  result.memory_bytes = read_memory_bytes(settings);
   result.decision_log = settings.choice("log", "decisions", {"failures", "all", "none"});
   return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -45,6 +45,9 @@
   Duration quarantine_hold = seconds(600);
   /// Requests that are forwarded regardless of the crashes recorded for them.
   std::set<RequestFingerprint> pardoned;
+  /// Memory of the process in bytes; what is held for callers and back ends is kept within half of
+  /// it. Unset: not bounded.
+  std::optional<std::size_t> memory_bytes;
   std::string decision_log;  ///< "none", "failures" or "all".
 
   /// Reads and validates all settings; errors are added to the findings of `settings`.
--- /dev/null
+++ b/src/gateway/memory/memory_budget.cpp
@@ -0,0 +1,139 @@
+#include "gateway/memory/memory_budget.h"
+
+namespace pumicemast {
+namespace {
+
+/// A response is held back when its caller has more than this unread, and read again when half of
+/// it has been read.
+constexpr std::size_t kUnreadLimit = 256U * 1024U;
+/// The same above the first threshold.
+constexpr std::size_t kUnreadLimitWhenFull = 32U * 1024U;
+/// First threshold, as a fraction of the budget. The rest is for requests in progress.
+constexpr double kFullFraction = 0.75;
+/// The level falls to normal below this fraction, so that it does not alternate at the threshold.
+constexpr double kNormalFraction = 0.65;
+/// The body is kept for retries, and a copy of it waits until the back end has read it.
+constexpr std::size_t kCopiesOfBody = 2;
+
+std::size_t fraction_of(std::size_t bytes, double fraction) {
+  return static_cast<std::size_t>(static_cast<double>(bytes) * fraction);
+}
+
+}  // namespace
+
+const char* to_string(MemoryLevel level) {
+  switch (level) {
+    case MemoryLevel::normal:
+      return "NORMAL";
+    case MemoryLevel::full:
+      return "FULL";
+    case MemoryLevel::exceeded:
+      return "EXCEEDED";
+  }
+  return "UNKNOWN";
+}
+
+void MemoryBudget::add(const CallerMemory& memory) {
+  held_.request_body += memory.held.request_body;
+  held_.unread_response += memory.held.unread_response;
+  held_.unsent_request += memory.held.unsent_request;
+  promised_ += memory.promised;
+}
+
+void MemoryBudget::subtract(const CallerMemory& memory) {
+  held_.request_body -= memory.held.request_body;
+  held_.unread_response -= memory.held.unread_response;
+  held_.unsent_request -= memory.held.unsent_request;
+  promised_ -= memory.promised;
+}
+
+void MemoryBudget::update(CallerNumber number, const CallerMemory& memory, TimePoint now) {
+  if (memory.held.total() == 0 && memory.promised == 0) {
+    remove(number);
+    return;
+  }
+  Caller& caller = callers_[number];
+  subtract(caller.memory);
+  caller.memory = memory;
+  add(memory);
+  update_mark(caller, now);
+  update_level();
+  const std::size_t limit = unread_limit();
+  if (memory.queued_response > limit) caller.held_back = true;
+  if (memory.queued_response <= limit / 2) caller.held_back = false;
+}
+
+void MemoryBudget::update_mark(Caller& caller, TimePoint now) {
+  const CallerMemory& memory = caller.memory;
+  if (memory.queued_response == 0) {
+    caller.mark = 0;
+  } else if (caller.mark == 0 || memory.response_read >= caller.mark) {
+    caller.mark = memory.response_read + memory.queued_response;
+    caller.unread_since = now;
+  }
+}
+
+void MemoryBudget::remove(CallerNumber number) {
+  const auto found = callers_.find(number);
+  if (found == callers_.end()) return;
+  subtract(found->second.memory);
+  callers_.erase(found);
+  update_level();
+}
+
+void MemoryBudget::update_level() {
+  const std::size_t held = held_.total();
+  const std::size_t committed = held + promised_;
+  if (held > budget_) {
+    level_ = MemoryLevel::exceeded;
+  } else if (committed > fraction_of(budget_, kFullFraction)) {
+    level_ = MemoryLevel::full;
+  } else if (committed <= fraction_of(budget_, kNormalFraction)) {
+    level_ = MemoryLevel::normal;
+  } else if (level_ == MemoryLevel::exceeded) {
+    level_ = MemoryLevel::full;
+  }
+}
+
+std::size_t MemoryBudget::unread_limit() const {
+  switch (level_) {
+    case MemoryLevel::normal:
+      return kUnreadLimit;
+    case MemoryLevel::full:
+      return kUnreadLimitWhenFull;
+    case MemoryLevel::exceeded:
+      return 0;
+  }
+  return 0;
+}
+
+bool MemoryBudget::admits_body(std::size_t bytes) const {
+  if (bytes <= kSmallBodyBytes) return true;
+  if (level_ != MemoryLevel::normal) return false;
+  return held_.total() + promised_ + kCopiesOfBody * bytes <= budget_;
+}
+
+bool MemoryBudget::holds_back(CallerNumber number) const {
+  const auto found = callers_.find(number);
+  return found != callers_.end() && found->second.held_back;
+}
+
+bool MemoryBudget::reads_slowly(CallerNumber number, TimePoint now) const {
+  const auto found = callers_.find(number);
+  if (found == callers_.end() || found->second.mark == 0) return false;
+  return now - found->second.unread_since > kReadsInTime;
+}
+
+std::optional<CallerNumber> MemoryBudget::next_to_cut_off(TimePoint now) const {
+  if (level_ != MemoryLevel::exceeded) return std::nullopt;
+  std::optional<CallerNumber> slowest;
+  TimePoint oldest = now - kReadsInTime;
+  for (const auto& [number, caller] : callers_) {
+    if (caller.mark == 0 || caller.unread_since >= oldest) continue;
+    oldest = caller.unread_since;
+    slowest = number;
+  }
+  return slowest;
+}
+
+}  // namespace pumicemast
--- a/src/gateway/requests/attempt_monitor.cpp
+++ b/src/gateway/requests/attempt_monitor.cpp
@@ -26,6 +26,8 @@
   if (connecting && now - session.sent_at > options_.connect_timeout) {
     return AttemptState::not_connected;
   }
+  // Its response has begun, and is held back for its caller.
+  if (session.reading_paused) return AttemptState::healthy;
   if (starts_too_late(session, now)) return AttemptState::starts_too_late;
   if (!session.repeatable()) return AttemptState::healthy;
   const bool response_arriving =
--- a/src/gateway/requests/backend_connections.cpp
+++ b/src/gateway/requests/backend_connections.cpp
@@ -30,6 +30,7 @@
     connection_ = std::move(connection);
     connection_->send_request(bytes, head_request, *this);
   }
+  ClientConnection& connection() { return *connection_; }
   std::unique_ptr<ClientConnection> release() { return std::move(connection_); }
   const std::string& backend() const { return backend_; }
   std::size_t max_idle_connections() const { return max_idle_connections_; }
@@ -88,6 +89,7 @@
   if (!connection) {
     ++connections_opened_;
     connection = std::make_unique<ClientConnection>(send.address, kAcknowledgementTimeout, *this);
+    if (receive_buffer_bytes_) connection->limit_receive_buffer(*receive_buffer_bytes_);
   }
   auto attempt = std::make_unique<Attempt>(*this, send);
   Attempt& started = *attempt;
@@ -133,6 +135,17 @@
   }
 }
 
+void BackendConnections::set_reading(RequestNumber number, bool reading) {
+  const auto found = attempts_.find(number);
+  if (found != attempts_.end()) found->second->connection().set_reading(reading);
+}
+
+std::optional<std::size_t> BackendConnections::unsent_bytes(RequestNumber number) const {
+  const auto found = attempts_.find(number);
+  if (found == attempts_.end()) return std::nullopt;
+  return found->second->connection().unsent_bytes();
+}
+
 void BackendConnections::cancel(RequestNumber number) { finish(number, false); }
 
 void BackendConnections::on_idle_connection_ended(ClientConnection& connection) {
--- a/src/gateway/requests/backend_connections.h
+++ b/src/gateway/requests/backend_connections.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,12 @@
   void start(const SendToBackend& send, const std::string& bytes, bool head_request);
   /// Closes the attempt's connection, so that the back end stops working on the request.
   void cancel(RequestNumber number);
+  /// Bounds the receive buffer of connections that are opened from now on.
+  void limit_receive_buffers(int bytes) { receive_buffer_bytes_ = bytes; }
+  /// Pauses or resumes reading the response of the attempt, if there is one.
+  void set_reading(RequestNumber number, bool reading);
+  /// Bytes of the attempt's request that its back end has not read yet; empty without an attempt.
+  std::optional<std::size_t> unsent_bytes(RequestNumber number) const;
   /// Closes connections that have been idle for too long.
   void expire_idle(TimePoint now);
 
@@ -59,6 +66,7 @@
   std::map<std::string, IdleConnections> idle_;
   DeferredDeleter deleter_;
   std::uint64_t connections_opened_ = 0;
+  std::optional<int> receive_buffer_bytes_;
 };
 
 }  // namespace pumicemast
--- a/src/gateway/requests/event_splitter.h
+++ b/src/gateway/requests/event_splitter.h
@@ -4,6 +4,7 @@
 /// events: an event that one back end left incomplete is sent again by the next one.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,7 @@
   std::string take_complete_events(std::string_view bytes);
   /// Removes and returns the bytes of an incomplete event.
   std::string take_partial_event();
+  std::size_t partial_bytes() const { return partial_.size(); }
   void discard_partial_event() { partial_.clear(); }
 
   /// Id of the last complete event that has one.
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -30,7 +30,8 @@
   Duration time_left = Duration::zero();  ///< Until the caller times out; zero when not stated.
   std::string model;
   double prompt_tokens = 0;
-  double answer_tokens = 0;  ///< Output length expected by the caller; 0 when not stated.
+  double answer_tokens = 0;   ///< Output length expected by the caller; 0 when not stated.
+  bool body_refused = false;  ///< There is no memory for its body, which was not received.
 };
 
 /// Properties of a response head, as decoded by the protocol translator.
@@ -62,6 +63,8 @@
   region_not_allowed,  ///< No back end is in a region where it may run.
   backends_paused,     ///< All back ends that could run it have asked for a pause.
   zone_evacuated,      ///< All back ends where it may run are in evacuated zones.
+  memory,              ///< The gateway holds too much to receive its body.
+  slow_reader,         ///< Its caller reads the response too slowly.
 };
 const char* to_string(RefusalReason reason);
 
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -69,6 +69,11 @@
                           actions);
     return;
   }
+  if (session.request.body_refused) {
+    refuse_before_sending(number, session, {kStatusUnavailable, RefusalReason::memory}, now,
+                          actions);
+    return;
+  }
   if (quarantine_.quarantined(session.fingerprint, now)) {
     // It has not run, but no retry time is stated: while it is in quarantine no gateway runs it.
     refuse(number, session, kStatusUnavailable, RefusalReason::quarantined, {}, now, actions);
@@ -170,6 +175,7 @@
   session.connected = false;
   session.head_received = false;
   session.first_token_seen = false;
+  session.reading_paused = false;
   session.streaming = false;
   session.buffered.clear();
   session.splitter.discard_partial_event();
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -87,6 +87,11 @@
   /// The process of a back end has ended, for any reason.
   void on_backend_ended(const std::string& backend, TimePoint now);
   void on_caller_gone(RequestNumber number, TimePoint now, ForwarderActions& actions);
+  /// The response of the current attempt is held back, or no longer. An attempt that is held back
+  /// does not count as stalled.
+  void on_reading_paused(RequestNumber number, bool paused, TimePoint now);
+  /// The caller of a started response reads too slowly: aborts the response without a retry.
+  void on_slow_reader(RequestNumber number, TimePoint now, ForwarderActions& actions);
   /// Retries waiting requests: capacity may have become available.
   void on_capacity(TimePoint now, ForwarderActions& actions);
   /// An engine's agent has granted a slot to a request that is queued there.
@@ -99,6 +104,12 @@
   /// Enforces deadlines. Call every few tens of milliseconds while requests are active.
   void on_tick(TimePoint now, ForwarderActions& actions);
 
+  /// Plain responses up to this size are relayed only when complete.
+  void set_max_buffered_response_bytes(std::size_t bytes) {
+    options_.max_buffered_response_bytes = bytes;
+  }
+  /// Bytes of the request's response that are not relayed yet.
+  std::size_t buffered_bytes(RequestNumber number) const;
   std::size_t active() const { return sessions_.size(); }
   std::size_t waiting() const { return waiting_.size(); }
   const ForwarderCounters& counters() const { return counters_; }
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -40,6 +40,10 @@
       return "backends_paused";
     case RefusalReason::zone_evacuated:
       return "zone_evacuated";
+    case RefusalReason::memory:
+      return "memory";
+    case RefusalReason::slow_reader:
+      return "slow_reader";
   }
   return "unknown";
 }
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -76,7 +76,8 @@
   bool connected = false;
   bool head_received = false;
   bool first_token_seen = false;
-  bool streaming = false;  ///< The response of the attempt is an event stream.
+  bool reading_paused = false;  ///< Its response is held back until the caller has read more.
+  bool streaming = false;       ///< The response of the attempt is an event stream.
   ResponseMetadata response;
   std::string buffered;
   EventSplitter splitter;
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "http1/caller_connection.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "common/event_loop.h"
@@ -35,7 +36,7 @@
       waiting_since_(loop_now()) {}
 
 void CallerConnection::on_stream_data(std::string_view bytes) {
-  if (state_ == State::closed) return;
+  if (state_ == State::closed || discarding_) return;
   if (state_ == State::handling) {
     // Pipelined bytes are kept until the current response has ended.
     reader_.append_pending(bytes);
@@ -49,10 +50,16 @@
 void CallerConnection::handle(RequestStatus status) {
   switch (status) {
     case RequestStatus::need_more:
+      if (!admit_body()) {
+        discarding_ = true;
+        report_request(reader_.take_head());
+        return;
+      }
       if (reader_.expects_continue() && !continue_sent_) {
         continue_sent_ = true;
         stream_.send("HTTP/1.1 100 Continue\r\n\r\n");
       }
+      if (expected_body_bytes_ > 0) observer_.on_caller_progress(*this);
       return;
     case RequestStatus::malformed:
       refuse(kStatusBadRequest);
@@ -66,11 +73,31 @@
     case RequestStatus::complete:
       break;
   }
+  const bool admitted = admit_body();
   ReceivedRequest request = reader_.take_request();
+  if (!admitted) {
+    request.body = std::string();
+    request.body_refused = true;
+  }
+  report_request(std::move(request));
+}
+
+bool CallerConnection::admit_body() {
+  const std::size_t received = reader_.body_bytes();
+  const std::size_t stated = reader_.stated_body_bytes();
+  if (std::max(received, stated) <= expected_body_bytes_) return true;
+  const std::size_t wanted = stated > 0 ? stated : 2 * received;
+  if (!observer_.admits_body(*this, wanted)) return false;
+  expected_body_bytes_ = wanted;
+  return true;
+}
+
+void CallerConnection::report_request(ReceivedRequest request) {
+  expected_body_bytes_ = 0;
   state_ = State::handling;
   received_request_ = true;
   continue_sent_ = false;
-  keep_alive_ = request.keep_alive;
+  keep_alive_ = request.keep_alive && !discarding_;
   http_1_0_ = request.head.version() < kHttp11;
   head_request_ = request.head.method() == boost::beast::http::verb::head;
   observer_.on_caller_request(*this, std::move(request));
@@ -159,6 +186,11 @@
 
 void CallerConnection::close_after_flush() {
   if (state_ == State::closed) return;
+  if (discarding_) {
+    state_ = State::waiting;
+    waiting_since_ = loop_now();
+    return;
+  }
   if (stream_.queued_bytes() > 0) {
     state_ = State::waiting;
     close_when_drained_ = true;
@@ -179,6 +211,10 @@
   if (close_when_drained_) close();
 }
 
+void CallerConnection::on_stream_written() {
+  if (state_ != State::closed) observer_.on_caller_progress(*this);
+}
+
 void CallerConnection::on_stream_end(StreamEnd) {
   if (state_ == State::closed) return;
   const bool in_progress = state_ == State::handling;
@@ -190,6 +226,10 @@
 void CallerConnection::expire(TimePoint now, Duration idle_timeout, Duration head_timeout) {
   if (state_ != State::waiting) return;
   const Duration waited = now - waiting_since_;
+  if (discarding_) {
+    if (waited >= head_timeout) close();
+    return;
+  }
   if (reader_.has_partial()) {
     if (waited >= head_timeout) refuse(kStatusTimeout);
     return;
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -15,6 +15,12 @@
 class CallerConnectionObserver {
  public:
   virtual ~CallerConnectionObserver() = default;
+  /// Asked before a body of `bytes` is received; for a body of unknown length also whenever it has
+  /// grown to the last value.
+  /// @return false if the request is to be refused; it is then reported with `body_refused`.
+  virtual bool admits_body(CallerConnection&, std::size_t /*bytes*/) { return true; }
+  /// A part of a request's body has arrived, or the caller has read queued response bytes.
+  virtual void on_caller_progress(CallerConnection&) {}
   /// A complete request was received; the observer must send exactly one response.
   virtual void on_caller_request(CallerConnection& connection, ReceivedRequest request) = 0;
   /// The caller disconnected while its request was in progress; no response can be sent any more.
@@ -47,6 +53,7 @@
   /// From now on, responses that begin carry Connection: close. An idle connection is closed after
   /// a short time, unless its caller has not sent a request yet.
   void set_closing() { closing_ = true; }
+  void limit_send_buffer(int bytes) { stream_.limit_send_buffer(bytes); }
   void set_limits(RequestLimits limits) { reader_.set_limits(limits); }
   /// Closes a connection that has been idle for `idle_timeout`, and refuses a request that has been
   /// incomplete for `head_timeout`.
@@ -59,7 +66,14 @@
   }
   bool is_open() const { return stream_.is_open(); }
   std::size_t queued_bytes() const { return stream_.queued_bytes(); }
+  /// Response bytes passed to the caller's system since the connection was opened.
+  std::uint64_t bytes_sent() const { return stream_.bytes_sent(); }
+  /// Bytes of an incomplete request, and of further ones.
+  std::size_t received_bytes() const { return reader_.body_bytes() + reader_.pending_bytes(); }
+  /// Expected length of the body being received; 0 when none is.
+  std::size_t expected_body_bytes() const { return expected_body_bytes_; }
   std::uint64_t request_number = 0;  ///< Set by the owner to identify the request in progress.
+  std::uint64_t caller_number = 0;   ///< Set by the owner to identify the connection.
 
  private:
   enum class State { waiting, handling, closed };
@@ -67,7 +81,11 @@
   void on_stream_data(std::string_view bytes) override;
   void on_stream_end(StreamEnd end) override;
   void on_stream_drained() override;
+  void on_stream_written() override;
   void handle(RequestStatus status);
+  /// Whether the body received so far, or stated by the head, is or becomes admitted.
+  bool admit_body();
+  void report_request(ReceivedRequest request);
   void refuse(int status);
   void close_after_flush();
 
@@ -86,6 +104,10 @@
   bool continue_sent_ = false;
   bool resuming_ = false;
   bool close_when_drained_ = false;
+  /// The rest of a refused body is discarded, so that the caller can read the response: closing a
+  /// connection with unread bytes would reset it.
+  bool discarding_ = false;
+  std::size_t expected_body_bytes_ = 0;
 };
 
 }  // namespace pumicemast
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -15,6 +15,7 @@
   ++requests_sent_;
   bytes_sent_before_ = stream_.bytes_sent();
   reader_.begin(head_request);
+  stream_.set_reading(true);
   stream_.send(bytes);
 }
 
@@ -73,6 +74,7 @@
   keep_alive_timeout_s_ = pumicemast::keep_alive_timeout_s(reader_.head());
   ExchangeObserver* observer = observer_;
   observer_ = nullptr;
+  stream_.set_reading(true);
   observer->on_response_complete();
 }
 
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -49,6 +49,13 @@
   /// it.
   void abandon();
 
+  /// Pauses or resumes the response in progress; while paused, TCP flow control holds the peer
+  /// back. A connection without a request in progress always reads.
+  void set_reading(bool reading) { stream_.set_reading(reading || observer_ == nullptr); }
+  void limit_receive_buffer(int bytes) { stream_.limit_receive_buffer(bytes); }
+  /// Bytes of the request that the peer's system has not accepted yet.
+  std::size_t unsent_bytes() const { return stream_.queued_bytes(); }
+
   /// Turns keepalive probes on or off; they are on when the connection is opened.
   void set_tcp_keepalive(bool probing) { stream_.set_tcp_keepalive(probing); }
 
--- a/src/http1/http_message.h
+++ b/src/http1/http_message.h
@@ -17,6 +17,7 @@
   RequestHead head;
   std::string body;
   bool keep_alive = true;
+  bool body_refused = false;  ///< Its body was not received; the request must be refused.
 };
 
 std::string_view to_view(boost::beast::string_view text);
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -66,6 +66,21 @@
          boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
 }
 
+std::size_t RequestReader::stated_body_bytes() const {
+  if (!parser_->is_header_done()) return 0;
+  const auto length = parser_->content_length();
+  return length ? static_cast<std::size_t>(*length) : 0;
+}
+
+ReceivedRequest RequestReader::take_head() {
+  ReceivedRequest request;
+  request.body_refused = true;
+  request.head = std::move(parser_->get().base());
+  begin();
+  pending_.clear();
+  return request;
+}
+
 ReceivedRequest RequestReader::take_request() {
   ReceivedRequest request;
   request.keep_alive = parser_->get().keep_alive();
--- a/src/http1/request_reader.h
+++ b/src/http1/request_reader.h
@@ -34,10 +34,16 @@
   /// Continues with bytes that were received after the last request.
   RequestStatus resume() { return parse(); }
   ReceivedRequest take_request();
+  /// Returns the head of a request whose body is not complete, and drops the bytes of its body. The
+  /// rest of the connection cannot be parsed any more.
+  ReceivedRequest take_head();
 
   /// Whether part of a request, or bytes after the current request, have been received.
   bool has_partial() const { return !pending_.empty() || started_; }
   std::size_t pending_bytes() const { return pending_.size(); }
+  /// Bytes of the current body received so far, and the length that its head states, if any.
+  std::size_t body_bytes() const { return parser_->get().body().size(); }
+  std::size_t stated_body_bytes() const;
   /// Whether the caller waits for "100 Continue" before it sends the body.
   bool expects_continue() const;
   void set_limits(RequestLimits limits) { limits_ = limits; }
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -86,6 +86,14 @@
   }
 }
 
+void TcpStream::limit_send_buffer(int bytes) {
+  if (descriptor_ >= 0) setsockopt(descriptor_, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
+void TcpStream::limit_receive_buffer(int bytes) {
+  if (descriptor_ >= 0) setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 void TcpStream::set_reading(bool reading) {
   if (reading == reading_) return;
   reading_ = reading;
@@ -155,8 +163,7 @@
   if (!write_available(remaining)) return;
   outgoing_offset_ = outgoing_.size() - remaining.size();
   if (remaining.empty()) {
-    outgoing_.clear();
-    outgoing_offset_ = 0;
+    release_outgoing();
     writing_ = false;
     update_interest();
     observer_.on_stream_drained();
@@ -164,6 +171,14 @@
     outgoing_.erase(0, outgoing_offset_);
     outgoing_offset_ = 0;
   }
+  if (descriptor_ >= 0) observer_.on_stream_written();
+}
+
+void TcpStream::release_outgoing() {
+  outgoing_.clear();
+  outgoing_offset_ = 0;
+  // An idle connection must not keep the memory of a long message.
+  if (outgoing_.capacity() > kCompactBytes) outgoing_.shrink_to_fit();
 }
 
 void TcpStream::on_broken() {
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -33,6 +33,8 @@
   virtual void on_stream_end(StreamEnd end) = 0;
   /// All queued bytes have been written to the socket.
   virtual void on_stream_drained() {}
+  /// Some of the queued bytes have been written to the socket, or all of them.
+  virtual void on_stream_written() {}
   /// A connection opened by this process has been established.
   virtual void on_stream_connected() {}
 };
@@ -61,6 +63,11 @@
   /// Turns keepalive probes on or off for a connection opened by this process.
   void set_tcp_keepalive(bool probing);
 
+  /// Bounds what the system keeps of sent bytes that the peer has not read, or of received bytes
+  /// that are not read here; without a bound it grows to several megabytes.
+  void limit_send_buffer(int bytes);
+  void limit_receive_buffer(int bytes);
+
   bool is_open() const { return descriptor_ >= 0; }
   bool connected() const { return connected_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
@@ -74,6 +81,8 @@
   void update_interest();
   /// @return false after a failure, which has been reported to the observer.
   bool write_available(std::string_view& bytes);
+  /// Empties the queue after all of its bytes have been written.
+  void release_outgoing();
   void fail(StreamEnd end);
   void drop_descriptor();
 
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(defaults_to_one_zone);
   CPPUNIT_TEST(reads_pardoned_fingerprints);
   CPPUNIT_TEST(reports_invalid_pardoned_fingerprint);
+  CPPUNIT_TEST(bounds_memory_only_where_it_is_set);
   CPPUNIT_TEST_SUITE_END();
 
   tests::TemporaryFolder folder;
@@ -64,6 +65,19 @@
       CPPUNIT_ASSERT_EQUAL(std::string("pardoned"), findings.all()[0].key);
     }
   }
+
+  // The platform's template leaves the section empty where the platform states no memory.
+  void bounds_memory_only_where_it_is_set() {
+    CPPUNIT_ASSERT(!read("", "[limits]\n").memory_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{112} << 20U,
+                         *read("", "[limits]\nmemory_mb=112\n").memory_bytes);
+    for (const char* value : {"1", "63", "-5", "many"}) {
+      Findings findings;
+      read("", std::string("[limits]\nmemory_mb=") + value + "\n", findings);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings.all().size());
+      CPPUNIT_ASSERT_EQUAL(std::string("memory_mb"), findings.all()[0].key);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
--- a/tests/gateway/requests/request_forwarder_test.cpp
+++ b/tests/gateway/requests/request_forwarder_test.cpp
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(caller_disconnect_cancels_the_attempt);
   CPPUNIT_TEST(slow_engine_with_recent_reports_gets_longer_timeout);
   CPPUNIT_TEST(stalled_engine_without_reports_is_replaced_quickly);
+  CPPUNIT_TEST(response_held_back_for_its_caller_is_not_stalled);
+  CPPUNIT_TEST(slow_reader_is_aborted_without_a_retry);
+  CPPUNIT_TEST(request_without_memory_for_its_body_is_refused_at_once);
   CPPUNIT_TEST(retries_are_bounded_by_the_budget);
   CPPUNIT_TEST(outdated_weights_get_no_request_after_changeover);
   CPPUNIT_TEST(unstarted_attempt_on_old_weights_is_cancelled_at_start_bound);
@@ -248,6 +251,52 @@
     CPPUNIT_ASSERT(!harness.sent_to().empty());
   }
 
+  // A retry would repeat the work for a caller that does not read what it has.
+  void response_held_back_for_its_caller_is_not_stalled() {
+    harness.add_engines();
+    const auto request = harness.send_request("/chat/1");
+    harness.receive_head(request, 200, false, true);
+    harness.receive_body(request, "id: 1\ndata: a\n\n");
+    harness.forwarder.on_reading_paused(request, true, harness.now);
+    harness.advance(seconds(3));
+    CPPUNIT_ASSERT(harness.actions.empty());
+    harness.forwarder.on_reading_paused(request, false, harness.now);
+    harness.advance(milliseconds(300));
+    CPPUNIT_ASSERT(harness.actions.empty());
+    harness.forwarder.on_reading_paused(request, true, harness.now);
+    harness.advance(seconds(3));  // Its deadline.
+    CPPUNIT_ASSERT(harness.first_action<CancelAttempt>() != nullptr);
+    CPPUNIT_ASSERT(harness.first_action<AbortResponse>() != nullptr);
+  }
+
+  void slow_reader_is_aborted_without_a_retry() {
+    harness.add_engines();
+    const auto request = harness.send_request("/chat/1");
+    harness.receive_head(request, 200, false, true);
+    harness.receive_body(request, "id: 1\ndata: a\n\n");
+    harness.actions.clear();
+    harness.forwarder.on_slow_reader(request, harness.now, harness.actions);
+    CPPUNIT_ASSERT(harness.first_action<CancelAttempt>() != nullptr);
+    CPPUNIT_ASSERT(harness.first_action<AbortResponse>()->reason == RefusalReason::slow_reader);
+    CPPUNIT_ASSERT(harness.sent_to().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
+  }
+
+  void request_without_memory_for_its_body_is_refused_at_once() {
+    harness.add_engines();
+    RequestMetadata request;
+    request.host = "api.example";
+    request.target = "/chat/1";
+    request.api_key = "key-1";
+    request.time_left = seconds(6);
+    request.body_refused = true;
+    harness.forwarder.on_request(1, request, harness.now, harness.actions);
+    const auto* refusal = harness.first_action<SendRefusal>();
+    CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+    CPPUNIT_ASSERT(refusal->reason == RefusalReason::memory);
+    CPPUNIT_ASSERT(refusal->retry_after > Duration::zero());
+  }
+
   void stalled_engine_without_reports_is_replaced_quickly() {
     harness.add_engines();
     const RequestNumber request = harness.send_request("/chat/1");
--- a/tests/http1/connections_test.cpp
+++ b/tests/http1/connections_test.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "http1/caller_connection.h"
 #include "http1/client_connection.h"
 #include "http1/http_fetcher.h"
 #include "support/scripted_server.h"
@@ -17,7 +18,10 @@
     if (own) status = static_cast<int>(head.result_int());
     return own;
   }
-  void on_response_body(std::string_view bytes) override { body += bytes; }
+  void on_response_body(std::string_view bytes) override {
+    body += bytes;
+    if (on_body) on_body();
+  }
   void on_response_complete() override { complete = true; }
   void on_exchange_failed(ExchangeFailure failed) override { failure = failed; }
   void on_idle_connection_ended(ClientConnection&) override { idle_ended = true; }
@@ -25,6 +29,7 @@
 
   int status = 0;
   std::string body;
+  std::function<void()> on_body;
   bool complete = false;
   bool idle_ended = false;
   std::optional<ExchangeFailure> failure;
@@ -45,6 +50,9 @@
   CPPUNIT_TEST(closes_an_idle_connection_that_goes_silent);
   CPPUNIT_TEST(fails_a_pending_call_on_a_silent_connection_before_its_timeout);
   CPPUNIT_TEST(enables_keepalive_on_accepted_connections);
+  CPPUNIT_TEST(reads_nothing_while_paused_and_all_after_resuming);
+  CPPUNIT_TEST(reads_on_an_idle_connection_after_a_pause);
+  CPPUNIT_TEST(answers_a_refused_body_and_discards_the_rest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -151,7 +159,79 @@
     CPPUNIT_ASSERT_EQUAL(1, keepalive);
   }
 
+  void reads_nothing_while_paused_and_all_after_resuming() {
+    begin("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    run_until([&] { return recorder_.body == "half"; });
+    connection_->set_reading(false);
+    server_.send_text("rest");
+    server_.close_connection();
+    // The probe on another connection arrives later than the rest would.
+    ScriptedServer probe;
+    Recorder probed;
+    ClientConnection other(probe.address(), seconds(1), probed);
+    other.send_request("GET / HTTP/1.1\r\n\r\n", false, probed);
+    probe.accept_one();
+    probe.send_text("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    run_until([&] { return probed.complete; });
+    CPPUNIT_ASSERT_EQUAL(std::string("half"), recorder_.body);
+    connection_->set_reading(true);
+    run_until([&] { return recorder_.finished(); });
+    CPPUNIT_ASSERT(recorder_.complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("halfrest"), recorder_.body);
+  }
+
+  // A connection that stays paused would never notice that its peer closed it.
+  void reads_on_an_idle_connection_after_a_pause() {
+    recorder_.on_body = [&] { connection_->set_reading(false); };
+    begin("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    run_until([&] { return recorder_.finished(); });
+    CPPUNIT_ASSERT(connection_->reusable());
+    server_.close_connection();
+    run_until([&] { return recorder_.idle_ended; });
+  }
+
+  // Closing the connection at once would reset it, and the caller would lose the response.
+  void answers_a_refused_body_and_discards_the_rest() {
+    int sockets[2];
+    CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets));
+    RefusingObserver observer;
+    CallerConnection caller(sockets[0], RequestLimits{}, observer);
+    const auto send_text = [&](const std::string& text) {
+      return send(sockets[1], text.data(), text.size(), MSG_NOSIGNAL) > 0;
+    };
+    CPPUNIT_ASSERT(send_text("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\nbegin"));
+    run_until([&] { return observer.refused; });
+    CPPUNIT_ASSERT(send_text(std::string(50000, 'x')));
+    CPPUNIT_ASSERT(send_text("GET /must-not-be-read HTTP/1.1\r\n\r\n"));
+    shutdown(sockets[1], SHUT_WR);
+    run_until([&] { return observer.closed; });
+    CPPUNIT_ASSERT_EQUAL(1, observer.requests);
+    char response[512];
+    const ssize_t count = recv(sockets[1], response, sizeof(response), 0);
+    CPPUNIT_ASSERT(count > 0);
+    CPPUNIT_ASSERT(
+        std::string_view(response, static_cast<std::size_t>(count)).starts_with("HTTP/1.1 503"));
+    ::close(sockets[1]);
+  }
+
  private:
+  /// Refuses all bodies.
+  class RefusingObserver : public CallerConnectionObserver {
+   public:
+    bool admits_body(CallerConnection&, std::size_t) override { return false; }
+    void on_caller_request(CallerConnection& connection, ReceivedRequest request) override {
+      ++requests;
+      refused = request.body_refused;
+      connection.respond(503, {}, "memory");
+    }
+    void on_caller_disconnected(CallerConnection&) override {}
+    void on_caller_connection_closed(CallerConnection&) override { closed = true; }
+
+    int requests = 0;
+    bool refused = false;
+    bool closed = false;
+  };
+
   class IgnoringObserver : public StreamObserver {
     void on_stream_data(std::string_view) override {}
     void on_stream_end(StreamEnd) override {}
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -51,6 +51,7 @@
         self.zones = {}  # By back end; z1 for the others.
         self.cold_left_ms = {}  # By back end.
         self.evacuations = False  # Whether gateways follow evacuations.
+        self.memory_mb = None  # Of the gateway.
         self.route_fields = {}  # Of every route.
         self.tenant_fields = {}
         self.plain_fields = {}  # Of the plain service.
@@ -105,6 +106,9 @@
     def locality_settings(self):
         return "[membership]\nevacuation_bound_ms=3000\n" if self.evacuations else ""
 
+    def memory_settings(self):
+        return f"[limits]\nmemory_mb={self.memory_mb}\n" if self.memory_mb else ""
+
     def launch(self, name, program, settings, stdout=None):
         path = self.folder / f"{name}.ini"
         path.write_text(settings)
@@ -151,7 +155,7 @@
 ready=127.0.0.1:{self.ready_port}
 metrics=127.0.0.1:{self.metrics_port}
 internal=127.0.0.1:{self.internal}
-{self.locality_settings()}[weights]
+{self.locality_settings()}{self.memory_settings()}[weights]
 changeover_ms=3000
 changeover_margin_ms=500
 [log]
