--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -115,3 +115,7 @@
 }
 
 }  // namespace pumicemast
+  if (quarantine_.quarantined(session.fingerprint, now)) {
+    give_up(number, session, RefusalReason::quarantined, now, actions);
+    return;
+  }
