Queue requests again when reports of their engines stop, or an agent begins to queue

Cause: reservations ended only with the link. At an agent that is cut off while its link stays open, a request with a long goal waited in vain; and a request that found no agent with a queue on arrival was never queued, as that used up its round. Change: each timer interval gives up reservations at engines without current reports and queues requests that wait nowhere, at most 8 without success. A round counts only if the request was queued somewhere.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -273,6 +273,12 @@
   });
 }
 
+bool BackendPool::keeps_slot_queue(const Address& engine, TimePoint now) const {
+  const auto found = backends_.find(id_at(engine));
+  return found != backends_.end() && has_fresh_report(found->second, now) &&
+         found->second.report.queues_slot_requests;
+}
+
 std::string BackendPool::id_at(const Address& address) const {
   const auto found = ids_by_address_.find(address);
   return found == ids_by_address_.end() ? "" : found->second;
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -175,6 +175,8 @@
   std::vector<BackendChoice> slot_candidates(const BackendRequirements& requirements,
                                              const std::set<std::string>& excluded,
                                              std::size_t count, bool own_zone_first, TimePoint now);
+  /// Whether a current report of the engine's agent says that it keeps a queue.
+  bool keeps_slot_queue(const Address& engine, TimePoint now) const;
   /// Whether a first attempt could be sent to some engine of the service now: one has a credit, or
   /// needs a permit instead.
   bool may_have_room(const ServiceProfile& service, TimePoint now);
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -154,6 +154,9 @@
   /// The same for a request that no engine has in its queue any more; refuses it if there is none.
   void queue_elsewhere(RequestNumber number, RequestSession& session, TimePoint now,
                        ForwarderActions& actions);
+  /// Gives up reservations at engines whose agents' reports have stopped, and queues requests that
+  /// wait at no engine.
+  void update_reservations(TimePoint now, ForwarderActions& actions);
   /// Sends a waiting request to the back end that granted a slot, if it may run there.
   bool use_granted_slot(RequestNumber number, RequestSession& session, const std::string& backend,
                         TimePoint now, ForwarderActions& actions);
--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -5,12 +5,18 @@
 #include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast {
+namespace {
+
+/// Requests for which no engine with a queue is found, per timer interval. Each try looks at all
+/// engines, and there may be none while agents of an earlier version run.
+constexpr int kTriesInVain = 8;
+
+}  // namespace
 
 void RequestForwarder::queue_for_slot(RequestNumber number, RequestSession& session, TimePoint now,
                                       ForwarderActions& actions) {
   if (!session.ordered_by_priority || !reservations_.may_reserve(number)) return;
   const bool own_zone_first = reservations_.tried(number).empty();
-  reservations_.on_round(number);
   std::set<std::string> excluded = reservations_.tried(number);
   excluded.insert(session.tried_backends.begin(), session.tried_backends.end());
   const std::vector<BackendChoice> engines =
@@ -29,6 +35,23 @@
     session.wait_until = std::max(session.wait_until, now + request.useful_for);
     reservations_.reserve(engine.id, engine.address, request, actions);
   }
+  if (reservations_.waits(number)) reservations_.on_round(number);
+}
+
+void RequestForwarder::update_reservations(TimePoint now, ForwarderActions& actions) {
+  for (const Address& engine : reservations_.engines()) {
+    if (pool_.keeps_slot_queue(engine, now)) continue;
+    for (const RequestNumber number : reservations_.on_queue_lost(engine)) {
+      actions.emplace_back(LeaveSlotQueue{engine, number});
+    }
+  }
+  int in_vain = 0;
+  for (const WaitingRank& rank : waiting_) {
+    RequestSession& session = sessions_.at(rank.number);
+    if (!session.ordered_by_priority || reservations_.waits(rank.number)) continue;
+    queue_for_slot(rank.number, session, now, actions);
+    if (!reservations_.waits(rank.number) && ++in_vain == kTriesInVain) return;
+  }
 }
 
 void RequestForwarder::on_slot_granted(const Address& engine, RequestNumber number, TimePoint now,
@@ -93,6 +116,10 @@
 
 void RequestForwarder::queue_elsewhere(RequestNumber number, RequestSession& session, TimePoint now,
                                        ForwarderActions& actions) {
+  if (quarantine_.quarantined(session.fingerprint, now)) {
+    give_up(number, session, RefusalReason::quarantined, now, actions);
+    return;
+  }
   queue_for_slot(number, session, now, actions);
   if (reservations_.waits(number)) return;
   // All engines have said that a slot comes too late; waiting on would not change that.
@@ -115,7 +142,3 @@
 }
 
 }  // namespace pumicemast
-  if (quarantine_.quarantined(session.fingerprint, now)) {
-    give_up(number, session, RefusalReason::quarantined, now, actions);
-    return;
-  }
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -67,6 +67,7 @@
 
 void RequestForwarder::on_tick(TimePoint now, ForwarderActions& actions) {
   on_capacity(now, actions);
+  update_reservations(now, actions);
   std::vector<RequestNumber> numbers;
   numbers.reserve(sessions_.size());
   for (const auto& [number, session] : sessions_) numbers.push_back(number);
--- a/src/gateway/requests/slot_reservations.cpp
+++ b/src/gateway/requests/slot_reservations.cpp
@@ -23,6 +23,14 @@
   return found == states_.end() ? std::set<std::string>() : found->second.tried;
 }
 
+std::set<Address> SlotReservations::engines() const {
+  std::set<Address> result;
+  for (const auto& [number, state] : states_) {
+    result.insert(state.engines.begin(), state.engines.end());
+  }
+  return result;
+}
+
 bool SlotReservations::waits(RequestNumber number) const {
   const auto found = states_.find(number);
   return found != states_.end() && !found->second.engines.empty();
--- a/src/gateway/requests/slot_reservations.h
+++ b/src/gateway/requests/slot_reservations.h
@@ -36,12 +36,14 @@
   /// Queues the request at the engine.
   void reserve(const std::string& backend, const Address& engine, const SlotRequest& request,
                ForwarderActions& actions);
-  /// A round of reservations has been made, or attempted in vain.
+  /// A round of reservations has been made.
   void on_round(RequestNumber number) { ++states_[number].rounds; }
   /// Whether the request may be queued at further engines.
   bool may_reserve(RequestNumber number) const;
   /// Back ends where the request has been queued before.
   std::set<std::string> tried(RequestNumber number) const;
+  /// The engines where any request is queued.
+  std::set<Address> engines() const;
   /// Whether the request is queued anywhere.
   bool waits(RequestNumber number) const;
   /// The engine denied a slot.
