--- a/tests/gateway/requests/slot_history_test.cpp
+++ b/tests/gateway/requests/slot_history_test.cpp
@@ -16,17 +16,21 @@
   std::map<RequestNumber, std::set<std::uint16_t>> queued;
   std::set<RequestNumber> running;
   std::set<RequestNumber> ended;
+  std::set<std::uint16_t> queued_at;  ///< Engines where a request was queued at any time.
+  bool priority_sent = false;
 
   void apply(const ForwarderActions& actions) {
     for (const ForwarderAction& action : actions) {
       if (const auto* queue = std::get_if<QueueForSlot>(&action)) {
         CPPUNIT_ASSERT(!ended.contains(queue->request.number));
+        queued_at.insert(queue->engine.port);
         CPPUNIT_ASSERT(queue->request.useful_for > Duration::zero());
         CPPUNIT_ASSERT(queued[queue->request.number].insert(queue->engine.port).second);
       } else if (const auto* leave = std::get_if<LeaveSlotQueue>(&action)) {
         queued[leave->request].erase(leave->engine.port);
       } else if (const auto* send = std::get_if<SendToBackend>(&action)) {
         CPPUNIT_ASSERT(!ended.contains(send->request));
+        priority_sent = priority_sent || send->priority.has_value();
         CPPUNIT_ASSERT(running.insert(send->request).second);
       } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
         running.erase(cancel->request);
@@ -51,6 +55,7 @@
 class SlotHistoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SlotHistoryTest);
   CPPUNIT_TEST(each_request_ends_once_and_then_waits_nowhere);
+  CPPUNIT_TEST(a_service_with_one_priority_is_queued_nowhere);
   CPPUNIT_TEST_SUITE_END();
 
   using Random = std::minstd_rand;
@@ -105,11 +110,11 @@
     told.apply(harness.actions);
   }
 
-  static void play(std::uint32_t seed) {
+  static Told play(std::uint32_t seed, int less_urgent) {
     Random random(seed);
     tests::SlotHarness harness;
     Told told;
-    harness.configure();
+    harness.configure(less_urgent);
     harness.add_full_engines(kEngines);
     harness.send_request(harness.kUrgent);
     told.apply(harness.actions);
@@ -123,11 +128,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.waiting());
     CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(harness.number), told.ended.size());
+    return told;
   }
 
  public:
   void each_request_ends_once_and_then_waits_nowhere() {
-    for (std::uint32_t seed = 1; seed <= 60; ++seed) play(seed);
+    for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+      CPPUNIT_ASSERT(!play(seed, 2).queued_at.empty());
+    }
+  }
+
+  void a_service_with_one_priority_is_queued_nowhere() {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+      const Told told = play(seed, 0);
+      CPPUNIT_ASSERT(told.queued_at.empty() && !told.priority_sent);
+    }
   }
 };
 
--- a/tests/gateway/requests/slot_waiting_test.cpp
+++ b/tests/gateway/requests/slot_waiting_test.cpp
@@ -28,6 +28,9 @@
   CPPUNIT_TEST(last_denial_leads_to_untried_engines_and_then_to_a_refusal);
   CPPUNIT_TEST(retry_time_follows_the_expected_wait_within_the_time_that_callers_wait);
   CPPUNIT_TEST(request_waits_on_when_the_agents_with_its_reservations_are_lost);
+  CPPUNIT_TEST(request_is_queued_elsewhere_when_reports_of_its_engines_stop);
+  CPPUNIT_TEST(request_is_queued_as_soon_as_an_agent_keeps_a_queue);
+  CPPUNIT_TEST(quarantined_request_is_refused_as_such_after_its_last_denial);
   CPPUNIT_TEST(agents_without_a_queue_and_services_with_one_priority_are_sent_nothing);
   CPPUNIT_TEST(freed_slot_is_not_reused_while_requests_wait_at_the_agent);
   CPPUNIT_TEST_SUITE_END();
@@ -220,6 +223,57 @@
     CPPUNIT_ASSERT_EQUAL(request, harness.first_action<SendToBackend>()->request);
   }
 
+  // The link to an agent that is cut off may stay open for long.
+  void request_is_queued_elsewhere_when_reports_of_its_engines_stop() {
+    FleetConfiguration patient = tests::SlotHarness::configuration();
+    for (RouteRule& route : patient.routes) route.latency_goal = seconds(3);
+    harness.forwarder.set_routes(std::make_shared<RouteTable>(patient));
+    harness.add_full_engines(6);
+    harness.send_request(kUrgent);
+    const std::set<std::uint16_t> first = harness.ports<QueueForSlot>();
+    harness.now += milliseconds(890);
+    for (std::uint16_t port = 1; port <= 6; ++port) {
+      if (!first.contains(port)) harness.report(port);
+    }
+    harness.advance(milliseconds(5));
+    CPPUNIT_ASSERT(harness.actions.empty());
+    harness.advance(milliseconds(5));
+    CPPUNIT_ASSERT(harness.ports<LeaveSlotQueue>() == first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, harness.ports<QueueForSlot>().size());
+    for (const std::uint16_t port : harness.ports<QueueForSlot>()) {
+      CPPUNIT_ASSERT(!first.contains(port));
+    }
+  }
+
+  void request_is_queued_as_soon_as_an_agent_keeps_a_queue() {
+    harness.configure();
+    harness.add_full_engines(3, false);
+    harness.send_request(kUrgent);
+    harness.advance(milliseconds(20));
+    CPPUNIT_ASSERT(harness.actions.empty());
+    harness.report(2);
+    harness.advance(milliseconds(20));
+    CPPUNIT_ASSERT(harness.ports<QueueForSlot>() == (std::set<std::uint16_t>{2}));
+    harness.advance(milliseconds(10));
+    CPPUNIT_ASSERT(harness.actions.empty());
+  }
+
+  // A request in quarantine gets no retry time.
+  void quarantined_request_is_refused_as_such_after_its_last_denial() {
+    harness.configure();
+    harness.add_full_engines(1);
+    const RequestNumber request = harness.send_request(kUrgent);
+    const RequestFingerprint fingerprint =
+        fingerprint_for(fingerprint_content("POST", "api.example", kUrgent, ""), "acme");
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+      harness.quarantine.on_crash({{"c" + std::to_string(crash), 1}, harness.now, {fingerprint}});
+    }
+    CPPUNIT_ASSERT(harness.quarantine.quarantined(fingerprint, harness.now));
+    harness.deny(1, request, SlotDenialReason::more_urgent_first);
+    CPPUNIT_ASSERT(refusal_reason() == RefusalReason::quarantined);
+    CPPUNIT_ASSERT(harness.first_action<SendRefusal>()->retry_after == Duration::zero());
+  }
+
   void agents_without_a_queue_and_services_with_one_priority_are_sent_nothing() {
     harness.configure();
     harness.add_full_engines(3, false);
