--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -255,6 +255,7 @@
   std::sort(candidates.begin(), candidates.end(), cheaper);
   if (candidates.size() > count) candidates.resize(count);
   std::vector<BackendChoice> result;
+  result.reserve(candidates.size());
   for (auto& [rank, choice] : candidates) result.push_back(std::move(choice));
   return result;
 }
@@ -273,6 +274,12 @@
   });
 }
 
+bool BackendPool::keeps_slot_queue(const Address& engine, TimePoint now) const {
+  const auto found = backends_.find(id_at(engine));
+  return found != backends_.end() && has_fresh_report(found->second, now) &&
+         found->second.report.queues_slot_requests;
+}
+
 std::string BackendPool::id_at(const Address& address) const {
   const auto found = ids_by_address_.find(address);
   return found == ids_by_address_.end() ? "" : found->second;
