--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/slot_queue.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -120,7 +121,11 @@
 void SlotQueue::grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now) {
   const std::uint64_t usable = std::uint64_t{capacity.slots} + options_.grants_ahead;
   std::uint64_t taken = std::uint64_t{capacity.occupied} + grants_in_transit(capacity.read_at);
-  const double readable_tokens = options_.maximum_backlog_passes * capacity.prefill_chunk_tokens;
+  // Without a known chunk, the backlog says nothing.
+  const double readable_tokens =
+      capacity.prefill_chunk_tokens == 0
+          ? std::numeric_limits<double>::infinity()
+          : options_.maximum_backlog_passes * capacity.prefill_chunk_tokens;
   double pending_tokens =
       capacity.pending_prompt_tokens + prompt_tokens_in_transit(capacity.read_at);
   std::size_t grants = 0;
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -32,7 +32,7 @@
   std::uint32_t occupied = 0;               ///< Requests running or queued at the engine.
   TimePoint read_at{};                      ///< When `occupied` was read.
   std::uint32_t pending_prompt_tokens = 0;  ///< Of requests without a first token.
-  std::uint32_t prefill_chunk_tokens = 2048;  ///< Prompt tokens per prefill pass.
+  std::uint32_t prefill_chunk_tokens = 2048;  ///< Prompt tokens per prefill pass; 0 if unknown.
 };
 
 class SlotQueue {
--- a/tests/scheduling/slot_queue_test.cpp
+++ b/tests/scheduling/slot_queue_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(a_repeated_request_keeps_its_place_and_counts_once);
   CPPUNIT_TEST(a_returned_grant_is_free_again);
   CPPUNIT_TEST(grants_lapse_for_a_load_read_after_their_transit);
+  CPPUNIT_TEST(an_unknown_prefill_chunk_does_not_stop_grants);
   CPPUNIT_TEST(extreme_values_are_bounded);
   CPPUNIT_TEST(displaced_requests_are_denied_with_the_reason);
   CPPUNIT_TEST(an_unavailable_engine_denies_all);
@@ -197,6 +198,13 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, queue.grants_in_transit(now + milliseconds(15)));
   }
 
+  void an_unknown_prefill_chunk_does_not_stop_grants() {
+    queue.add(1, request(1), now);
+    SlotCapacity unknown = capacity(0);
+    unknown.prefill_chunk_tokens = 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.decide(unknown, now).at(1).granted.size());
+  }
+
   void extreme_values_are_bounded() {
     SlotRequest extreme = request(std::numeric_limits<std::uint64_t>::max());
     extreme.useful_for = Duration::max();
