--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -140,7 +140,7 @@
   measure_interval(grants, now);
 }
 
-void SlotQueue::grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now) {
+void SlotQueue::grant(Iterator next, Replies& replies, TimePoint now) {
   const auto& [key, waiting] = *next;
   level_shares_.on_granted(level_of(waiting.request), now);
   tenant_shares_.on_granted(waiting.request.tenant, now);
@@ -186,53 +186,70 @@
   return deprived.value_or(*levels.begin());
 }
 
-std::map<SlotQueue::Key, SlotQueue::Waiting>::iterator SlotQueue::next(TimePoint now) {
+std::vector<SlotQueue::Iterator> SlotQueue::in_turn(TimePoint now) {
   const std::optional<GuaranteedShares::Group> level = next_level(now);
-  std::vector<std::map<Key, Waiting>::iterator> in_turn;
+  std::vector<Iterator> result;
   bool only_returning = true;
   for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
     const Waiting& waiting = entry->second;
     if (level_of(waiting.request) != level || useful_until(waiting) <= now) continue;
-    in_turn.push_back(entry);
+    result.push_back(entry);
     if (!waiting.request.returning) only_returning = false;
   }
-  std::erase_if(in_turn, [&](const auto& entry) {
+  std::erase_if(result, [&](const Iterator& entry) {
     return entry->second.request.returning != only_returning;
   });
-  std::set<GuaranteedShares::Group> tenants;
-  for (const auto& entry : in_turn) tenants.insert(entry->second.request.tenant);
-  const auto deprived = tenant_shares_.most_deprived({tenants.begin(), tenants.end()}, now);
-  const auto rank = [&](const auto& entry) {
+  return result;
+}
+
+SlotQueue::Iterator SlotQueue::next(TimePoint now) {
+  const std::vector<Iterator> candidates = in_turn(now);
+  std::map<GuaranteedShares::Group, double> grants;
+  for (const Iterator& entry : candidates) grants.try_emplace(entry->second.request.tenant, 0);
+  std::vector<GuaranteedShares::Group> tenants;
+  for (auto& [tenant, recent] : grants) {
+    tenants.push_back(tenant);
+    recent = tenant_shares_.recent_grants(tenant, now);
+  }
+  const auto deprived = tenant_shares_.most_deprived(tenants, now);
+  const auto rank = [&](const Iterator& entry) {
     const std::uint64_t tenant = entry->second.request.tenant;
-    return std::make_tuple(deprived != tenant, tenant_shares_.recent_grants(tenant, now),
-                           entry->second.arrival);
+    return std::make_tuple(deprived != tenant, grants.at(tenant), entry->second.arrival);
   };
-  const auto best =
-      std::min_element(in_turn.begin(), in_turn.end(),
-                       [&](const auto& one, const auto& other) { return rank(one) < rank(other); });
-  return best == in_turn.end() ? waiting_.end() : *best;
+  const auto best = std::min_element(
+      candidates.begin(), candidates.end(),
+      [&](const Iterator& one, const Iterator& other) { return rank(one) < rank(other); });
+  return best == candidates.end() ? waiting_.end() : *best;
 }
 
 std::vector<SlotQueue::Key> SlotQueue::expected_order(TimePoint now) const {
-  using Entry = std::pair<std::uint64_t, const std::pair<const Key, Waiting>*>;
-  std::vector<Entry> arrivals;
-  for (const auto& entry : waiting_) arrivals.emplace_back(entry.second.arrival, &entry);
-  std::sort(arrivals.begin(), arrivals.end());
-  /// Grants that the tenant will have had when a request's turn comes, by level and returning.
-  std::map<std::tuple<int, bool, std::uint64_t>, double> grants_before;
-  using Rank = std::tuple<int, bool, double, std::uint64_t, Key>;
+  /// By level, returning and tenant, then in the order of arrival.
+  using Entry = std::tuple<int, bool, std::uint64_t, std::uint64_t, const Key*, double>;
+  std::vector<Entry> by_tenant;
+  by_tenant.reserve(waiting_.size());
+  for (const auto& [key, waiting] : waiting_) {
+    const SlotRequest& request = waiting.request;
+    by_tenant.emplace_back(request.priority, request.returning, request.tenant, waiting.arrival,
+                           &key, part_of_request(request));
+  }
+  std::sort(by_tenant.begin(), by_tenant.end());
+  using Rank = std::tuple<int, bool, double, std::uint64_t, const Key*>;
   std::vector<Rank> ranks;
-  for (const auto& [arrival, entry] : arrivals) {
-    const SlotRequest& request = entry->second.request;
-    const auto [before, first] =
-        grants_before.try_emplace({request.priority, request.returning, request.tenant}, 0);
-    if (first) before->second = tenant_shares_.recent_grants(request.tenant, now);
-    ranks.emplace_back(request.priority, request.returning, before->second, arrival, entry->first);
-    before->second += part_of_request(request);
+  ranks.reserve(by_tenant.size());
+  std::optional<std::tuple<int, bool, std::uint64_t>> previous;
+  // Grants that the tenant will have had when the request's turn comes.
+  double grants_before = 0;
+  for (const auto& [priority, returning, tenant, arrival, key, part] : by_tenant) {
+    const std::tuple group(priority, returning, tenant);
+    if (previous != group) grants_before = tenant_shares_.recent_grants(tenant, now);
+    previous = group;
+    ranks.emplace_back(priority, returning, grants_before, arrival, key);
+    grants_before += part;
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<Key> order;
-  for (const Rank& rank : ranks) order.push_back(std::get<Key>(rank));
+  order.reserve(ranks.size());
+  for (const Rank& rank : ranks) order.push_back(*std::get<const Key*>(rank));
   return order;
 }
 
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -87,6 +87,7 @@
     std::uint32_t prompt_tokens = 0;
     TimePoint at{};
   };
+  using Iterator = std::map<Key, Waiting>::iterator;
   using Replies = std::map<PeerId, SlotDecisions>;
   /// Requests that are expected to be granted a slot before another one, each counted as the part
   /// of a request that it is at this engine: one divided by its copies.
@@ -100,10 +101,12 @@
   static GuaranteedShares::Group level_of(const SlotRequest& request);
   static TimePoint useful_until(const Waiting& waiting);
   /// The request that is next in the order; the end if a slot is of no use to any.
-  std::map<Key, Waiting>::iterator next(TimePoint now);
+  Iterator next(TimePoint now);
+  /// Useful requests of the level whose turn it is, of first attempts if there are any.
+  std::vector<Iterator> in_turn(TimePoint now);
   /// The level whose turn it is; empty if a slot is of no use to any request.
   std::optional<GuaranteedShares::Group> next_level(TimePoint now) const;
-  void grant(std::map<Key, Waiting>::iterator next, Replies& replies, TimePoint now);
+  void grant(Iterator next, Replies& replies, TimePoint now);
   void grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now);
   /// Learns from `grants` at once how fast slots are granted while requests wait.
   void measure_interval(std::size_t grants, TimePoint now);
