Keep the sum of all groups' usage rather than adding it up for each question

Cause: an agent that decides about n requests of as many tenants asked n times for the mean of all tenants, which went over all of them each time. Measured (SlotServiceTest, three runs each, busy machine): with 500 requests of 333 tenants waiting 161 to 191 us a message after 3.4 to 3.6 ms; with 12 of 24 3 to 6 us after 8 to 13.

--- a/src/scheduling/guaranteed_shares.cpp
+++ b/src/scheduling/guaranteed_shares.cpp
@@ -24,22 +24,20 @@
   Usage& usage = groups_[group];
   usage = decayed(usage, now);
   usage.requested += 1;
+  total_ = total(now);
+  total_.requested += 1;
 }
 
 void GuaranteedShares::on_granted(Group group, TimePoint now) {
   Usage& usage = groups_[group];
   usage = decayed(usage, now);
   usage.granted += 1;
+  total_ = total(now);
+  total_.granted += 1;
 }
 
 GuaranteedShares::Usage GuaranteedShares::total(TimePoint now) const {
-  Usage sum{0, 0, now};
-  for (const auto& [group, usage] : groups_) {
-    const Usage current = decayed(usage, now);
-    sum.requested += current.requested;
-    sum.granted += current.granted;
-  }
-  return sum;
+  return decayed(total_, now);
 }
 
 GuaranteedShares::Usage GuaranteedShares::usage_of(Group group, TimePoint now) const {
@@ -81,9 +79,13 @@
 }
 
 void GuaranteedShares::sweep(TimePoint now) {
+  total_ = {0, 0, now};
   std::erase_if(groups_, [&](const auto& entry) {
     const Usage usage = decayed(entry.second, now);
-    return usage.requested < kForgottenRequests && usage.granted < kForgottenRequests;
+    if (usage.requested < kForgottenRequests && usage.granted < kForgottenRequests) return true;
+    total_.requested += usage.requested;
+    total_.granted += usage.granted;
+    return false;
   });
 }
 
--- a/src/scheduling/guaranteed_shares.h
+++ b/src/scheduling/guaranteed_shares.h
@@ -55,6 +55,8 @@
 
   Options options_;
   std::map<Group, Usage> groups_;
+  /// Of all groups. All usages fall alike, so that the sum needs no pass over the groups.
+  Usage total_;
 };
 
 }  // namespace pumicemast
