Let callers that return after a refusal wait behind all first attempts

Cause: within a level first attempts came first, but returning callers of an urgent level came before first attempts of the others. A late response to the one cost a response in time to the other; after a lack of capacity most of the slots went to late responses for seconds. Change: among requests that wait for a slot first attempts come first, then levels.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -79,11 +79,6 @@
     load.running = backend.in_flight * options_.gateway_count;
     load.pending_tokens = backend.pending_prompt_tokens * options_.gateway_count;
   }
-  if (requirements.slot_granted) {
-    // A free slot, whatever runs now; the engine's agent grants none before.
-    load.running = std::min(load.running, engine.slots - 1.0);
-    load.waiting = 0;
-  }
   return predict_first_token_ms(engine, load, requirements.prompt_tokens);
 }
 
@@ -240,7 +235,6 @@
                                                         TimePoint now) {
   BackendRequirements queued = requirements;
   queued.unreserved_only = false;
-  queued.slot_granted = true;
   const double slot_ms = slot_interval_ms(*requirements.service->engine);
   using Rank = std::pair<bool, double>;  // Whether in another zone that comes last; the cost.
   std::vector<std::pair<Rank, BackendChoice>> candidates;
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -89,8 +89,6 @@
   bool urgent = false;  ///< A retry after a failure: takes precedence over first attempts.
   /// The request must leave the reserved fraction of each engine's slots free.
   bool unreserved_only = false;
-  /// The prediction of the first token is for a request that has a slot: without the wait for one.
-  bool slot_granted = false;
   /// Id of an engine whose agent has granted a slot; empty for none. Only this engine is chosen,
   /// whatever its credits and reserved slots.
   std::string granted_backend{};
--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -176,29 +176,29 @@
   return std::max(mean, (now - *contended_since_grant_) / 2);
 }
 
-std::optional<GuaranteedShares::Group> SlotQueue::next_level(TimePoint now) const {
+GuaranteedShares::Group SlotQueue::level_in_turn(const std::vector<Iterator>& candidates,
+                                                 TimePoint now) const {
   std::set<GuaranteedShares::Group> levels;
-  for (const auto& [key, waiting] : waiting_) {
-    if (useful_until(waiting) > now) levels.insert(level_of(waiting.request));
-  }
-  if (levels.empty()) return std::nullopt;
+  for (const Iterator& entry : candidates) levels.insert(level_of(entry->second.request));
   const auto deprived = level_shares_.most_deprived({levels.begin(), levels.end()}, now);
   return deprived.value_or(*levels.begin());
 }
 
 std::vector<SlotQueue::Iterator> SlotQueue::in_turn(TimePoint now) {
-  const std::optional<GuaranteedShares::Group> level = next_level(now);
   std::vector<Iterator> result;
   bool only_returning = true;
   for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
-    const Waiting& waiting = entry->second;
-    if (level_of(waiting.request) != level || useful_until(waiting) <= now) continue;
+    if (useful_until(entry->second) <= now) continue;
     result.push_back(entry);
-    if (!waiting.request.returning) only_returning = false;
+    if (!entry->second.request.returning) only_returning = false;
   }
+  if (result.empty()) return result;
   std::erase_if(result, [&](const Iterator& entry) {
     return entry->second.request.returning != only_returning;
   });
+  const GuaranteedShares::Group level = level_in_turn(result, now);
+  std::erase_if(result,
+                [&](const Iterator& entry) { return level_of(entry->second.request) != level; });
   return result;
 }
 
@@ -223,27 +223,27 @@
 }
 
 std::vector<SlotQueue::Key> SlotQueue::expected_order(TimePoint now) const {
-  /// By level, returning and tenant, then in the order of arrival.
-  using Entry = std::tuple<int, bool, std::uint64_t, std::uint64_t, const Key*, double>;
+  /// By returning, level and tenant, then in the order of arrival.
+  using Entry = std::tuple<bool, int, std::uint64_t, std::uint64_t, const Key*, double>;
   std::vector<Entry> by_tenant;
   by_tenant.reserve(waiting_.size());
   for (const auto& [key, waiting] : waiting_) {
     const SlotRequest& request = waiting.request;
-    by_tenant.emplace_back(request.priority, request.returning, request.tenant, waiting.arrival,
+    by_tenant.emplace_back(request.returning, request.priority, request.tenant, waiting.arrival,
                            &key, part_of_request(request));
   }
   std::sort(by_tenant.begin(), by_tenant.end());
-  using Rank = std::tuple<int, bool, double, std::uint64_t, const Key*>;
+  using Rank = std::tuple<bool, int, double, std::uint64_t, const Key*>;
   std::vector<Rank> ranks;
   ranks.reserve(by_tenant.size());
-  std::optional<std::tuple<int, bool, std::uint64_t>> previous;
+  std::optional<std::tuple<bool, int, std::uint64_t>> previous;
   // Grants that the tenant will have had when the request's turn comes.
   double grants_before = 0;
-  for (const auto& [priority, returning, tenant, arrival, key, part] : by_tenant) {
-    const std::tuple group(priority, returning, tenant);
+  for (const auto& [returning, priority, tenant, arrival, key, part] : by_tenant) {
+    const std::tuple group(returning, priority, tenant);
     if (previous != group) grants_before = tenant_shares_.recent_grants(tenant, now);
     previous = group;
-    ranks.emplace_back(priority, returning, grants_before, arrival, key);
+    ranks.emplace_back(returning, priority, grants_before, arrival, key);
     grants_before += part;
   }
   std::sort(ranks.begin(), ranks.end());
@@ -255,6 +255,8 @@
 
 Duration SlotQueue::expected_wait(const SlotRequest& request, const WorkAhead& ahead,
                                   Duration interval, TimePoint now) const {
+  // The shares of levels hold among first attempts; returning callers wait behind all of these.
+  if (request.returning) return times(interval, ahead.all);
   const double guaranteed = level_shares_.guaranteed_part(level_of(request), now);
   // A level is granted at least its guaranteed part, whatever waits at more urgent levels.
   const double slots =
@@ -266,12 +268,14 @@
   const std::optional<Duration> interval = grant_interval(now);
   WorkAhead ahead;
   int level = kMostUrgentPriority;
+  bool returning = false;
   std::size_t kept = 0;
   for (const Key& key : expected_order(now)) {
     const Waiting& waiting = waiting_.at(key);
     const SlotRequest& request = waiting.request;
-    if (request.priority != level) {
+    if (request.priority != level || request.returning != returning) {
       level = request.priority;
+      returning = request.returning;
       ahead.more_urgent = ahead.all;
       ahead.same_level = 0;
       ahead.other_tenants = 0;
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -3,9 +3,10 @@
 /// A decision core: no I/O. A gateway that finds no free slot queues its request at a few engines
 /// and sends it to the one that grants a slot first. The queue, not the gateway, decides who is
 /// next, so that the order holds over all gateways:
-/// 1. a priority level below its guaranteed share of the grants;
-/// 2. the most urgent priority level;
-/// within a level, requests of callers that were not refused before; among these
+/// 1. requests of callers that were not refused before: the others can hardly be served in time;
+/// among these
+/// 2. a priority level below its guaranteed share of the grants, then the most urgent level;
+/// within a level
 /// 3. a tenant below its guaranteed share, then the tenant that got the fewest recent grants;
 /// 4. the request that arrived first.
 /// A request that cannot be granted a slot in time is denied as soon as that is known.
@@ -104,8 +105,9 @@
   Iterator next(TimePoint now);
   /// Useful requests of the level whose turn it is, of first attempts if there are any.
   std::vector<Iterator> in_turn(TimePoint now);
-  /// The level whose turn it is; empty if a slot is of no use to any request.
-  std::optional<GuaranteedShares::Group> next_level(TimePoint now) const;
+  /// The level whose turn it is among these requests, of which there is at least one.
+  GuaranteedShares::Group level_in_turn(const std::vector<Iterator>& candidates,
+                                        TimePoint now) const;
   void grant(Iterator next, Replies& replies, TimePoint now);
   void grant_free_slots(const SlotCapacity& capacity, Replies& replies, TimePoint now);
   /// Learns from `grants` at once how fast slots are granted while requests wait.
--- a/tests/gateway/backends/backend_pool_test.cpp
+++ b/tests/gateway/backends/backend_pool_test.cpp
@@ -59,7 +59,7 @@
       report.running = running;
       report.queued = queued;
       harness.pool.on_report(harness.pool.records().front().address, report, harness.now);
-      return harness.pool.slot_candidates(requirements, {}, 1, harness.now).at(0).expected_ms;
+      return harness.pool.slot_candidates(requirements, {}, 1, true, harness.now).at(0).expected_ms;
     };
     CPPUNIT_ASSERT_EQUAL(expected_ms(slots - 1, 0), expected_ms(slots, 0));
     CPPUNIT_ASSERT_EQUAL(expected_ms(slots - 1, 0), expected_ms(slots, 2));
