Do not count a grant that is returned unused for its level and tenant

A request that waits at several engines may be granted more than one slot; the others are returned. These counted as grants of its tenant and level, which then waited behind others that had got more. The test failed before.

--- a/src/scheduling/guaranteed_shares.cpp
+++ b/src/scheduling/guaranteed_shares.cpp
@@ -54,6 +54,14 @@
   total_.granted += unit(now);
 }
 
+void GuaranteedShares::on_returned(Group group, TimePoint now) {
+  const auto found = groups_.find(account_of(group));
+  if (found == groups_.end()) return;
+  const double returned = std::min(unit(now), found->second.granted);
+  found->second.granted -= returned;
+  total_.granted -= returned;
+}
+
 GuaranteedShares::Usage GuaranteedShares::total(TimePoint now) const {
   return {total_.requested / unit(now), total_.granted / unit(now)};
 }
--- a/src/scheduling/guaranteed_shares.h
+++ b/src/scheduling/guaranteed_shares.h
@@ -39,6 +39,8 @@
   void on_requested(Group group, TimePoint now);
   /// Records that the group got one unit.
   void on_granted(Group group, TimePoint now);
+  /// Records that the group has not used a unit that it got recently.
+  void on_returned(Group group, TimePoint now);
   /// The group of `waiting` that is furthest below its guaranteed share; empty if all have theirs.
   std::optional<Group> most_deprived(const std::vector<Group>& waiting, TimePoint now) const;
   /// Part of all grants that the group is guaranteed at the current requests, from 0 to 1.
--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -72,7 +72,12 @@
 void SlotQueue::withdraw(PeerId gateway, std::uint64_t number) {
   const Key key{gateway, number};
   waiting_.erase(key);
-  std::erase_if(grants_in_transit_, [&](const Grant& grant) { return grant.key == key; });
+  std::erase_if(grants_in_transit_, [&](const Grant& grant) {
+    if (grant.key != key) return false;
+    level_shares_.on_returned(level_of(grant.request), grant.at);
+    tenant_shares_.on_returned(grant.request.tenant, grant.at);
+    return true;
+  });
   if (waiting_.empty()) contended_since_grant_.reset();
 }
 
@@ -113,7 +118,7 @@
 std::uint32_t SlotQueue::prompt_tokens_in_transit(TimePoint read_at) const {
   std::uint32_t tokens = 0;
   for (const Grant& grant : grants_in_transit_) {
-    if (grant.at + options_.grant_transit > read_at) tokens += grant.prompt_tokens;
+    if (grant.at + options_.grant_transit > read_at) tokens += grant.request.prompt_tokens;
   }
   return tokens;
 }
@@ -145,7 +150,7 @@
   level_shares_.on_granted(level_of(waiting.request), now);
   tenant_shares_.on_granted(waiting.request.tenant, now);
   replies[key.gateway].granted.push_back(key.number);
-  grants_in_transit_.push_back({key, waiting.request.prompt_tokens, now});
+  grants_in_transit_.push_back({key, waiting.request, now});
   waiting_.erase(next);
 }
 
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -84,7 +84,7 @@
   };
   struct Grant {
     Key key;
-    std::uint32_t prompt_tokens = 0;
+    SlotRequest request;
     TimePoint at{};
   };
   using Iterator = std::map<Key, Waiting>::iterator;
--- a/tests/scheduling/slot_queue_test.cpp
+++ b/tests/scheduling/slot_queue_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(a_tenant_with_few_grants_is_not_denied_behind_others);
   CPPUNIT_TEST(a_repeated_request_keeps_its_place_and_counts_once);
   CPPUNIT_TEST(a_returned_grant_is_free_again);
+  CPPUNIT_TEST(a_returned_grant_does_not_count_for_the_tenant);
   CPPUNIT_TEST(grants_lapse_for_a_load_read_after_their_transit);
   CPPUNIT_TEST(an_unknown_prefill_chunk_does_not_stop_grants);
   CPPUNIT_TEST(extreme_values_are_bounded);
@@ -191,6 +192,19 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, queue.grants_in_transit(now));
   }
 
+  // Where a request waits at several engines, grants cross: the returned one cost its tenant its
+  // turn.
+  void a_returned_grant_does_not_count_for_the_tenant() {
+    queue.add(1, request(1, 0, 1), now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, grant(1).at(0));
+    queue.add(1, request(2, 0, 2), now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, grant(1).at(0));
+    queue.withdraw(1, 2);
+    queue.add(1, request(3, 0, 1), now);
+    queue.add(1, request(4, 0, 2), now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, grant(1).at(0));
+  }
+
   void grants_lapse_for_a_load_read_after_their_transit() {
     queue.add(1, request(1), now);
     queue.decide(capacity(1), now);
