--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -246,6 +246,7 @@
   std::sort(candidates.begin(), candidates.end(), cheaper);
   if (candidates.size() > count) candidates.resize(count);
   std::vector<BackendChoice> result;
+  result.reserve(candidates.size());
   for (auto& [cost, choice] : candidates) result.push_back(std::move(choice));
   return result;
 }
--- a/tests/support/overload_simulation.cpp
+++ b/tests/support/overload_simulation.cpp
@@ -354,8 +354,8 @@
       load.slot_requests = static_cast<std::uint32_t>(engine->slots.waiting());
       const Duration delay =
           options_.fault == OverloadFault::late_reports ? kLateReports : Duration::zero();
-      send_message(gateway, index, delay, [this, gateway, index, load] {
-        Gateway& target = *gateways_[gateway];
+      send_message(gateway, index, delay, [this, to = gateway, index, load] {
+        Gateway& target = *gateways_[to];
         target.pool.on_report(engines_[index]->address, load, now_);
         if (!options_.competing_classes) return;
         ForwarderActions actions;
