Free queued bytes of a connection as they are written

A queue in one string kept up to twice its longest length for the life of the connection, and each reader of messages kept a buffer of 64 KB.

--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -9,6 +9,9 @@
 
 namespace http = boost::beast::http;
 
+/// A larger buffer is released when it is empty: a gateway has thousands of connections.
+constexpr std::size_t kKeptBytes = 4U * 1024U;
+
 }  // namespace
 
 void RequestReader::begin() {
@@ -58,6 +61,7 @@
     if (error || used == 0) break;
   }
   pending_.erase(0, offset);
+  if (pending_.empty() && pending_.capacity() > kKeptBytes) pending_.shrink_to_fit();
   return status;
 }
 
--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint32_t kMaximumHeadBytes = 64U * 1024U;
 constexpr unsigned kContinueClass = 100;
 constexpr unsigned kSuccessClass = 200;
+/// A larger buffer is released when it is empty: a gateway has thousands of connections.
+constexpr std::size_t kKeptBytes = 4U * 1024U;
 
 }  // namespace
 
@@ -65,6 +67,7 @@
   }
   note_head();
   pending_.erase(0, offset);
+  if (pending_.empty() && pending_.capacity() > kKeptBytes) pending_.shrink_to_fit();
   return status;
 }
 
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 64U * 1024U;
-/// Sent bytes are removed from the front of the queue once there are more than this.
-constexpr std::size_t kCompactBytes = 64U * 1024U;
+/// Short pieces of the queue are combined up to this size.
+constexpr std::size_t kCombinedBytes = 16U * 1024U;
 
 void set_no_delay(int descriptor) {
   const int on = 1;
@@ -120,7 +120,7 @@
     if (!write_available(bytes)) return;
   }
   if (bytes.empty()) return;
-  outgoing_.append(bytes);
+  queue(bytes);
   if (writing_) return;
   writing_ = true;
   update_interest();
@@ -158,27 +158,37 @@
 void TcpStream::on_writable() {
   if (!connected_) finish_connecting();
   if (descriptor_ < 0 || !connected_) return;
-  std::string_view remaining(outgoing_);
-  remaining.remove_prefix(outgoing_offset_);
-  if (!write_available(remaining)) return;
-  outgoing_offset_ = outgoing_.size() - remaining.size();
-  if (remaining.empty()) {
-    release_outgoing();
+  if (!write_queued()) return;
+  if (queued_bytes_ == 0) {
     writing_ = false;
     update_interest();
     observer_.on_stream_drained();
-  } else if (outgoing_offset_ > kCompactBytes) {
-    outgoing_.erase(0, outgoing_offset_);
-    outgoing_offset_ = 0;
   }
   if (descriptor_ >= 0) observer_.on_stream_written();
 }
 
-void TcpStream::release_outgoing() {
-  outgoing_.clear();
-  outgoing_offset_ = 0;
-  // An idle connection must not keep the memory of a long message.
-  if (outgoing_.capacity() > kCompactBytes) outgoing_.shrink_to_fit();
+void TcpStream::queue(std::string_view bytes) {
+  queued_bytes_ += bytes.size();
+  if (!outgoing_.empty() && outgoing_.back().size() + bytes.size() <= kCombinedBytes) {
+    outgoing_.back().append(bytes);
+  } else {
+    outgoing_.emplace_back(bytes);
+  }
+}
+
+bool TcpStream::write_queued() {
+  while (!outgoing_.empty()) {
+    std::string_view remaining(outgoing_.front());
+    remaining.remove_prefix(outgoing_offset_);
+    const std::size_t before = remaining.size();
+    if (!write_available(remaining)) return false;
+    queued_bytes_ -= before - remaining.size();
+    outgoing_offset_ += before - remaining.size();
+    if (!remaining.empty()) return true;
+    outgoing_.pop_front();
+    outgoing_offset_ = 0;
+  }
+  return true;
 }
 
 void TcpStream::on_broken() {
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -71,7 +72,7 @@
   bool is_open() const { return descriptor_ >= 0; }
   bool connected() const { return connected_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
-  std::size_t queued_bytes() const { return outgoing_.size() - outgoing_offset_; }
+  std::size_t queued_bytes() const { return queued_bytes_; }
 
  private:
   void on_readable() override;
@@ -81,16 +82,19 @@
   void update_interest();
   /// @return false after a failure, which has been reported to the observer.
   bool write_available(std::string_view& bytes);
-  /// Empties the queue after all of its bytes have been written.
-  void release_outgoing();
+  void queue(std::string_view bytes);
+  /// Writes queued bytes until the socket accepts no more.
+  /// @return false after a failure, which has been reported to the observer.
+  bool write_queued();
   void fail(StreamEnd end);
   void drop_descriptor();
 
   int descriptor_ = -1;
   StreamObserver& observer_;
   SocketPoller::Registration registration_ = 0;
-  std::string outgoing_;
-  std::size_t outgoing_offset_ = 0;
+  std::list<std::string> outgoing_;  ///< In pieces, so that memory is freed as they are written.
+  std::size_t outgoing_offset_ = 0;  ///< Bytes of the first piece that have been written.
+  std::size_t queued_bytes_ = 0;
   std::uint64_t bytes_sent_ = 0;
   bool connected_ = false;
   bool reading_ = true;
