Send the load of the slot queue test at random to routes and gateways

Change: routes and gateways are drawn with a fixed seed; the more urgent route must be served 1.5 times as often.

--- a/tests/processes/slot_queue_test.py
+++ b/tests/processes/slot_queue_test.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import random
 import signal
 import sys
 import tempfile
@@ -83,10 +84,11 @@
 
 
 class Load:
-    """Sends requests to the routes and the gateways in turn until it is stopped."""
+    """Sends requests to random routes and gateways until it is stopped."""
 
     def __init__(self, platform, rate, routes):
         self.platform, self.rate, self.routes = platform, rate, routes
+        self.random = random.Random(1)
         self.results = []  # (route, gateway, response or None, seconds)
         self.calls = set()
         self.lost_gateways = set()  # Their callers may lose the connection.
@@ -104,8 +106,9 @@
             number += 1
 
     async def call(self, number):
-        route = self.routes[number % len(self.routes)]
-        host = GATEWAYS[number // len(self.routes) % len(GATEWAYS)]
+        # In a fixed order, the first route of each turn would get most of the slots that have become
+        # free since, whatever its priority.
+        route, host = self.random.choice(self.routes), self.random.choice(GATEWAYS)
         begin = asyncio.get_running_loop().time()
         try:
             response = await self.platform.call(
@@ -180,7 +183,8 @@
         await load.stop()
         self.check_answers(load)
         parts = load.served_parts()
-        self.assertGreaterEqual(parts["/urgent/"], parts["/chat/"], parts)
+        # Without the order both are served alike, at random.
+        self.assertGreater(parts["/urgent/"], 1.5 * parts["/chat/"], parts)
         self.assertGreaterEqual(parts["/chat/"], sum(parts.values()) / 2 / 4, parts)
         self.assertGreater(await self.platform.slot_requests("granted"), 0)
 
