Use a granted slot for its own request alone

Cause: a grant for a request that was already sent went to another request of the gateway, although the withdrawal frees the slot at the agent, which grants it again: one slot was used twice, and outside the order over all gateways. Change: such a grant is counted as returned; one that its request may not use is given back. A test expected the former; its replacement expects that nothing is sent.

--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -57,18 +57,17 @@
 void RequestForwarder::on_slot_granted(const Address& engine, RequestNumber number, TimePoint now,
                                        ForwarderActions& actions) {
   reservations_.on_granted(number, engine);
-  const std::string backend = pool_.id_at(engine);
   const auto found = sessions_.find(number);
-  const bool waits = found != sessions_.end() && found->second.waiting;
-  if (waits && use_granted_slot(number, found->second, backend, now, actions)) return;
-  const auto waiting = waiting_;
-  const bool used = std::any_of(waiting.begin(), waiting.end(), [&](const WaitingRank& rank) {
-    const auto other = sessions_.find(rank.number);
-    return other != sessions_.end() && rank.number != number &&
-           use_granted_slot(rank.number, other->second, backend, now, actions);
-  });
-  if (!used) reservations_.give_back(number, engine, actions);
-  if (waits && !reservations_.waits(number)) queue_elsewhere(number, found->second, now, actions);
+  // The request was sent elsewhere or has ended; a withdrawal is on its way to the agent, which
+  // then grants the slot again. Using it here as well would use it twice.
+  if (found == sessions_.end() || !found->second.waiting) {
+    reservations_.on_crossed_grant();
+    return;
+  }
+  RequestSession& session = found->second;
+  if (use_granted_slot(number, session, pool_.id_at(engine), now, actions)) return;
+  reservations_.give_back(number, engine, actions);
+  if (!reservations_.waits(number)) queue_elsewhere(number, session, now, actions);
 }
 
 bool RequestForwarder::use_granted_slot(RequestNumber number, RequestSession& session,
--- a/src/gateway/requests/slot_reservations.h
+++ b/src/gateway/requests/slot_reservations.h
@@ -53,6 +53,8 @@
   void on_granted(RequestNumber number, const Address& engine);
   /// The granted slot is used.
   void on_used() { ++counters_.granted; }
+  /// The grant crossed the withdrawal of its request.
+  void on_crossed_grant() { ++counters_.returned; }
   /// The granted slot is not used, and is given back.
   void give_back(RequestNumber number, const Address& engine, ForwarderActions& actions);
   /// Gives all reservations of the request up: it was sent, or has ended.
