--- a/src/gateway/memory/memory_budget.cpp
+++ b/src/gateway/memory/memory_budget.cpp
@@ -82,16 +82,12 @@
 }
 
 void MemoryBudget::update_level() {
-  const std::size_t held = held_.total();
-  const std::size_t committed = held + promised_;
-  if (held > budget_) {
+  const std::size_t committed = held_.total() + promised_;
+  const double threshold = level_ == MemoryLevel::normal ? kFullFraction : kNormalFraction;
+  if (held_.total() > budget_) {
     level_ = MemoryLevel::exceeded;
-  } else if (committed > fraction_of(budget_, kFullFraction)) {
-    level_ = MemoryLevel::full;
-  } else if (committed <= fraction_of(budget_, kNormalFraction)) {
-    level_ = MemoryLevel::normal;
-  } else if (level_ == MemoryLevel::exceeded) {
-    level_ = MemoryLevel::full;
+  } else {
+    level_ = committed > fraction_of(budget_, threshold) ? MemoryLevel::full : MemoryLevel::normal;
   }
 }
 
