Queue no request where its response could only be late

Cause: a request whose predicted first token would miss its goal was queued for as long as it waits without a queue, and sent when granted. Change: the limit of admission holds for queues and grants too. A test expected the wait; its replacements expect that nothing is queued, and that a grant that comes too late is returned.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -217,15 +217,20 @@
                                                  TimePoint now) {
   std::optional<BackendChoice> best;
   double best_cost = 0;
-  for_each_candidate(
-      requirements, excluded, now,
-      [&](const std::string& id, const Backend& backend, double wait_ms) {
-        if (!may_send(id, backend, requirements, now)) return;
-        const double cost = wait_ms + routing_penalty_ms(backend, requirements);
-        if (best && cost >= best_cost) return;
-        best_cost = cost;
-        best = BackendChoice{id, backend.record.address, backend.record.weight_version, wait_ms};
-      });
+  for_each_candidate(requirements, excluded, now,
+                     [&](const std::string& id, const Backend& backend, double wait_ms) {
+                       if (!may_send(id, backend, requirements, now)) return;
+                       const double cost = wait_ms + routing_penalty_ms(backend, requirements);
+                       if (best && cost >= best_cost) return;
+                       best_cost = cost;
+                       const double expected_ms =
+                           requirements.granted_backend.empty()
+                               ? wait_ms
+                               : first_token_after_grant_ms(backend, *requirements.service->engine,
+                                                            requirements.prompt_tokens);
+                       best = BackendChoice{id, backend.record.address,
+                                            backend.record.weight_version, expected_ms};
+                     });
   return best;
 }
 
--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -79,8 +79,7 @@
   requirements.granted_backend = backend;
   requirements.unreserved_only = false;
   const auto choice = pool_.choose(requirements, session.tried_backends, now);
-  if (!choice || choice->expected_ms >= to_fractional_milliseconds(session.deadline - now))
-    return false;
+  if (!choice || choice->expected_ms > planner_.admission_limit_ms(session, now)) return false;
   reservations_.on_used();
   send(number, session, *choice, now, actions);
   return true;
--- a/src/gateway/requests/request_planner.cpp
+++ b/src/gateway/requests/request_planner.cpp
@@ -67,10 +67,9 @@
 
 Duration RequestPlanner::slot_useful_for(const RequestSession& session, double expected_ms,
                                          TimePoint now) const {
-  const Duration usual = session.wait_until - now;
-  if (session.returning) return usual;
   const double in_time_ms = admission_limit_ms(session, now) - expected_ms;
-  return std::max(usual, from_seconds(in_time_ms / kMillisecondsPerSecond));
+  const Duration in_time = from_seconds(in_time_ms / kMillisecondsPerSecond);
+  return session.returning ? std::min(in_time, session.wait_until - now) : in_time;
 }
 
 double RequestPlanner::admission_limit_ms(const RequestSession& session, TimePoint now) const {
--- a/src/gateway/requests/request_planner.h
+++ b/src/gateway/requests/request_planner.h
@@ -24,8 +24,8 @@
   /// Longest predicted time to the first token at which the request is still sent.
   double admission_limit_ms(const RequestSession& session, TimePoint now) const;
   /// How long from now a slot of an engine would still be of use to a request that waits for one:
-  /// until its first token could not come in time any more. A returning caller's response, and one
-  /// that can only be late, waits no longer than without a queue.
+  /// until its first token could not be admitted any more. A returning caller waits no longer than
+  /// without a queue. Not positive if a slot is of no use at all.
   /// @param expected_ms  predicted time from sending the request to its first token.
   Duration slot_useful_for(const RequestSession& session, double expected_ms, TimePoint now) const;
   /// Random Retry-After time for a refused caller; zero when too little time is left for a retry.
--- a/tests/gateway/requests/slot_waiting_test.cpp
+++ b/tests/gateway/requests/slot_waiting_test.cpp
@@ -18,7 +18,8 @@
   CPPUNIT_TEST_SUITE(SlotWaitingTest);
   CPPUNIT_TEST(request_waits_at_three_full_engines_while_a_slot_is_useful);
   CPPUNIT_TEST(own_zone_comes_first_while_it_has_enough_engines);
-  CPPUNIT_TEST(request_that_can_only_be_late_waits_as_long_as_without_a_queue);
+  CPPUNIT_TEST(request_that_can_only_be_late_is_queued_nowhere);
+  CPPUNIT_TEST(grant_that_comes_too_late_for_a_response_in_time_is_returned);
   CPPUNIT_TEST(returning_caller_waits_as_long_as_without_a_queue);
   CPPUNIT_TEST(granted_request_is_sent_with_its_priority_and_leaves_the_other_queues);
   CPPUNIT_TEST(a_grant_serves_its_request_alone);
@@ -80,14 +81,28 @@
                    harness.ports<QueueForSlot>().contains(3));
   }
 
-  void request_that_can_only_be_late_waits_as_long_as_without_a_queue() {
+  // Guards against slots that go to requests which are admitted nowhere else: their responses are
+  // late, and cost others a response in time.
+  void request_that_can_only_be_late_is_queued_nowhere() {
     FleetConfiguration slow = tests::SlotHarness::configuration();
     slow.services[0].engine->prompt_tokens_per_s = 100;  // A second for the prompt alone.
     harness.forwarder.set_routes(std::make_shared<RouteTable>(slow));
     harness.add_full_engines(3);
     harness.send_request(kUrgent);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, harness.ports<QueueForSlot>().size());
-    CPPUNIT_ASSERT(useful_for() == milliseconds(60));
+    CPPUNIT_ASSERT(harness.ports<QueueForSlot>().empty());
+    harness.advance(milliseconds(60));
+    CPPUNIT_ASSERT_EQUAL(503, harness.refusal_status());
+  }
+
+  void grant_that_comes_too_late_for_a_response_in_time_is_returned() {
+    harness.configure();
+    harness.add_full_engines(3);
+    const RequestNumber request = harness.send_request(kUrgent);
+    harness.now += useful_for() + milliseconds(1);
+    for (std::uint16_t port = 1; port <= 3; ++port) harness.report(port);
+    harness.grant(1, request);
+    CPPUNIT_ASSERT_EQUAL(std::string(), harness.sent_to());
+    CPPUNIT_ASSERT(harness.ports<LeaveSlotQueue>().contains(1));
   }
 
   void returning_caller_waits_as_long_as_without_a_queue() {
