--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -409,7 +409,7 @@
     const auto found = sessions_.find(rank.number);
     if (found == sessions_.end() || must_yield(found->second, now)) continue;
     RequestSession& session = found->second;
-    // Queued requests wait longer, so that many of them would each look at all engines in vain.
+    // Queued requests wait longer: many of them would each search all engines without a result.
     if (session.ordered_by_priority && !quarantine_.quarantined(session.fingerprint, now)) {
       if (!without_room.contains(session.service) && !pool_.may_have_room(*session.service, now)) {
         without_room.insert(session.service);
--- a/src/gateway/requests/request_forwarder_slots.cpp
+++ b/src/gateway/requests/request_forwarder_slots.cpp
@@ -7,9 +7,9 @@
 namespace pumicemast {
 namespace {
 
-/// Requests for which no engine with a queue is found, per timer interval. Each try looks at all
+/// Limit of searches that find no engine with a queue, per timer interval. Each search visits all
 /// engines, and there may be none while agents of an earlier version run.
-constexpr int kTriesInVain = 8;
+constexpr int kMaximumFailedSearches = 8;
 
 }  // namespace
 
@@ -45,12 +45,12 @@
       actions.emplace_back(LeaveSlotQueue{engine, number});
     }
   }
-  int in_vain = 0;
+  int failed_searches = 0;
   for (const WaitingRank& rank : waiting_) {
     RequestSession& session = sessions_.at(rank.number);
     if (!session.ordered_by_priority || reservations_.waits(rank.number)) continue;
     queue_for_slot(rank.number, session, now, actions);
-    if (!reservations_.waits(rank.number) && ++in_vain == kTriesInVain) return;
+    if (!reservations_.waits(rank.number) && ++failed_searches == kMaximumFailedSearches) return;
   }
 }
 
--- a/src/host/slot_service.cpp
+++ b/src/host/slot_service.cpp
@@ -16,14 +16,14 @@
 
 void SlotService::on_requests(PeerId gateway, const SlotRequests& requests,
                               const SlotCapacity& capacity, TimePoint now) {
-  auto& asked = asked_[gateway];
+  auto& pending = pending_[gateway];
   for (const std::uint64_t number : requests.withdrawn) {
     queue_.withdraw(gateway, number);
-    asked.erase(number);
+    pending.erase(number);
   }
   for (const SlotRequest& request : requests.requests) {
     queue_.add(gateway, request, now);
-    asked[request.number] = {now, request.priority};
+    pending[request.number] = {now, request.priority};
   }
   decide(capacity, now);
 }
@@ -45,7 +45,7 @@
 
 void SlotService::remove_gateway(PeerId gateway) {
   queue_.remove_gateway(gateway);
-  asked_.erase(gateway);
+  pending_.erase(gateway);
   report_state();
 }
 
@@ -62,20 +62,20 @@
 }
 
 void SlotService::count(PeerId gateway, const SlotDecisions& decisions, TimePoint now) {
-  auto& asked = asked_[gateway];
+  auto& pending = pending_[gateway];
   for (const std::uint64_t number : decisions.granted) {
-    const auto found = asked.find(number);
-    if (found == asked.end()) continue;
+    const auto found = pending.find(number);
+    if (found == pending.end()) continue;
     metrics_.count("pumicemast_host_slot_grants_total",
                    {{"priority", std::to_string(found->second.priority)}});
     metrics_.observe("pumicemast_host_slot_grant_wait_seconds", {}, now - found->second.at);
-    asked.erase(found);
+    pending.erase(found);
   }
   for (const SlotDenial& denial : decisions.denied) {
     metrics_.count("pumicemast_host_slot_denials_total", {{"reason", to_string(denial.reason)}});
-    asked.erase(denial.number);
+    pending.erase(denial.number);
   }
-  if (asked.empty()) asked_.erase(gateway);
+  if (pending.empty()) pending_.erase(gateway);
 }
 
 void SlotService::report_state() {
--- a/src/host/slot_service.h
+++ b/src/host/slot_service.h
@@ -38,7 +38,7 @@
   }
 
  private:
-  struct Asked {
+  struct PendingRequest {
     TimePoint at{};
     int priority = 0;
   };
@@ -53,7 +53,8 @@
   Metrics& metrics_;
   LogLine log_line_;
   SlotQueue queue_;
-  std::map<PeerId, std::map<std::uint64_t, Asked>> asked_;  ///< Of waiting requests, by gateway.
+  std::map<PeerId, std::map<std::uint64_t, PendingRequest>>
+      pending_;  ///< Of waiting requests, by gateway.
   bool contended_ = false;
 };
 
--- a/src/scheduling/slot_messages.h
+++ b/src/scheduling/slot_messages.h
@@ -1,4 +1,4 @@
-/// What gateways and agents tell each other about requests that wait for a slot of an engine.
+/// Messages between gateways and agents about requests that wait for a slot of an engine.
 #pragma once
 
 #include <cstdint>
@@ -38,7 +38,7 @@
   Duration expected_wait = Duration::zero();  ///< Until a slot could be granted; zero if unknown.
 };
 
-/// What a gateway tells the agent of an engine. Withdrawals are handled before new requests.
+/// A message of a gateway to the agent of an engine. Withdrawals are handled before new requests.
 struct SlotRequests {
   std::vector<SlotRequest> requests;
   /// Requests that need no slot any more, whether or not one was granted.
@@ -46,7 +46,7 @@
   bool empty() const { return requests.empty() && withdrawn.empty(); }
 };
 
-/// What the agent of an engine tells one gateway.
+/// The decisions of an engine's agent for one gateway.
 struct SlotDecisions {
   std::vector<std::uint64_t> granted;  ///< Each of these requests may be sent to the engine now.
   std::vector<SlotDenial> denied;
--- a/src/scheduling/slot_queue.cpp
+++ b/src/scheduling/slot_queue.cpp
@@ -97,7 +97,7 @@
     return replies;
   }
   grant_free_slots(capacity, replies, now);
-  deny_hopeless(replies, now);
+  deny_unservable(replies, now);
   if (waiting_.empty()) contended_since_grant_.reset();
   return replies;
 }
@@ -269,7 +269,7 @@
   return times(interval, slots);
 }
 
-void SlotQueue::deny_hopeless(Replies& replies, TimePoint now) {
+void SlotQueue::deny_unservable(Replies& replies, TimePoint now) {
   const std::optional<Duration> interval = grant_interval(now);
   WorkAhead ahead;
   int level = kMostUrgentPriority;
--- a/src/scheduling/slot_queue.h
+++ b/src/scheduling/slot_queue.h
@@ -47,7 +47,7 @@
     /// Prompts are admitted while the engine can read all pending ones in this many passes.
     double maximum_backlog_passes = 2;
     GuaranteedShares::Options level_shares;
-    /// Tenants are many: their shares are told apart only over more grants than those of levels.
+    /// There are more tenants than levels, so that their shares show only over more grants.
     GuaranteedShares::Options tenant_shares{0.5, seconds(10)};
     std::size_t maximum_waiting = 512;  ///< Further requests are denied.
   };
@@ -63,7 +63,7 @@
   void remove_gateway(PeerId gateway);
   /// Grants free slots, and denies requests that cannot be granted one in time. Call after each
   /// change of the queue or the load.
-  /// @return what to tell each gateway.
+  /// @return the decisions for each gateway.
   std::map<PeerId, SlotDecisions> decide(const SlotCapacity& capacity, TimePoint now);
   std::size_t waiting() const { return waiting_.size(); }
   /// Granted requests that a load read at `read_at` cannot show yet.
@@ -72,7 +72,7 @@
   std::uint32_t prompt_tokens_in_transit(TimePoint read_at) const;
 
  private:
-  /// Requests of all gateways are told apart by these two.
+  /// Identifies a request among those of all gateways.
   struct Key {
     PeerId gateway = 0;
     std::uint64_t number = 0;
@@ -115,7 +115,7 @@
   /// The interval between grants; empty until enough of them were seen.
   std::optional<Duration> grant_interval(TimePoint now) const;
   void deny_all(SlotDenialReason reason, Replies& replies);
-  void deny_hopeless(Replies& replies, TimePoint now);
+  void deny_unservable(Replies& replies, TimePoint now);
   /// Keys of all waiting requests, in the order in which slots are expected to be granted.
   std::vector<Key> expected_order(TimePoint now) const;
   Duration expected_wait(const SlotRequest& request, const WorkAhead& ahead, Duration interval,
