Log and count responses whose end was inferred from a close

A caller got a stream as complete that its engine had cut off, and neither logs nor metrics told how the gateway had recognized its end. How a response ended is a value now (ResponseEnd), passed from the reader to the forwarder; each response without a length or chunks gets a line event=inferred_end under its request's id and is counted by where it ended. No decision uses it yet. The events of streams that are not resumable are tracked too; their bytes are still relayed as they arrive.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -225,10 +225,10 @@
   execute_actions(actions);
 }
 
-void GatewayDaemon::on_attempt_complete(RequestNumber number) {
+void GatewayDaemon::on_attempt_complete(RequestNumber number, ResponseEnd end) {
   ForwarderActions actions;
   const TimePoint now = loop_now();
-  forwarder_.on_response_complete(number, now, actions);
+  forwarder_.on_response_complete(number, end, now, actions);
   if (forwarder_.waiting() > 0) forwarder_.on_capacity(now, actions);
   execute_actions(actions);
 }
@@ -291,6 +291,7 @@
     execute_actions(actions);
   }
   enforce_memory(now);
+  log_inferred_ends();
   log_summaries();
   report_crashes();
   check_stopped(now);
@@ -339,6 +340,13 @@
   }
 }
 
+void GatewayDaemon::log_inferred_ends() {
+  for (const InferredEnd& end : forwarder_.take_inferred_ends()) {
+    metrics_.on_inferred_end(end);
+    log_.log_inferred_end(end);
+  }
+}
+
 void GatewayDaemon::report_crashes() {
   for (const BackendCrash& crash : forwarder_.take_crashes(loop_now())) {
     metrics_.on_crash(crash);
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -67,7 +67,7 @@
   void on_attempt_connected(RequestNumber number) override;
   bool on_attempt_head(RequestNumber number, const ResponseHead& head) override;
   void on_attempt_body(RequestNumber number, std::string_view bytes) override;
-  void on_attempt_complete(RequestNumber number) override;
+  void on_attempt_complete(RequestNumber number, ResponseEnd end) override;
   void on_attempt_failed(RequestNumber number, ExchangeFailure failure) override;
   // FleetState callbacks
   void on_routes(const RouteTablePointer& routes);
@@ -114,6 +114,7 @@
   void update_retry_allowance(TimePoint now);
   void measure_demand();
   void log_summaries();
+  void log_inferred_ends();
   /// Logs back-end crashes with the requests that were running, and sends them to other gateways.
   void report_crashes();
   void step(const char* event);
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -44,6 +44,14 @@
   log_line("request_" + summary.outcome, text.str());
 }
 
+void GatewayLog::log_inferred_end(const InferredEnd& end) {
+  std::ostringstream text;
+  text << "request id=" << end.request_id << " event=inferred_end backends=" << end.backend
+       << " status=" << end.status << " stream=" << (end.streaming ? "yes" : "no")
+       << " events=" << end.events << " partial_bytes=" << end.partial_bytes;
+  log_line("inferred_end", text.str());
+}
+
 void GatewayLog::log_crash(const BackendCrash& crash) {
   constexpr std::size_t kMaximumFingerprints = 16;  // Requests that an engine runs at once.
   std::ostringstream text;
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -21,6 +21,8 @@
   /// Logs the summary of a request. One that finished with a single send and did not start late is
   /// logged only at level "all".
   void log_request(const RequestSummary& summary);
+  /// Logs a response whose end was inferred from the close of its connection.
+  void log_inferred_end(const InferredEnd& end);
   /// Logs the crash of a back end and the requests that were running there.
   void log_crash(const BackendCrash& crash);
   /// Logs how many lines were suppressed, and flushes the log. Call periodically.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -40,6 +40,13 @@
                  static_cast<double>(crash.requests.size()));
 }
 
+void GatewayMetrics::on_inferred_end(const InferredEnd& end) {
+  const char* place = !end.streaming          ? "plain"
+                      : end.partial_bytes > 0 ? "inside_event"
+                                              : "after_event";
+  metrics_.count("pumicemast_gateway_inferred_ends_total", {{"at", place}});
+}
+
 void GatewayMetrics::update(const ForwarderCounters& counters, const GatewayGauges& figures) {
   const auto set = [this](const char* name, double value) { metrics_.gauge(name, {}, value); };
   set("pumicemast_gateway_sends", static_cast<double>(counters.sends));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -30,6 +30,7 @@
   /// @param evidence  source of the information: "agent" or "probe".
   void on_backend_ended(const char* evidence);
   void on_crash(const BackendCrash& crash);
+  void on_inferred_end(const InferredEnd& end);
   void update(const ForwarderCounters& counters, const GatewayGauges& figures);
   void update(const RetryBudgets& retries);
   void update(const PermitCounters& permits);
--- a/src/gateway/requests/backend_connections.cpp
+++ b/src/gateway/requests/backend_connections.cpp
@@ -43,7 +43,12 @@
   void on_response_body(std::string_view bytes) override {
     owner_.observer_.on_attempt_body(number_, bytes);
   }
-  void on_response_complete() override { owner_.finish(number_, true); }
+  void on_response_complete(ResponseEnd end) override {
+    const RequestNumber number = number_;
+    AttemptObserver& observer = owner_.observer_;
+    owner_.finish(number, true);
+    observer.on_attempt_complete(number, end);
+  }
   void on_exchange_failed(ExchangeFailure failure) override {
     const RequestNumber number = number_;
     AttemptObserver& observer = owner_.observer_;
@@ -116,7 +121,6 @@
     connection->abandon();
     deleter_.defer(std::move(connection));
   }
-  if (keep_connection) observer_.on_attempt_complete(number);
 }
 
 void BackendConnections::keep_idle(const std::string& backend,
--- a/src/gateway/requests/backend_connections.h
+++ b/src/gateway/requests/backend_connections.h
@@ -21,7 +21,7 @@
   /// @return false when the response belongs to another request.
   virtual bool on_attempt_head(RequestNumber number, const ResponseHead& head) = 0;
   virtual void on_attempt_body(RequestNumber number, std::string_view bytes) = 0;
-  virtual void on_attempt_complete(RequestNumber number) = 0;
+  virtual void on_attempt_complete(RequestNumber number, ResponseEnd end) = 0;
   virtual void on_attempt_failed(RequestNumber number, ExchangeFailure failure) = 0;
 };
 
@@ -58,6 +58,7 @@
   void keep_idle(const std::string& backend, std::unique_ptr<ClientConnection> connection,
                  std::size_t max_idle);
   void on_idle_connection_ended(ClientConnection& connection) override;
+  /// Ends the attempt; its connection is kept for another request if that is possible.
   void finish(RequestNumber number, bool keep_connection);
   static bool idle_expired(const ClientConnection& connection, TimePoint now);
 
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace pumicemast {
 namespace {
@@ -180,6 +181,7 @@
   session.streaming = false;
   session.buffered.clear();
   session.splitter.discard_partial_event();
+  session.events_before = session.splitter.event_count();
   session.tried_backends.insert(choice.id);
   session.tried_backend_names += (session.tried_backend_names.empty() ? "" : ",") + choice.id;
   session.last_version = choice.weight_version;
@@ -278,12 +280,13 @@
   if (session.begun_late) ++counters_.begun_late;
 }
 
-void RequestForwarder::on_response_complete(RequestNumber number, TimePoint now,
+void RequestForwarder::on_response_complete(RequestNumber number, ResponseEnd end, TimePoint now,
                                             ForwarderActions& actions) {
   const auto found = sessions_.find(number);
   if (found == sessions_.end() || found->second.backend.empty()) return;
   RequestSession& session = found->second;
   const std::string backend = session.backend;
+  if (end == ResponseEnd::inferred_from_close) record_inferred_end(session);
   if (session.response.not_run) {
     ++counters_.refused_by_backend;
     if (session.response.replaced) {
@@ -428,6 +431,21 @@
   summaries_.push_back(session.summarize(outcome, reason, status, now));
 }
 
+void RequestForwarder::record_inferred_end(const RequestSession& session) {
+  InferredEnd end;
+  end.request_id = session.request.id;
+  end.backend = session.backend;
+  end.status = session.response.status;
+  end.streaming = session.streaming;
+  end.events = session.splitter.event_count() - session.events_before;
+  end.partial_bytes = session.splitter.partial_bytes();
+  inferred_ends_.push_back(std::move(end));
+}
+
+std::vector<InferredEnd> RequestForwarder::take_inferred_ends() {
+  return std::exchange(inferred_ends_, {});
+}
+
 std::vector<RequestSummary> RequestForwarder::take_summaries() {
   std::vector<RequestSummary> result = std::move(summaries_);
   summaries_.clear();
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -37,6 +37,7 @@
 #include "gateway/requests/response_relay.h"
 #include "gateway/requests/retry_budgets.h"
 #include "gateway/requests/slot_reservations.h"
+#include "http1/response_reader.h"
 
 namespace pumicemast {
 
@@ -80,7 +81,8 @@
                         TimePoint now);
   void on_response_body(RequestNumber number, std::string_view bytes, TimePoint now,
                         ForwarderActions& actions);
-  void on_response_complete(RequestNumber number, TimePoint now, ForwarderActions& actions);
+  void on_response_complete(RequestNumber number, ResponseEnd end, TimePoint now,
+                            ForwarderActions& actions);
   void on_attempt_failed(RequestNumber number, AttemptFailure failure, TimePoint now,
                          ForwarderActions& actions);
   void on_connected(RequestNumber number);
@@ -119,6 +121,8 @@
   std::vector<BackendCrash> take_crashes(TimePoint now);
   /// Discards expired state. Call periodically.
   void sweep(TimePoint now) { crash_correlator_.sweep(now); }
+  /// Returns the responses whose ends were inferred from a close since the last call.
+  std::vector<InferredEnd> take_inferred_ends();
   /// Returns the requests that ended since the last call.
   std::vector<RequestSummary> take_summaries();
 
@@ -219,6 +223,7 @@
                                   ForwarderActions& actions);
   void check_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                      ForwarderActions& actions);
+  void record_inferred_end(const RequestSession& session);
   void summarize(const RequestSession& session, const char* outcome, const char* reason, int status,
                  TimePoint now);
 
@@ -237,6 +242,7 @@
   RetryBudgets retries_;
   CrashCorrelator crash_correlator_;
   std::vector<RequestSummary> summaries_;
+  std::vector<InferredEnd> inferred_ends_;
   RequestAuthorizer authorizer_;
   ForwarderCounters counters_;
   bool stopping_ = false;
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -46,6 +46,17 @@
   bool in_time = false;
 };
 
+/// A response without a length or chunks whose connection was closed in an orderly way, for logs
+/// and metrics.
+struct InferredEnd {
+  std::string request_id;
+  std::string backend;
+  int status = 0;
+  bool streaming = false;
+  std::uint64_t events = 0;       ///< Complete events of this attempt.
+  std::size_t partial_bytes = 0;  ///< Bytes after the last complete event.
+};
+
 /// The forwarder's state of a request.
 struct RequestSession {
   RequestMetadata request;
@@ -78,8 +89,9 @@
   bool connected = false;
   bool head_received = false;
   bool first_token_seen = false;
-  bool reading_paused = false;  ///< Its response is held back until the caller has read more.
-  bool streaming = false;       ///< The response of the attempt is an event stream.
+  bool reading_paused = false;      ///< Its response is held back until the caller has read more.
+  bool streaming = false;           ///< The response of the attempt is an event stream.
+  std::uint64_t events_before = 0;  ///< Complete events of earlier attempts.
   ResponseMetadata response;
   std::string buffered;
   EventSplitter splitter;
--- a/src/gateway/requests/response_relay.cpp
+++ b/src/gateway/requests/response_relay.cpp
@@ -40,8 +40,8 @@
 
 void ResponseRelay::on_events(RequestNumber number, RequestSession& session, std::string_view bytes,
                               TimePoint now, ForwarderActions& actions) {
-  std::string ready =
-      session.route->resumable ? session.splitter.take_complete_events(bytes) : std::string(bytes);
+  std::string complete_events = session.splitter.take_complete_events(bytes);
+  std::string ready = session.route->resumable ? std::move(complete_events) : std::string(bytes);
   if (ready.empty()) return;
   record_progress(session, now);
   if (!session.response_started) {
@@ -56,7 +56,9 @@
 void ResponseRelay::finish(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions) {
   if (session.streaming) {
-    const std::string rest = session.splitter.take_partial_event();
+    // Without resumption, a partial event has been relayed already.
+    const std::string rest =
+        session.route->resumable ? session.splitter.take_partial_event() : std::string();
     if (!session.response_started) actions.emplace_back(BeginResponse{number, std::nullopt});
     if (!rest.empty()) actions.emplace_back(RelayBody{number, rest});
   } else if (!session.response_started) {
--- a/src/gateway/requests/response_relay.h
+++ b/src/gateway/requests/response_relay.h
@@ -2,7 +2,7 @@
 ///
 /// A decision core: no I/O. A plain response is buffered until it is complete, up to
 /// `max_buffered_response_bytes`. A stream on a resumable route is relayed in complete events, so
-/// that another attempt can continue after the last one.
+/// that another attempt can continue after the last one; other streams are relayed as they arrive.
 #pragma once
 
 #include <string_view>
--- a/src/http/stream_call.cpp
+++ b/src/http/stream_call.cpp
@@ -101,7 +101,7 @@
   callbacks_.on_data(std::string(bytes));
 }
 
-void StreamCall::on_response_complete() { end(true); }
+void StreamCall::on_response_complete(ResponseEnd) { end(true); }
 
 void StreamCall::on_exchange_failed(ExchangeFailure failure) {
   const bool never_sent = failure == ExchangeFailure::not_sent;
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -75,7 +75,7 @@
   ExchangeObserver* observer = observer_;
   observer_ = nullptr;
   stream_.set_reading(true);
-  observer->on_response_complete();
+  observer->on_response_complete(reader_.end());
 }
 
 void ClientConnection::fail(ExchangeFailure failure) {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -28,7 +28,7 @@
   ///         connection waits for the next response.
   virtual bool on_response_head(const ResponseHead& head) = 0;
   virtual void on_response_body(std::string_view bytes) = 0;
-  virtual void on_response_complete() = 0;
+  virtual void on_response_complete(ResponseEnd end) = 0;
   virtual void on_exchange_failed(ExchangeFailure failure) = 0;
 };
 
--- a/src/http1/http_fetcher.cpp
+++ b/src/http1/http_fetcher.cpp
@@ -88,7 +88,7 @@
   finish({});
 }
 
-void HttpFetcher::on_response_complete() { finish(std::move(result_)); }
+void HttpFetcher::on_response_complete(ResponseEnd) { finish(std::move(result_)); }
 
 void HttpFetcher::on_exchange_failed(ExchangeFailure) {
   drop_connection();
--- a/src/http1/http_fetcher.h
+++ b/src/http1/http_fetcher.h
@@ -57,7 +57,7 @@
   void on_idle_connection_ended(ClientConnection& connection) override;
   bool on_response_head(const ResponseHead& head) override;
   void on_response_body(std::string_view bytes) override;
-  void on_response_complete() override;
+  void on_response_complete(ResponseEnd end) override;
   void on_exchange_failed(ExchangeFailure failure) override;
   void drop_connection();
   void start_timeout(Duration duration);
--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -20,6 +20,12 @@
   malformed,  ///< The bytes are not a valid HTTP message.
 };
 
+/// How the end of a response was recognized.
+enum class ResponseEnd {
+  stated,               ///< By its length, its last chunk, or because it has no body.
+  inferred_from_close,  ///< By an orderly close alone: the peer may have cut the response off.
+};
+
 class ResponseReader {
  public:
   /// Expects the response to a request; bytes received after the last response are kept.
@@ -28,13 +34,18 @@
   /// Adds received bytes. After `complete`, call begin() before the next.
   ReadStatus consume(std::string_view bytes);
   /// The peer closed the connection in an orderly way.
-  /// @return complete if that ends a response without length; need_more if it was truncated.
+  /// @return complete if that ends a response without a length or chunks, in which case end() is
+  ///         `inferred_from_close`; need_more if it was truncated.
   ReadStatus consume_end();
 
   bool head_complete() const { return head_complete_; }
   const ResponseHead& head() const { return parser_->get().base(); }
   /// Body bytes decoded since the last call.
   std::string take_body();
+  /// How the end of a complete response was recognized.
+  ResponseEnd end() const {
+    return ends_with_connection_ ? ResponseEnd::inferred_from_close : ResponseEnd::stated;
+  }
   /// Whether the connection can carry another request once the response is complete.
   bool keep_alive() const { return parser_->get().keep_alive() && !ends_with_connection_; }
   /// Whether bytes have been received that are not part of the response.
--- a/tests/gateway/requests/request_forwarder_test.cpp
+++ b/tests/gateway/requests/request_forwarder_test.cpp
@@ -365,7 +365,7 @@
     harness.receive_head(request, 200, false, true);
     harness.receive_body(request, "id: 1\ndata: a\n\n");
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, harness.forwarder.counters().begun_late);
-    harness.forwarder.on_response_complete(request, harness.now, harness.actions);
+    harness.complete_response(request);
     const auto summaries = harness.forwarder.take_summaries();
     CPPUNIT_ASSERT(!summaries.empty());
     CPPUNIT_ASSERT(summaries.back().begun_late);
--- a/tests/http1/connections_test.cpp
+++ b/tests/http1/connections_test.cpp
@@ -22,7 +22,10 @@
     body += bytes;
     if (on_body) on_body();
   }
-  void on_response_complete() override { complete = true; }
+  void on_response_complete(ResponseEnd response_end) override {
+    complete = true;
+    end = response_end;
+  }
   void on_exchange_failed(ExchangeFailure failed) override { failure = failed; }
   void on_idle_connection_ended(ClientConnection&) override { idle_ended = true; }
   bool finished() const { return complete || failure.has_value(); }
@@ -31,6 +34,7 @@
   std::string body;
   std::function<void()> on_body;
   bool complete = false;
+  std::optional<ResponseEnd> end;
   bool idle_ended = false;
   std::optional<ExchangeFailure> failure;
 };
@@ -69,6 +73,7 @@
     server_.close_connection();
     run_until([&] { return recorder_.finished(); });
     CPPUNIT_ASSERT(recorder_.complete);
+    CPPUNIT_ASSERT(recorder_.end == ResponseEnd::inferred_from_close);
     CPPUNIT_ASSERT(!connection_->reusable());
   }
 
--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -315,7 +315,8 @@
 
 void CrashSimulation::finish(const Run& run) {
   ForwarderActions actions;
-  gateways_[run.gateway]->forwarder.on_response_complete(run.request, now_, actions);
+  gateways_[run.gateway]->forwarder.on_response_complete(run.request, ResponseEnd::stated, now_,
+                                                         actions);
   execute_actions(run.gateway, actions);
 }
 
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -118,9 +118,9 @@
     actions.clear();
     forwarder.on_response_body(request, bytes, now, actions);
   }
-  void complete_response(RequestNumber request) {
+  void complete_response(RequestNumber request, ResponseEnd end = ResponseEnd::stated) {
     actions.clear();
-    forwarder.on_response_complete(request, now, actions);
+    forwarder.on_response_complete(request, end, now, actions);
   }
   void fail_attempt(RequestNumber request, AttemptFailure failure) {
     actions.clear();
--- a/tests/support/limited_fleet.cpp
+++ b/tests/support/limited_fleet.cpp
@@ -368,7 +368,7 @@
     gateway.forwarder.on_response_head(request, metadata, false, now_);
     ForwarderActions actions;
     gateway.forwarder.on_response_body(request, "answer", now_, actions);
-    gateway.forwarder.on_response_complete(request, now_, actions);
+    gateway.forwarder.on_response_complete(request, ResponseEnd::stated, now_, actions);
     gateway.forwarder.on_capacity(now_, actions);
     execute_actions(index, gateway, actions);
   });
--- a/tests/support/overload_simulation.cpp
+++ b/tests/support/overload_simulation.cpp
@@ -305,7 +305,7 @@
     gateway.forwarder.on_response_body(event.request, text, now_, actions);
     if (caller.first_token == TimePoint{}) caller.first_token = now_;
   } else {
-    gateway.forwarder.on_response_complete(event.request, now_, actions);
+    gateway.forwarder.on_response_complete(event.request, ResponseEnd::stated, now_, actions);
     caller.finished = true;
   }
   execute_actions(gateway, actions);
