Add failing tests of responses that end with their connection

Callers got streams that had been broken off as complete ones. The reader takes the orderly close of a connection for the end of a response without a length or chunks, and the gateway then adds a last chunk. No stand-in answered without framing, so neither tests nor the soak met it.

--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -301,9 +301,11 @@
         self.seq = 0  # Number of orders carried out in this incarnation.
         self.activated_chunks = []  # Staged chunks at the time of each order in `orders`.
         self.requests = []  # Headers of each executed request.
+        # Without framing, responses have no length or chunks and end with their connection.
+        self.framed = True
         # whole: responds normally. shed: refuses requests without executing them. lost: executes
         # requests and aborts the connection without a response. break: aborts the next stream in
-        # its fourth event, then responds normally.
+        # its fourth event, then responds normally; without framing, by an orderly close.
         self.mode = "whole"
         self.event_gap = 0.02
         self.events = 10
@@ -394,22 +396,42 @@
             writer.transport.abort()
             raise ConnectionError
         if self.model is None:
-            send_response(writer, 200, self.plain_body(headers), self.head(headers))
+            self.send_plain(writer, headers)
             return
-        fields = self.head(headers, {"Content-Type": "text/event-stream",
-                                     "Transfer-Encoding": "chunked"}.items())
-        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in fields.items()]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        framed = self.framed  # For the whole stream, even if the mode changes meanwhile.
+        framing = {"Transfer-Encoding": "chunked"} if framed else {}
+        self.send_head(writer, self.head(headers, {"Content-Type": "text/event-stream",
+                                                   **framing}.items()))
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
             event = self.event(headers, number)
             if self.mode == "break" and number == first + 3:
-                writer.write(b"%x\r\n%s\r\n" % (len(event) // 2, event[: len(event) // 2]))
+                self.send_part(writer, event[: len(event) // 2], framed)
                 await writer.drain()
                 self.mode = "whole"
-                writer.transport.abort()
+                if framed:
+                    writer.transport.abort()
                 raise ConnectionError
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.send_part(writer, event, framed)
             await writer.drain()
             await asyncio.sleep(self.event_gap)
+        if not framed:
+            raise ConnectionError  # Closes the connection.
         writer.write(b"0\r\n\r\n")
+
+    def send_plain(self, writer, headers):
+        if self.framed:
+            send_response(writer, 200, self.plain_body(headers), self.head(headers))
+            return
+        self.send_head(writer, self.head(headers))
+        writer.write(self.plain_body(headers))
+        raise ConnectionError  # Closes the connection.
+
+    @staticmethod
+    def send_head(writer, fields):
+        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in fields.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    @staticmethod
+    def send_part(writer, content, framed):
+        writer.write(b"%x\r\n%s\r\n" % (len(content), content) if framed else content)
--- /dev/null
+++ b/tests/processes/unframed_response_test.py
@@ -0,0 +1,110 @@
+"""Gateway processes in front of back ends whose responses have neither a length nor chunks.
+
+Guards against a gateway that takes the close of such a response for its end: callers got streams
+that ended inside an event, framed as complete.
+
+Usage: unframed_response_test.py BUILD_FOLDER [TEST...]
+"""
+
+import asyncio
+import re
+import sys
+import tempfile
+import unittest
+
+from platform_test import COMPLETE_STREAM, Platform
+from process_test import known_failures
+
+STREAMS = 20
+
+
+class UnframedResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        name = f"unframed_response_test.{type(self).__name__}.{self._testMethodName}"
+        if name in known_failures():
+            self.skipTest("listed in KNOWN-RED.txt")
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform(self.folder.name)
+        await self.platform.start()
+        self.platform.configure(2, [Platform.route("/once/", "stream", "engines", 2)])
+        await self.platform.wait(self.serves_once)
+        for backend in [*self.platform.plain, *self.platform.engines]:
+            backend.framed = False
+            backend.requests.clear()
+
+    async def asyncTearDown(self):
+        await self.platform.stop()
+        self.folder.cleanup()
+
+    async def serves_once(self):
+        return (await self.platform.call("POST", "/once/1")).status == 200
+
+    def break_all_engines(self):
+        for engine in self.platform.engines:
+            engine.mode = "break"
+
+    def runs(self, backends):
+        return sum(len(backend.requests) for backend in backends)
+
+    async def metric(self, name):
+        return await self.platform.metric(name, self.platform.metrics_port)
+
+    async def test_complete_responses_are_relayed_whole_and_not_repeated(self):
+        streams = await asyncio.gather(
+            *(self.platform.call("POST", f"/{route}/{number}") for number in range(STREAMS)
+              for route in ("chat", "once")))
+        plain = await asyncio.gather(
+            *(self.platform.call("GET", f"/{route}/{number}") for number in range(STREAMS)
+              for route in ("read", "write")))
+        for response in streams:
+            if response.status == 503:  # Both engines are full.
+                continue
+            self.assertEqual((200, COMPLETE_STREAM, True),
+                             (response.status, response.body, response.complete))
+        for response in plain:
+            self.assertEqual((200, True), (response.status, response.complete))
+            self.assertIn(response.body, (b"from p1", b"from p2"))
+        self.assertEqual(sum(response.status == 200 for response in streams),
+                         self.runs(self.platform.engines))
+        self.assertEqual(len(plain), self.runs(self.platform.plain))
+        self.assertEqual(0, await self.metric("pumicemast_gateway_resumes"))
+        self.assertEqual(0, await self.metric("pumicemast_gateway_repeats"))
+
+    async def test_a_stream_that_ends_inside_an_event_is_resumed(self):
+        self.platform.engines[0].mode = self.platform.engines[1].mode = "break"
+        first, second = [await self.platform.call("POST", "/chat/1") for _ in range(2)]
+        # The second engine breaks off the resumed stream, and no attempt is left.
+        self.assertFalse(first.complete)
+        self.assertTrue(COMPLETE_STREAM.startswith(first.body) and first.body.endswith(b"\n\n"))
+        self.assertEqual((200, COMPLETE_STREAM, True),
+                         (second.status, second.body, second.complete))
+        self.platform.engines[0].mode = "break"
+        responses = [await self.platform.call("POST", "/chat/1") for _ in range(6)]
+        for response in responses:
+            self.assertEqual((200, COMPLETE_STREAM, True),
+                             (response.status, response.body, response.complete))
+        self.assertEqual("whole", self.platform.engines[0].mode)  # It broke off one of them.
+
+    async def test_a_stream_that_cannot_be_resumed_is_broken_off(self):
+        self.break_all_engines()
+        response = await self.platform.call("POST", "/once/1")
+        self.assertEqual((200, False), (response.status, response.complete))
+        self.assertEqual(1, self.runs(self.platform.engines))
+
+    async def test_a_request_id_leads_to_a_truncated_response(self):
+        self.break_all_engines()
+        await self.platform.call("POST", "/once/1", {"X-Pumicemast-Request-Id": "cut-1"})
+        log = self.platform.folder / "gateway.log"
+
+        def is_logged():
+            text = log.read_text(errors="replace")
+            return re.search(r"request id=cut-1 event=inferred_end backends=e\d .*"
+                             r"partial_bytes=[1-9]", text) and \
+                re.search(r"request id=cut-1 outcome=aborted reason=backend_failed", text)
+        await self.platform.wait(is_logged, 5)
+        self.assertEqual(1, await self.metric(
+            'pumicemast_gateway_inferred_ends_total{at="inside_event"}'))
+
+
+if __name__ == "__main__":
+    unittest.main(argv=[sys.argv[0], *sys.argv[2:]], verbosity=2)
--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -3,7 +3,8 @@
 One seed determines all random choices. During a run the system's guarantees are checked from the
 requests and responses at callers and back ends; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
-       [--limits] [--notices] [--restores] [--priorities] [--regressions] [--keep FOLDER]
+       [--limits] [--notices] [--restores] [--priorities] [--unframed] [--regressions]
+       [--keep FOLDER]
 """
 
 import argparse
@@ -23,6 +24,7 @@
 from soak_checks import UNDISTURBED_S, Checks  # noqa: E402
 from soak_faults import PLANNED, Faults  # noqa: E402
 from soak_fleet import GATEWAYS, SoakPlatform  # noqa: E402
+from soak_framing import Framing  # noqa: E402
 from soak_limits import Limits  # noqa: E402
 from soak_load import Load  # noqa: E402
 from soak_notices import Notices  # noqa: E402
@@ -46,10 +48,11 @@
     notices: bool = False  # Back ends announce their leaving and ask for pauses.
     restores: bool = False  # The store comes back from older copies.
     priorities: bool = False  # Routes of different priorities and tenants compete for slots.
+    unframed: bool = False  # Back ends answer without a length or chunks, and cut streams off.
 
     def __str__(self):
         fault_list = " of " + ",".join(self.faults) if self.faults else ""
-        extras = [name for name in ("limits", "notices", "restores", "priorities")
+        extras = [name for name in ("limits", "notices", "restores", "priorities", "unframed")
                   if getattr(self, name)]
         return f"seed {self.seed}{fault_list}" + "".join(f" with {name}" for name in extras)
 
@@ -77,6 +80,8 @@
         self.priorities = Priorities(self.platform, self.checks, self.load,
                                      random.Random(f"priorities {seed}"))
         self.priorities_enabled = False
+        self.framing = Framing(self.platform, self.checks, random.Random(f"framing {seed}"))
+        self.unframed_enabled = False
         self.simulates_suspend = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
@@ -94,6 +99,7 @@
             callers += self.priorities.start()
         limits = asyncio.create_task(self.limits.run()) if self.limits_enabled else None
         notices = asyncio.create_task(self.notices.run()) if self.notices_enabled else None
+        framing = asyncio.create_task(self.framing.run()) if self.unframed_enabled else None
         self.restores = Restores(self.platform, self.checks, self.restore_random)
         restores = asyncio.create_task(self.restores.run(self.end)) \
             if self.restores_enabled else None
@@ -106,6 +112,9 @@
         if limits:
             limits.cancel()
             self.limits.remove_all_limits()
+        if framing:
+            framing.cancel()
+            self.framing.finish()
         if notices:
             notices.cancel()
             await self.notices.finish()
@@ -168,6 +177,7 @@
     soak.limits_enabled = plan.limits
     soak.notices_enabled, soak.restores_enabled = plan.notices, plan.restores
     soak.priorities_enabled = plan.priorities
+    soak.unframed_enabled = plan.unframed
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (frozen processes see a suspended machine)" if soak.simulates_suspend else ""
@@ -177,6 +187,8 @@
           + (f", leaving announced {soak.notices.announced}, pauses {soak.notices.paused}"
              if plan.notices else "")
           + (f", restores {soak.restores.restored}" if plan.restores else "")
+          + (f", unframed {soak.framing.unframed}, cut {soak.framing.cut}"
+             if plan.unframed else "")
           + (", requests by priority: " + format_counts(soak.priorities.outcomes)
              if plan.priorities else ""), flush=True)
     for violation in checks.violations:
@@ -232,6 +244,8 @@
                         help="the store also comes back from older copies")
     parser.add_argument("--priorities", action="store_true",
                         help="routes of different priorities and tenants compete for slots")
+    parser.add_argument("--unframed", action="store_true",
+                        help="back ends also answer without a length or chunks, and cut streams off")
     parser.add_argument("--regressions", action="store_true", help="also run the regression seeds")
     parser.add_argument("--keep", help="folder in which to keep the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -242,7 +256,7 @@
     platform_test.BUILD = arguments.build.resolve()
     only = arguments.only.split(",") if arguments.only else []
     plans = [Plan(seed, arguments.seconds, only, arguments.limits, arguments.notices,
-                  arguments.restores, arguments.priorities)
+                  arguments.restores, arguments.priorities, arguments.unframed)
              for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -30,7 +30,8 @@
     result.routes = {route("chat", "/chat/", RequestKind::stream, "engines", 2),
                      route("write", "/write/", RequestKind::not_repeatable, "plain", 1),
                      route("pay", "/pay/", RequestKind::not_repeatable, "plain", 2),
-                     route("read", "/read/", RequestKind::repeatable, "plain", 2)};
+                     route("read", "/read/", RequestKind::repeatable, "plain", 2),
+                     route("once", "/once/", RequestKind::stream, "engines", 2)};
     result.routes[0].resumable = true;
     ServiceProfile engines;
     engines.name = "engines";
