Add failing tests of back ends that exit before the end of an unframed response

A process that ends has its connections closed by the system in an orderly way. A stream that is cut off between two events, or a plain response, then looks whole: the caller gets a last chunk or the length of what had come. The agent beside an engine, and a probe of a plain service, know better.

Fail on this code: 7 core tests (one of them, of responses that are whole, since the order of its calls follows the design to come) and 3 process tests; listed.

--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -232,6 +232,8 @@
   crash_correlator_.on_process_exit(backend, now);
 }
 
+void RequestForwarder::on_backend_listening(const std::string&, TimePoint, ForwarderActions&) {}
+
 std::vector<BackendCrash> RequestForwarder::take_crashes(TimePoint now) {
   std::vector<BackendCrash> crashes = crash_correlator_.take_crashes(now);
   for (const BackendCrash& crash : crashes) quarantine_.on_crash(crash);
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -89,6 +89,8 @@
   void on_connected(RequestNumber number);
   /// The process of a back end has ended, for any reason.
   void on_backend_ended(const std::string& backend, TimePoint now);
+  /// A probe has found that a process listens at the back end's address.
+  void on_backend_listening(const std::string& backend, TimePoint now, ForwarderActions& actions);
   void on_caller_gone(RequestNumber number, TimePoint now, ForwarderActions& actions);
   /// The response of the current attempt is held back, or no longer. An attempt that is held back
   /// does not count as stalled.
--- a/tests/gateway/requests/truncated_response_test.cpp
+++ b/tests/gateway/requests/truncated_response_test.cpp
@@ -38,6 +38,15 @@
   CPPUNIT_TEST(truncated_stream_counts_as_a_failure_of_its_back_end);
   CPPUNIT_TEST(truncated_stream_counts_as_interrupted_by_a_crash);
   CPPUNIT_TEST(complete_response_without_framing_is_no_failure_of_its_back_end);
+  CPPUNIT_TEST(inferred_end_is_held_back_until_the_end_of_the_engine_would_be_known);
+  CPPUNIT_TEST(inferred_end_is_not_held_back_without_an_agent);
+  CPPUNIT_TEST(stream_of_an_engine_that_exits_is_resumed);
+  CPPUNIT_TEST(stream_of_an_engine_that_exited_before_its_close_arrived_is_resumed);
+  CPPUNIT_TEST(stream_of_an_engine_that_exits_is_aborted_if_it_cannot_be_resumed);
+  CPPUNIT_TEST(exit_of_another_engine_does_not_matter);
+  CPPUNIT_TEST(plain_response_is_relayed_once_its_service_is_found_listening);
+  CPPUNIT_TEST(plain_response_of_a_service_that_exited_is_not_relayed);
+  CPPUNIT_TEST(caller_that_leaves_during_the_check_ends_the_request);
   CPPUNIT_TEST_SUITE_END();
 
   tests::GatewayHarness harness;
@@ -57,11 +66,46 @@
     return request;
   }
 
+  /// Lets the time pass in which evidence against an inferred end may arrive.
+  void wait_for_evidence() {
+    for (int step = 0; step < 20 && harness.actions.empty(); ++step) {
+      harness.advance(milliseconds(25));
+    }
+  }
+
+  /// Receives a stream of two events and the close of its connection.
+  /// @return its back end.
+  std::string receive_closed_stream(const std::string& target) {
+    harness.add_engines();
+    const RequestNumber request = harness.send_request(target);
+    const std::string backend = harness.sent_to();
+    harness.receive_head(request, 200, false, true);
+    harness.receive_body(request, kEvents);
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    return backend;
+  }
+
+  /// Receives a plain response and the close of its connection.
+  std::string receive_closed_plain(const std::string& target) {
+    harness.configure();
+    harness.add_backend("p1", "plain", 1);
+    harness.add_backend("p2", "plain", 2);
+    const RequestNumber request = harness.send_request(target);
+    const std::string backend = harness.sent_to();
+    harness.receive_head(request, 200);
+    harness.receive_body(request, "bo");
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    CPPUNIT_ASSERT(harness.first_action<BeginResponse>() == nullptr);
+    CPPUNIT_ASSERT(harness.first_action<ProbeBackend>() != nullptr);
+    return backend;
+  }
+
   static void check(const Case& expected) {
     TruncatedResponseTest test;
     test.harness.add_engines();
     const RequestNumber request = test.receive_stream(expected.target, expected.body);
     test.harness.complete_response(request, expected.end);
+    test.wait_for_evidence();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(expected.body, static_cast<int>(expected.outcome),
                                  static_cast<int>(test.outcome()));
   }
@@ -118,6 +162,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("id: 3\ndata: c\n\n"),
                          harness.first_action<RelayBody>()->bytes);
     harness.complete_response(request, ResponseEnd::inferred_from_close);
+    wait_for_evidence();
     CPPUNIT_ASSERT(outcome() == Outcome::ended);
   }
 
@@ -175,14 +220,100 @@
     harness.receive_head(plain, 200);
     harness.receive_body(plain, "body");
     harness.complete_response(plain, ResponseEnd::inferred_from_close);
+    harness.find_listening("p1");
     CPPUNIT_ASSERT(outcome() == Outcome::ended);
     CPPUNIT_ASSERT_EQUAL(std::string("body"), harness.first_action<RelayBody>()->bytes);
     harness.complete_response(stream, ResponseEnd::inferred_from_close);
+    wait_for_evidence();
     CPPUNIT_ASSERT(outcome() == Outcome::ended);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, harness.forwarder.counters().resumes);
     harness.send_request("/read/1");
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), harness.sent_to());
   }
+
+  void inferred_end_is_held_back_until_the_end_of_the_engine_would_be_known() {
+    receive_closed_stream(kResumable);
+    CPPUNIT_ASSERT(harness.actions.empty());
+    harness.advance(milliseconds(200));
+    CPPUNIT_ASSERT(harness.actions.empty());
+    harness.advance(milliseconds(200));
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+  }
+
+  void inferred_end_is_not_held_back_without_an_agent() {
+    harness.add_engines();
+    const RequestNumber request = receive_stream(kResumable, kEvents);
+    harness.now += seconds(1);  // No report is recent any more.
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+  }
+
+  void stream_of_an_engine_that_exits_is_resumed() {
+    const std::string backend = receive_closed_stream(kResumable);
+    harness.advance(milliseconds(100));
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.advance(milliseconds(25));
+    CPPUNIT_ASSERT(outcome() == Outcome::resumed);
+    CPPUNIT_ASSERT(harness.sent_to() != backend);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), harness.first_action<SendToBackend>()->resume_after);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.forwarder.take_crashes(harness.now).size());
+  }
+
+  void stream_of_an_engine_that_exited_before_its_close_arrived_is_resumed() {
+    harness.add_engines();
+    const RequestNumber request = harness.send_request(kResumable);
+    const std::string backend = harness.sent_to();
+    harness.receive_head(request, 200, false, true);
+    harness.receive_body(request, kEvents);
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.now += milliseconds(50);
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    CPPUNIT_ASSERT(outcome() == Outcome::resumed);
+  }
+
+  void stream_of_an_engine_that_exits_is_aborted_if_it_cannot_be_resumed() {
+    const std::string backend = receive_closed_stream(kNotResumable);
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.advance(milliseconds(25));
+    CPPUNIT_ASSERT(outcome() == Outcome::aborted);
+  }
+
+  void exit_of_another_engine_does_not_matter() {
+    const std::string backend = receive_closed_stream(kResumable);
+    harness.forwarder.on_backend_ended(backend == "e1" ? "e2" : "e1", harness.now);
+    wait_for_evidence();
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+  }
+
+  void plain_response_is_relayed_once_its_service_is_found_listening() {
+    const std::string backend = receive_closed_plain("/pay/1");
+    harness.find_listening(backend);
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+    CPPUNIT_ASSERT_EQUAL(std::string("bo"), harness.first_action<RelayBody>()->bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
+  }
+
+  void plain_response_of_a_service_that_exited_is_not_relayed() {
+    const std::string first = receive_closed_plain("/read/1");
+    harness.forwarder.on_backend_ended(first, harness.now);
+    harness.advance(milliseconds(25));
+    CPPUNIT_ASSERT(outcome() == Outcome::resumed);
+    CPPUNIT_ASSERT(harness.sent_to() != first);
+    const std::string second = receive_closed_plain("/pay/1");
+    harness.forwarder.on_backend_ended(second, harness.now);
+    harness.advance(milliseconds(25));
+    CPPUNIT_ASSERT_EQUAL(502, harness.refusal_status());
+  }
+
+  void caller_that_leaves_during_the_check_ends_the_request() {
+    const std::string backend = receive_closed_stream(kResumable);
+    harness.actions.clear();
+    harness.forwarder.on_caller_gone(harness.number, harness.now, harness.actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.advance(seconds(1));
+    CPPUNIT_ASSERT(harness.actions.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TruncatedResponseTest);
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -305,7 +305,9 @@
         self.framed = True
         # whole: responds normally. shed: refuses requests without executing them. lost: executes
         # requests and aborts the connection without a response. break: aborts the next stream in
-        # its fourth event, then responds normally; without framing, by an orderly close.
+        # its fourth event, then responds normally; without framing, by an orderly close. exit: the
+        # process ends after three events, or a part of a plain response, and all of its connections
+        # are closed in an orderly way.
         self.mode = "whole"
         self.event_gap = 0.02
         self.events = 10
@@ -412,6 +414,8 @@
                 if framed:
                     writer.transport.abort()
                 raise ConnectionError
+            if self.mode == "exit" and number == first + 3:
+                self.exit()
             self.send_part(writer, event, framed)
             await writer.drain()
             await asyncio.sleep(self.event_gap)
@@ -419,11 +423,21 @@
             raise ConnectionError  # Closes the connection.
         writer.write(b"0\r\n\r\n")
 
+    def exit(self):
+        """Ends the process as the system does: it closes all sockets."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        raise ConnectionError
+
     def send_plain(self, writer, headers):
         if self.framed:
             send_response(writer, 200, self.plain_body(headers), self.head(headers))
             return
         self.send_head(writer, self.head(headers))
+        if self.mode == "exit":
+            writer.write(self.plain_body(headers)[:2])
+            self.exit()
         writer.write(self.plain_body(headers))
         raise ConnectionError  # Closes the connection.
 
--- a/tests/processes/unframed_response_test.py
+++ b/tests/processes/unframed_response_test.py
@@ -92,6 +92,33 @@
         self.assertEqual((200, False), (response.status, response.complete))
         self.assertEqual(1, self.runs(self.platform.engines))
 
+    async def call_until_exit(self, method, target, backend):
+        """Sends requests until one of them has reached the back end, which exits under it."""
+        backend.mode = "exit"
+        ran = len(backend.requests)
+        for _ in range(10):
+            response = await self.platform.call(method, target)
+            if len(backend.requests) > ran:
+                return response
+        raise AssertionError(f"no request reached {backend.identity}")
+
+    async def test_a_stream_whose_engine_exits_between_events_is_resumed(self):
+        response = await self.call_until_exit("POST", "/chat/1", self.platform.engines[0])
+        self.assertEqual((200, COMPLETE_STREAM, True),
+                         (response.status, response.body, response.complete))
+
+    async def test_a_stream_whose_engine_exits_between_events_is_broken_off(self):
+        response = await self.call_until_exit("POST", "/once/1", self.platform.engines[0])
+        self.assertEqual((200, False), (response.status, response.complete))
+
+    async def test_a_part_of_a_plain_response_whose_service_exits_is_not_relayed(self):
+        first, second = self.platform.plain
+        response = await self.call_until_exit("GET", "/read/1", first)
+        self.assertEqual((200, b"from p2", True),
+                         (response.status, response.body, response.complete))
+        response = await self.call_until_exit("GET", "/write/1", second)
+        self.assertEqual(502, response.status)
+
     async def test_a_request_id_leads_to_a_truncated_response(self):
         self.break_all_engines()
         await self.platform.call("POST", "/once/1", {"X-Pumicemast-Request-Id": "cut-1"})
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -123,6 +123,11 @@
     actions.clear();
     forwarder.on_response_complete(request, end, now, actions);
   }
+  /// A process listens at the back end's address.
+  void find_listening(const std::string& backend) {
+    actions.clear();
+    forwarder.on_backend_listening(backend, now, actions);
+  }
   void fail_attempt(RequestNumber request, AttemptFailure failure) {
     actions.clear();
     forwarder.on_attempt_failed(request, failure, now, actions);
