Hold back an inferred end until an exit of its back end would be known

Callers got a part of a stream or of a plain response, framed as complete, when the back end's process ended between two events or inside a plain body: the system closes the connections of a process that ends in an orderly way.

If the process has ended, the attempt was interrupted: retry or resumption within attempts and budget, or 502, or the caller's connection broken off. Without an agent's report, and for a back end that leaves and may exit after its last response, the close counts as before. A held back end takes no slot.

--- a/src/gateway/backends/backend_probe.cpp
+++ b/src/gateway/backends/backend_probe.cpp
@@ -15,14 +15,15 @@
  public:
   Probe(BackendProbes& owner, std::string backend, const Address& address)
       : owner_(owner), backend_(std::move(backend)), stream_(address, kProbeTimeout, *this) {
-    timeout_.start_once(kProbeTimeout, [this] { owner_.finish(backend_, false); });
+    timeout_.start_once(kProbeTimeout, [this] { owner_.finish(backend_, std::nullopt); });
   }
 
  private:
   void on_stream_data(std::string_view) override {}
-  void on_stream_connected() override { owner_.finish(backend_, false); }
+  void on_stream_connected() override { owner_.finish(backend_, true); }
   void on_stream_end(StreamEnd end) override {
-    owner_.finish(backend_, end == StreamEnd::connect_refused);
+    const bool refused = end == StreamEnd::connect_refused;
+    owner_.finish(backend_, refused ? std::optional(false) : std::nullopt);
   }
 
   BackendProbes& owner_;
@@ -31,8 +32,9 @@
   Timer timeout_;
 };
 
-BackendProbes::BackendProbes(std::function<void(const std::string& backend)> on_refused)
-    : on_refused_(std::move(on_refused)) {}
+BackendProbes::BackendProbes(
+    std::function<void(const std::string& backend, bool listening)> on_result)
+    : on_result_(std::move(on_result)) {}
 
 BackendProbes::~BackendProbes() = default;
 
@@ -41,11 +43,11 @@
   probes_[backend] = std::make_unique<Probe>(*this, backend, address);
 }
 
-void BackendProbes::finish(const std::string& backend, bool refused) {
+void BackendProbes::finish(const std::string& backend, std::optional<bool> listening) {
   auto node = probes_.extract(backend);
   if (node.empty()) return;
   deleter_.defer(std::move(node.mapped()));
-  if (refused) on_refused_(node.key());
+  if (listening) on_result_(node.key(), *listening);
 }
 
 }  // namespace pumicemast
--- a/src/gateway/backends/backend_probe.h
+++ b/src/gateway/backends/backend_probe.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/event_loop.h"
@@ -14,9 +15,9 @@
 
 class BackendProbes {
  public:
-  /// @param on_refused  called when the machine refuses the connection: no process listens at the
-  ///                    back end's address.
-  explicit BackendProbes(std::function<void(const std::string& backend)> on_refused);
+  /// @param on_result  called when a probe ends. `listening` is false if the machine refused the
+  ///                   connection: no process listens at the back end's address.
+  explicit BackendProbes(std::function<void(const std::string& backend, bool listening)> on_result);
   ~BackendProbes();
 
   /// Opens a connection and closes it again, one at a time to each back end. An attempt that times
@@ -25,9 +26,10 @@
 
  private:
   class Probe;
-  void finish(const std::string& backend, bool refused);
+  /// @param listening  empty if the probe found out nothing.
+  void finish(const std::string& backend, std::optional<bool> listening);
 
-  std::function<void(const std::string& backend)> on_refused_;
+  std::function<void(const std::string& backend, bool listening)> on_result_;
   std::map<std::string, std::unique_ptr<Probe>> probes_;
   DeferredDeleter deleter_;
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -59,7 +59,9 @@
       forwarder_(fleet_.pool(), fleet_.targets(), fleet_.quarantine(),
                  forwarder_options(settings_)),
       backends_(*this),
-      probes_([this](const std::string& backend) { on_backend_ended(backend, "probe"); }),
+      probes_([this](const std::string& backend, bool listening) {
+        on_backend_probed(backend, listening);
+      }),
       status_server_([this](const std::string& path) { return status(path); }),
       metrics_server_([this](const std::string& path) { return status(path); }) {
   forwarder_.set_retry_allowance(fleet_.retry_allowance(loop_now()));
@@ -281,6 +283,16 @@
   forwarder_.on_backend_ended(backend, loop_now());
 }
 
+void GatewayDaemon::on_backend_probed(const std::string& backend, bool listening) {
+  if (!listening) {
+    on_backend_ended(backend, "probe");
+    return;
+  }
+  ForwarderActions actions;
+  forwarder_.on_backend_listening(backend, loop_now(), actions);
+  execute_actions(actions);
+}
+
 // ---- time ----
 
 void GatewayDaemon::tick() {
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -77,6 +77,9 @@
   /// @param evidence  source of the information, for the log: "agent" or "probe".
   void on_backend_ended(const std::string& backend, const char* evidence);
 
+  /// @param listening  whether a process listens at the back end's address.
+  void on_backend_probed(const std::string& backend, bool listening);
+
   CallerLimits limits() const;
   void execute_actions(ForwarderActions& actions);
   void flush_responses();
--- a/src/gateway/quarantine/crash_correlator.cpp
+++ b/src/gateway/quarantine/crash_correlator.cpp
@@ -19,14 +19,18 @@
 
 void CrashCorrelator::on_response_interrupted(const BackendIncarnation& backend,
                                               const RequestFingerprint& request, TimePoint now) {
-  const auto exited = exited_.find(backend.id);
-  if (exited != exited_.end() && now - exited->second <= kConfirmationTimeout) {
-    unreported_.push_back({backend, exited->second, {request}});
+  if (exited_recently(backend.id, now)) {
+    unreported_.push_back({backend, exited_.at(backend.id), {request}});
     return;
   }
   interrupted_[backend.id].push_back({backend, request, now});
 }
 
+bool CrashCorrelator::exited_recently(const std::string& backend, TimePoint now) const {
+  const auto exited = exited_.find(backend);
+  return exited != exited_.end() && now - exited->second <= kConfirmationTimeout;
+}
+
 void CrashCorrelator::on_process_exit(const std::string& backend, TimePoint now) {
   exited_[backend] = now;
   const auto found = interrupted_.find(backend);
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -180,6 +180,9 @@
   session.reading_paused = false;
   session.streaming = false;
   session.buffered.clear();
+  session.slot_released = false;
+  session.end_held_until.reset();
+  session.backend_ended = false;
   session.splitter.discard_partial_event();
   session.events_before = session.splitter.event_count();
   session.tried_backends.insert(choice.id);
@@ -210,12 +213,16 @@
   actions.emplace_back(std::move(action));
 }
 
-void RequestForwarder::release_backend(RequestSession& session) {
-  if (session.backend.empty()) return;
+void RequestForwarder::release_slot(RequestSession& session) {
+  if (session.backend.empty() || std::exchange(session.slot_released, true)) return;
   if (!session.first_token_seen) {
     pool_.on_first_token(session.backend, session.request.prompt_tokens);
   }
   pool_.on_finished(session.backend);
+}
+
+void RequestForwarder::release_backend(RequestSession& session) {
+  release_slot(session);
   session.backend.clear();
 }
 
@@ -230,10 +237,11 @@
 
 void RequestForwarder::on_backend_ended(const std::string& backend, TimePoint now) {
   crash_correlator_.on_process_exit(backend, now);
+  for (auto& [number, session] : sessions_) {
+    if (session.end_held_until && session.backend == backend) session.backend_ended = true;
+  }
 }
 
-void RequestForwarder::on_backend_listening(const std::string&, TimePoint, ForwarderActions&) {}
-
 std::vector<BackendCrash> RequestForwarder::take_crashes(TimePoint now) {
   std::vector<BackendCrash> crashes = crash_correlator_.take_crashes(now);
   for (const BackendCrash& crash : crashes) quarantine_.on_crash(crash);
@@ -287,14 +295,19 @@
   const auto found = sessions_.find(number);
   if (found == sessions_.end() || found->second.backend.empty()) return;
   RequestSession& session = found->second;
-  const std::string backend = session.backend;
   session.splitter.end_stream();
   if (end == ResponseEnd::inferred_from_close) record_inferred_end(session);
-  if (ResponseRelay::is_truncated(session, end)) {
-    ++counters_.truncated;
-    on_attempt_failed(number, AttemptFailure::truncated, now, actions);
-    return;
+  const bool truncated = ResponseRelay::is_truncated(session, end);
+  if (truncated) {
+    truncate(number, session, now, actions);
+  } else if (end == ResponseEnd::stated || !check_inferred_end(number, session, now, actions)) {
+    complete(number, session, now, actions);
   }
+}
+
+void RequestForwarder::complete(RequestNumber number, RequestSession& session, TimePoint now,
+                                ForwarderActions& actions) {
+  const std::string backend = session.backend;
   if (session.response.not_run) {
     ++counters_.refused_by_backend;
     if (session.response.replaced) {
@@ -441,21 +454,6 @@
   summaries_.push_back(session.summarize(outcome, reason, status, now));
 }
 
-void RequestForwarder::record_inferred_end(const RequestSession& session) {
-  InferredEnd end;
-  end.request_id = session.request.id;
-  end.backend = session.backend;
-  end.status = session.response.status;
-  end.streaming = session.streaming;
-  end.events = session.splitter.event_count() - session.events_before;
-  end.partial_bytes = session.splitter.partial_bytes();
-  inferred_ends_.push_back(std::move(end));
-}
-
-std::vector<InferredEnd> RequestForwarder::take_inferred_ends() {
-  return std::exchange(inferred_ends_, {});
-}
-
 std::vector<RequestSummary> RequestForwarder::take_summaries() {
   std::vector<RequestSummary> result = std::move(summaries_);
   summaries_.clear();
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -2,8 +2,9 @@
 ///
 /// A decision core: no I/O. It authorizes, routes, admits or refuses requests, sends them to back
 /// ends, retries or resumes failed attempts, and enforces deadlines. The timer-driven part is in
-/// request_forwarder_time.cpp, waiting for slots in request_forwarder_slots.cpp, and what follows a
-/// failed attempt in request_forwarder_retry.cpp.
+/// request_forwarder_time.cpp, waiting for slots in request_forwarder_slots.cpp, what follows a
+/// failed attempt in request_forwarder_retry.cpp, and responses that end with their connection in
+/// request_forwarder_ends.cpp.
 ///
 /// Invariants:
 /// - each request gets exactly one final action (EndResponse, SendRefusal, AbortResponse), unless
@@ -180,6 +181,8 @@
                         TimePoint now, ForwarderActions& actions);
   /// Why engines denied a slot, if that says more than a lack of capacity.
   std::optional<RefusalReason> slot_refusal(RequestNumber number) const;
+  /// The attempt has ended at its back end, whatever becomes of its response.
+  void release_slot(RequestSession& session);
   void release_backend(RequestSession& session);
   /// Records that the attempt broke off, which may be due to a crash of its back end.
   void record_possible_crash(const RequestSession& session, TimePoint now,
@@ -227,6 +230,22 @@
   void check_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                      ForwarderActions& actions);
   void record_inferred_end(const RequestSession& session);
+  /// Decides on a response whose connection was closed, or holds its end back for evidence that its
+  /// back end's process ended: the system closes the connections of such a process in an orderly
+  /// way.
+  /// @return false if the response is complete as far as can be known.
+  bool check_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
+                          ForwarderActions& actions);
+  void truncate(RequestNumber number, RequestSession& session, TimePoint now,
+                ForwarderActions& actions);
+  /// Decides on a response whose end is held back, once there is evidence or none has come in time.
+  void decide_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
+                           ForwarderActions& actions);
+  void complete_inferred(RequestNumber number, RequestSession& session, TimePoint now,
+                         ForwarderActions& actions);
+  /// Handles a complete response.
+  void complete(RequestNumber number, RequestSession& session, TimePoint now,
+                ForwarderActions& actions);
   void summarize(const RequestSession& session, const char* outcome, const char* reason, int status,
                  TimePoint now);
 
--- /dev/null
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -0,0 +1,77 @@
+// Responses that end with their connection: whether they are complete is inferred.
+#include <algorithm>
+#include <utility>
+
+#include "gateway/requests/request_forwarder.h"
+
+namespace pumicemast {
+
+void RequestForwarder::truncate(RequestNumber number, RequestSession& session, TimePoint now,
+                                ForwarderActions& actions) {
+  ++counters_.truncated;
+  session.end_held_until.reset();
+  on_attempt_failed(number, AttemptFailure::truncated, now, actions);
+}
+
+bool RequestForwarder::check_inferred_end(RequestNumber number, RequestSession& session,
+                                          TimePoint now, ForwarderActions& actions) {
+  // The head alone states that the request did not run.
+  if (session.response.not_run) return false;
+  // A back end that leaves may exit as soon as it has sent its last response.
+  if (pool_.leaving(session.backend)) return false;
+  if (crash_correlator_.exited_recently(session.backend, now)) {
+    truncate(number, session, now, actions);
+    return true;
+  }
+  if (session.service->engine) {
+    if (!pool_.known_alive(session.backend, now)) return false;  // No agent would report its end.
+  } else {
+    actions.emplace_back(ProbeBackend{session.backend, session.backend_address});
+  }
+  release_slot(session);
+  session.end_held_until = std::min(now + options_.inferred_end_wait, session.deadline);
+  return true;
+}
+
+void RequestForwarder::on_backend_listening(const std::string& backend, TimePoint now,
+                                            ForwarderActions& actions) {
+  std::vector<RequestNumber> numbers;
+  for (const auto& [number, session] : sessions_) {
+    if (session.end_held_until && session.backend == backend) numbers.push_back(number);
+  }
+  for (const RequestNumber number : numbers) {
+    complete_inferred(number, sessions_.at(number), now, actions);
+  }
+}
+
+void RequestForwarder::complete_inferred(RequestNumber number, RequestSession& session,
+                                         TimePoint now, ForwarderActions& actions) {
+  session.end_held_until.reset();
+  complete(number, session, now, actions);
+}
+
+void RequestForwarder::decide_inferred_end(RequestNumber number, RequestSession& session,
+                                           TimePoint now, ForwarderActions& actions) {
+  if (session.backend_ended) {
+    truncate(number, session, now, actions);
+  } else if (now >= *session.end_held_until) {
+    complete_inferred(number, session, now, actions);
+  }
+}
+
+void RequestForwarder::record_inferred_end(const RequestSession& session) {
+  InferredEnd end;
+  end.request_id = session.request.id;
+  end.backend = session.backend;
+  end.status = session.response.status;
+  end.streaming = session.streaming;
+  end.events = session.splitter.event_count() - session.events_before;
+  end.partial_bytes = session.splitter.partial_bytes();
+  inferred_ends_.push_back(std::move(end));
+}
+
+std::vector<InferredEnd> RequestForwarder::take_inferred_ends() {
+  return std::exchange(inferred_ends_, {});
+}
+
+}  // namespace pumicemast
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -80,7 +80,9 @@
 
 void RequestForwarder::enforce_deadline(RequestNumber number, RequestSession& session,
                                         TimePoint now, ForwarderActions& actions) {
-  if (now >= session.deadline - kDeadlineMargin) {
+  if (session.end_held_until) {
+    decide_inferred_end(number, session, now, actions);
+  } else if (now >= session.deadline - kDeadlineMargin) {
     end_at_deadline(number, session, now, actions);
   } else if (!session.waiting) {
     check_attempt(number, session, now, actions);
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -92,6 +92,10 @@
   bool reading_paused = false;      ///< Its response is held back until the caller has read more.
   bool streaming = false;           ///< The response of the attempt is an event stream.
   std::uint64_t events_before = 0;  ///< Complete events of earlier attempts.
+  bool slot_released = false;       ///< The attempt no longer counts as running.
+  /// The end of the response is held back until then, for news that its back end's process ended.
+  std::optional<TimePoint> end_held_until;
+  bool backend_ended = false;  ///< Such news has come.
   ResponseMetadata response;
   std::string buffered;
   EventSplitter splitter;
--- a/tests/gateway/requests/truncated_response_test.cpp
+++ b/tests/gateway/requests/truncated_response_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(stream_of_an_engine_that_exited_before_its_close_arrived_is_resumed);
   CPPUNIT_TEST(stream_of_an_engine_that_exits_is_aborted_if_it_cannot_be_resumed);
   CPPUNIT_TEST(exit_of_another_engine_does_not_matter);
+  CPPUNIT_TEST(engine_that_leaves_may_exit_after_its_last_response);
+  CPPUNIT_TEST(held_back_end_takes_no_place_at_its_back_end);
   CPPUNIT_TEST(plain_response_is_relayed_once_its_service_is_found_listening);
   CPPUNIT_TEST(plain_response_of_a_service_that_exited_is_not_relayed);
   CPPUNIT_TEST(caller_that_leaves_during_the_check_ends_the_request);
@@ -285,6 +287,42 @@
     CPPUNIT_ASSERT(outcome() == Outcome::ended);
   }
 
+  void engine_that_leaves_may_exit_after_its_last_response() {
+    harness.add_engines();
+    const RequestNumber request = harness.send_request(kResumable);
+    const std::string backend = harness.sent_to();
+    BackendNotice notice;
+    notice.leaving = true;
+    harness.receive_head(request, 200, false, true, notice);
+    harness.receive_body(request, kEvents);
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.advance(milliseconds(25));
+    CPPUNIT_ASSERT(harness.actions.empty());
+  }
+
+  void held_back_end_takes_no_place_at_its_back_end() {
+    harness.configure();
+    harness.add_backend("p1", "plain", 1);
+    harness.add_backend("p2", "plain", 2);
+    for (int round = 0; round < 20; ++round) {
+      const RequestNumber running = harness.send_request("/pay/1");
+      const RequestNumber closed = harness.send_request("/pay/2");
+      const std::string backend = harness.sent_to();
+      harness.receive_head(closed, 200);
+      harness.complete_response(closed, ResponseEnd::inferred_from_close);
+      const RequestNumber next = harness.send_request("/pay/3");
+      CPPUNIT_ASSERT_EQUAL(backend, harness.sent_to());
+      harness.find_listening(backend);
+      for (const RequestNumber request : {running, next}) {
+        harness.receive_head(request, 200);
+        harness.complete_response(request);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
+  }
+
   void plain_response_is_relayed_once_its_service_is_found_listening() {
     const std::string backend = receive_closed_plain("/pay/1");
     harness.find_listening(backend);
--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -75,7 +75,11 @@
     async def stop(self):
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            self.end_connection(writer)
+
+    def end_connection(self, writer):
+        """Ends a connection as stop() does."""
+        writer.transport.abort()
 
     def silence(self, writers):
         """Drops all further packets on these connections, without a reset; new ones work."""
@@ -314,6 +318,12 @@
         self.leaving = False  # Announced in all responses.
         self.pause_s = None  # Pause that refusals ask for, if any.
 
+    def end_connection(self, writer):
+        if self.framed:
+            super().end_connection(writer)
+        else:
+            writer.close()  # As the system does when a process exits.
+
     def notices(self, status):
         """Headers about the back end itself."""
         fields = {"Server-Leaving": 1} if self.leaving else {}
