Tell truncated streams of engines from complete ones at agents as well

The same cause in the other stack: an agent passed a response on as whole when its engine closed the connection, also inside an event, and its entry ended the caller's stream as complete. StreamCall applies the rule of the gateway now; EventSplitter moved to http1 for that. The test of a chunked response had a body that is no event stream under that content type; it sends an event in two chunks now and checks as much.

Looked at and found sound, with tests: ends that are stated (length, last chunk, 204, 304, HEAD, after 1xx) against those that are inferred (also HTTP/1.0 and keep-alive without a length); conflicting lengths and chunks are malformed; random bytes, cut anywhere, for responses without framing. Documents of the store, reports and manifests are single JSON objects, of which no proper prefix parses; pieces of weights are checked by digest; a request whose body ends with its connection is none.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "gateway/status_pages.h"
+#include "http1/event_splitter.h"
 
 namespace pumicemast {
 namespace {
@@ -34,8 +35,6 @@
   return options;
 }
 
-std::string_view event_stream_type() { return "text/event-stream"; }
-
 }  // namespace
 
 GatewayDaemon::GatewayDaemon(GatewaySettings settings, const StateChart& chart, EventLoop& loop,
@@ -215,7 +214,7 @@
     exchange->response_head.clear();
     append_end_to_end_fields(exchange->response_head, head);
   }
-  const bool events = field_value(head, "Content-Type").starts_with(event_stream_type());
+  const bool events = is_event_stream(field_value(head, "Content-Type"));
   forwarder_.on_response_head(number, metadata, events, loop_now());
   fleet_.propagate_backend_changes();
   return true;
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -297,8 +297,8 @@
   RequestSession& session = found->second;
   session.splitter.end_stream();
   if (end == ResponseEnd::inferred_from_close) record_inferred_end(session);
-  const bool truncated = ResponseRelay::is_truncated(session, end);
-  if (truncated) {
+  const std::uint64_t events = session.splitter.event_count() - session.events_before;
+  if (session.streaming && is_truncated(session.splitter, events, end)) {
     truncate(number, session, now, actions);
   } else if (end == ResponseEnd::stated || !check_inferred_end(number, session, now, actions)) {
     complete(number, session, now, actions);
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -8,9 +8,9 @@
 
 #include "common/time.h"
 #include "fleet/backend_record.h"
-#include "gateway/requests/event_splitter.h"
 #include "gateway/requests/forwarder_actions.h"
 #include "gateway/requests/route_table.h"
+#include "http1/event_splitter.h"
 #include "locality/allowed_regions.h"
 
 namespace pumicemast {
--- a/src/gateway/requests/response_relay.cpp
+++ b/src/gateway/requests/response_relay.cpp
@@ -53,13 +53,6 @@
   actions.emplace_back(RelayBody{number, std::move(ready)});
 }
 
-bool ResponseRelay::is_truncated(const RequestSession& session, ResponseEnd end) {
-  if (!session.streaming) return false;
-  if (session.splitter.inside_event()) return true;
-  const bool has_event = session.splitter.event_count() > session.events_before;
-  return end == ResponseEnd::inferred_from_close && !has_event;
-}
-
 void ResponseRelay::finish(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions) {
   if (session.streaming) {
--- a/src/gateway/requests/response_relay.h
+++ b/src/gateway/requests/response_relay.h
@@ -11,7 +11,6 @@
 #include "gateway/requests/forwarder_actions.h"
 #include "gateway/requests/forwarder_options.h"
 #include "gateway/requests/request_session.h"
-#include "http1/response_reader.h"
 
 namespace pumicemast {
 
@@ -23,10 +22,6 @@
   /// Handles body bytes received by the session's current attempt.
   void on_body(RequestNumber number, RequestSession& session, std::string_view bytes, TimePoint now,
                ForwarderActions& actions);
-  /// Whether the response lacks a part although its connection was closed in an orderly way, or its
-  /// framing says that it is complete: a stream that ends inside an event. One whose end is only
-  /// inferred lacks a part as well if it has no event at all.
-  static bool is_truncated(const RequestSession& session, ResponseEnd end);
   /// The response is complete: relays whatever is still buffered and ends the response.
   void finish(RequestNumber number, RequestSession& session, TimePoint now,
               ForwarderActions& actions);
--- a/src/http/stream_call.cpp
+++ b/src/http/stream_call.cpp
@@ -91,6 +91,7 @@
     std::transform(name.begin(), name.end(), name.begin(), g_ascii_tolower);
     response.headers[name] = std::string(to_view(field.value()));
   }
+  if (is_event_stream(field_value(head, "Content-Type"))) events_.emplace();
   callbacks_.on_head(response);
   return true;
 }
@@ -98,10 +99,15 @@
 void StreamCall::on_response_body(std::string_view bytes) {
   if (finished_) return;
   restart_idle_timer();
+  if (events_) events_->take_complete_events(bytes);
   callbacks_.on_data(std::string(bytes));
 }
 
-void StreamCall::on_response_complete(ResponseEnd) { end(true); }
+void StreamCall::on_response_complete(ResponseEnd response_end) {
+  if (events_) events_->end_stream();
+  const bool truncated = events_ && is_truncated(*events_, events_->event_count(), response_end);
+  end(!truncated);
+}
 
 void StreamCall::on_exchange_failed(ExchangeFailure failure) {
   const bool never_sent = failure == ExchangeFailure::not_sent;
--- a/src/http/stream_call.h
+++ b/src/http/stream_call.h
@@ -5,11 +5,13 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/event_loop.h"
 #include "http/http_client.h"
 #include "http1/client_connection.h"
+#include "http1/event_splitter.h"
 
 namespace pumicemast {
 
@@ -42,6 +44,7 @@
   HttpStreamCallbacks callbacks_;
   Duration idle_timeout_;
   Timer idle_timer_;
+  std::optional<EventSplitter> events_;  ///< Of an event stream.
   bool head_reported_ = false;
   bool finished_ = false;
   ClientConnection connection_;
--- a/src/gateway/requests/event_splitter.cpp
+++ b/src/http1/event_splitter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/requests/event_splitter.h"
+#include "http1/event_splitter.h"
 
 #include <utility>
 
@@ -19,6 +19,10 @@
 
 }  // namespace
 
+bool is_event_stream(std::string_view content_type) {
+  return content_type.starts_with("text/event-stream");
+}
+
 std::optional<EventSplitter::Line> EventSplitter::next_line() {
   const std::size_t at = partial_.find_first_of("\r\n", line_start_);
   if (at == std::string::npos) return std::nullopt;
@@ -92,4 +96,9 @@
   block_id_.reset();
 }
 
+bool is_truncated(const EventSplitter& stream, std::uint64_t events, ResponseEnd end) {
+  if (stream.inside_event()) return true;
+  return end == ResponseEnd::inferred_from_close && events == 0;
+}
+
 }  // namespace pumicemast
--- a/src/gateway/requests/event_splitter.h
+++ b/src/http1/event_splitter.h
@@ -11,8 +11,13 @@
 #include <string>
 #include <string_view>
 
+#include "http1/response_reader.h"
+
 namespace pumicemast {
 
+/// Whether a response with this Content-Type is an event stream.
+bool is_event_stream(std::string_view content_type);
+
 class EventSplitter {
  public:
   /// Adds received bytes.
@@ -52,4 +57,11 @@
   std::uint64_t event_count_ = 0;
 };
 
+/// Whether a stream lacks a part although its connection was closed in an orderly way, or its
+/// framing says that it is complete: it ends inside an event, or its end is only inferred and it
+/// has no event.
+/// @param stream  all bytes were added, and end_stream() was called.
+/// @param events  complete events of the response.
+bool is_truncated(const EventSplitter& stream, std::uint64_t events, ResponseEnd end);
+
 }  // namespace pumicemast
--- a/tests/fuzz/bad_bytes_test.cpp
+++ b/tests/fuzz/bad_bytes_test.cpp
@@ -7,7 +7,7 @@
 #include "common/settings.h"
 #include "gateway/quarantine/crash_messages.h"
 #include "gateway/quarantine/request_quarantine.h"
-#include "gateway/requests/event_splitter.h"
+#include "http1/event_splitter.h"
 #include "http1/request_reader.h"
 #include "http1/response_reader.h"
 #include "platform/configuration_translation.h"
@@ -46,6 +46,9 @@
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\nX-Pumicemast-Request-Id: 9c41\r\nKeep-Alive: timeout=5\r\n\r\n"
     "b\r\ndata: hello\r\n4\r\n\n\nid\r\n0\r\n\r\n";
+constexpr char kUnframedResponse[] =
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "X-Pumicemast-Request-Id: 9c41\r\n\r\nid: 1\ndata: hello\n\nid: 2\nda";
 constexpr char kEvents[] =
     "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\ndata: without id\n\n: comment\n\nid: 4\ndata: "
     "four";
@@ -107,6 +110,9 @@
   }
   if (status == ReadStatus::need_more) status = reader.consume_end();
   body += reader.take_body();
+  if (status == ReadStatus::complete) {
+    body += reader.end() == ResponseEnd::stated ? "|stated" : "|inferred";
+  }
   if (reader.head_complete()) {
     const platform::GatewayTranslation translation;
     translation.read_response(reader.head());
@@ -211,6 +217,7 @@
   CPPUNIT_TEST(readings_that_differ_are_told_apart);
   CPPUNIT_TEST(requests);
   CPPUNIT_TEST(responses);
+  CPPUNIT_TEST(responses_without_framing);
   CPPUNIT_TEST(event_streams);
   CPPUNIT_TEST(frames);
   CPPUNIT_TEST(crash_updates);
@@ -264,21 +271,31 @@
                  [](const Pieces& pieces) { return read_response(pieces); });
   }
 
+  void responses_without_framing() {
+    check_pieces(kUnframedResponse,
+                 {"\r\n", "\r\n\r\n", "Content-Length: 3\r\n", "HTTP/1.0", "HTTP/1.1 304 x\r\n",
+                  "Transfer-Encoding: chunked\r\n", "Connection: keep-alive\r\n"},
+                 [](const Pieces& pieces) { return read_response(pieces); });
+  }
+
   void event_streams() {
-    check_pieces(
-        kEvents, {"\n\n", "\r\n\r\n", "id: ", "id:\n", "data: ", "\r"}, [](const Pieces& pieces) {
-          EventSplitter splitter;
-          std::string complete_events;
-          std::string all;
-          for (const std::string_view piece : pieces) {
-            complete_events += splitter.take_complete_events(piece);
-            all += piece;
-          }
-          const std::string last_id = splitter.last_id().value_or("none");
-          CPPUNIT_ASSERT(complete_events + splitter.take_partial_event() == all);
-          return ParseResult{
-              true, complete_events + "|" + last_id + "|" + std::to_string(splitter.event_count())};
-        });
+    check_pieces(kEvents,
+                 {"\n\n", "\r\n\r\n", "\r\r", "id: ", "id:\n", "data: ", "\r", ":", "retry:"},
+                 [](const Pieces& pieces) {
+                   EventSplitter splitter;
+                   std::string complete_events;
+                   std::string all;
+                   for (const std::string_view piece : pieces) {
+                     complete_events += splitter.take_complete_events(piece);
+                     all += piece;
+                   }
+                   splitter.end_stream();
+                   const std::string last_id = splitter.last_id().value_or("none");
+                   const char* place = splitter.inside_event() ? "|inside|" : "|after|";
+                   CPPUNIT_ASSERT(complete_events + splitter.take_partial_event() == all);
+                   return ParseResult{true, complete_events + place + last_id + "|" +
+                                                std::to_string(splitter.event_count())};
+                 });
   }
 
   void frames() {
--- a/tests/gateway/gateway_cores_test.cpp
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -2,7 +2,7 @@
 
 #include "common/log_budget.h"
 #include "gateway/backends/weight_targets.h"
-#include "gateway/requests/event_splitter.h"
+#include "http1/event_splitter.h"
 #include "gateway/requests/route_table.h"
 #include "support/gateway_harness.h"
 
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -13,18 +13,23 @@
   CPPUNIT_TEST(fails_when_the_connection_closes_between_chunks);
   CPPUNIT_TEST(fails_when_the_connection_closes_within_a_chunk);
   CPPUNIT_TEST(fails_a_response_shorter_than_its_length);
+  CPPUNIT_TEST(fails_a_stream_that_ends_inside_an_event);
+  CPPUNIT_TEST(fails_a_stream_without_framing_that_has_no_event);
+  CPPUNIT_TEST(completes_responses_without_framing);
   CPPUNIT_TEST(reports_never_sent_when_nothing_listens);
   CPPUNIT_TEST(runs_no_callback_after_cancellation);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kChunkedHead[] =
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static constexpr char kUnframedHead[] =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
  public:
   void completes_a_chunked_response() {
-    CPPUNIT_ASSERT(complete(std::string(kChunkedHead) + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"));
+    CPPUNIT_ASSERT(complete(std::string(kChunkedHead) + "7\r\ndata: a\r\n2\r\n\n\n\r\n0\r\n\r\n"));
     CPPUNIT_ASSERT_EQUAL(200U, status_);
-    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), body_);
+    CPPUNIT_ASSERT_EQUAL(std::string("data: a\n\n"), body_);
   }
 
   void fails_when_the_connection_closes_between_chunks() {
@@ -40,6 +45,23 @@
     CPPUNIT_ASSERT(!complete("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"));
   }
 
+  void fails_a_stream_that_ends_inside_an_event() {
+    CPPUNIT_ASSERT(!complete(std::string(kUnframedHead) + "data: a\n\ndata: b\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("data: a\n\ndata: b\n"), body_);
+    ended_.reset();
+    CPPUNIT_ASSERT(!complete(std::string(kChunkedHead) + "7\r\ndata: a\r\n0\r\n\r\n"));
+  }
+
+  void fails_a_stream_without_framing_that_has_no_event() {
+    CPPUNIT_ASSERT(!complete(kUnframedHead));
+  }
+
+  void completes_responses_without_framing() {
+    CPPUNIT_ASSERT(complete(std::string(kUnframedHead) + "data: a\n\n"));
+    ended_.reset();
+    CPPUNIT_ASSERT(complete("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nabc"));
+  }
+
   void reports_never_sent_when_nothing_listens() {
     Address closed;
     {
--- a/tests/http1/http_readers_test.cpp
+++ b/tests/http1/http_readers_test.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(returns_chunked_body_bytes_as_they_arrive);
   CPPUNIT_TEST(completes_a_response_without_length_only_at_end_of_stream);
   CPPUNIT_TEST(never_completes_a_truncated_response);
+  CPPUNIT_TEST(tells_a_stated_end_from_one_inferred_from_the_close);
+  CPPUNIT_TEST(rejects_a_response_with_conflicting_framing);
   CPPUNIT_TEST(detects_bytes_after_a_response);
   CPPUNIT_TEST(reports_invalid_bytes_as_malformed);
   CPPUNIT_TEST(skips_interim_responses);
@@ -71,6 +73,52 @@
     }
   }
 
+  void tells_a_stated_end_from_one_inferred_from_the_close() {
+    struct Row {
+      const char* text;
+      bool head_request;
+      ResponseEnd end;
+    };
+    const auto stated = ResponseEnd::stated;
+    const auto inferred = ResponseEnd::inferred_from_close;
+    for (const Row& row : {
+             Row{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, stated},
+             Row{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, stated},
+             Row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false, stated},
+             Row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\r\n", false,
+                 stated},
+             Row{"HTTP/1.1 204 No Content\r\n\r\n", false, stated},
+             Row{"HTTP/1.1 304 Not Modified\r\n\r\n", false, stated},
+             Row{"HTTP/1.1 200 OK\r\n\r\n", true, stated},
+             Row{"HTTP/1.1 200 OK\r\n\r\n", false, inferred},
+             Row{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", false, inferred},
+             Row{"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nabc", false, inferred},
+             Row{"HTTP/1.0 200 OK\r\n\r\nabc", false, inferred},
+             Row{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc", false, inferred},
+         }) {
+      ResponseReader reader;
+      reader.begin(row.head_request);
+      ReadStatus status = reader.consume(row.text);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.text, row.end == stated, status == ReadStatus::complete);
+      if (status != ReadStatus::complete) status = reader.consume_end();
+      CPPUNIT_ASSERT_MESSAGE(row.text, status == ReadStatus::complete);
+      CPPUNIT_ASSERT_MESSAGE(row.text, reader.end() == row.end);
+      CPPUNIT_ASSERT_MESSAGE(row.text, row.end == stated || !reader.keep_alive());
+    }
+  }
+
+  void rejects_a_response_with_conflicting_framing() {
+    for (const char* fields :
+         {"Content-Length: 1\r\nContent-Length: 2\r\n", "Content-Length: 1, 2\r\n",
+          "Content-Length: -1\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+          "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"}) {
+      ResponseReader reader;
+      reader.begin(false);
+      CPPUNIT_ASSERT_MESSAGE(fields, reader.consume(std::string("HTTP/1.1 200 OK\r\n") + fields +
+                                                    "\r\nab") == ReadStatus::malformed);
+    }
+  }
+
   void detects_bytes_after_a_response() {
     ResponseReader reader;
     reader.begin(false);
