--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -48,7 +48,8 @@
   std::ostringstream text;
   text << "request id=" << end.request_id << " event=inferred_end backends=" << end.backend
        << " status=" << end.status << " stream=" << (end.streaming ? "yes" : "no")
-       << " events=" << end.events << " partial_bytes=" << end.partial_bytes;
+       << " events=" << end.events << " partial_bytes=" << end.partial_bytes
+       << " inside_event=" << (end.inside_event ? "yes" : "no");
   log_line("inferred_end", text.str());
 }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -41,9 +41,7 @@
 }
 
 void GatewayMetrics::on_inferred_end(const InferredEnd& end) {
-  const char* place = !end.streaming          ? "plain"
-                      : end.partial_bytes > 0 ? "inside_event"
-                                              : "after_event";
+  const char* place = !end.streaming ? "plain" : end.inside_event ? "inside_event" : "after_event";
   metrics_.count("pumicemast_gateway_inferred_ends_total", {{"at", place}});
 }
 
@@ -57,7 +55,7 @@
   set("pumicemast_gateway_taken_back", static_cast<double>(counters.taken_back));
   set("pumicemast_gateway_begun_late", static_cast<double>(counters.begun_late));
   set("pumicemast_gateway_backend_refusals", static_cast<double>(counters.refused_by_backend));
-  set("pumicemast_gateway_truncated_streams", static_cast<double>(counters.truncated));
+  set("pumicemast_gateway_truncated_responses", static_cast<double>(counters.truncated));
   set("pumicemast_gateway_retry_budget_exhausted", static_cast<double>(counters.budget_exhausted));
   set("pumicemast_gateway_yielded", static_cast<double>(counters.yielded));
   set("pumicemast_gateway_engine_first_attempts",
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -52,7 +52,7 @@
   std::uint64_t repeats = 0;
   std::uint64_t resumes = 0;
   std::uint64_t refused_by_backend = 0;
-  std::uint64_t truncated = 0;  ///< Streams that ended inside an event, or inferred without one.
+  std::uint64_t truncated = 0;  ///< Responses cut off by an orderly close.
   std::uint64_t budget_exhausted = 0;
   std::uint64_t taken_back = 0;  ///< Attempts cancelled because they would have started too late.
   std::uint64_t begun_late = 0;  ///< First tokens after the start bound of their weights.
--- a/src/gateway/requests/request_forwarder_ends.cpp
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -67,6 +67,7 @@
   end.streaming = session.streaming;
   end.events = session.splitter.event_count() - session.events_before;
   end.partial_bytes = session.splitter.partial_bytes();
+  end.inside_event = session.splitter.inside_event();
   inferred_ends_.push_back(std::move(end));
 }
 
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -55,6 +55,7 @@
   bool streaming = false;
   std::uint64_t events = 0;       ///< Complete events of this attempt.
   std::size_t partial_bytes = 0;  ///< Bytes after the last complete event.
+  bool inside_event = false;
 };
 
 /// The forwarder's state of a request.
@@ -93,9 +94,9 @@
   bool streaming = false;           ///< The response of the attempt is an event stream.
   std::uint64_t events_before = 0;  ///< Complete events of earlier attempts.
   bool slot_released = false;       ///< The attempt no longer counts as running.
-  /// The end of the response is held back until then, for news that its back end's process ended.
+  /// The end of the response is held back until then, in case an exit of its back end is reported.
   std::optional<TimePoint> end_held_until;
-  bool backend_ended = false;  ///< Such news has come.
+  bool backend_ended = false;  ///< The exit has been reported.
   ResponseMetadata response;
   std::string buffered;
   EventSplitter splitter;
