--- a/src/gateway/requests/forwarder_options.h
+++ b/src/gateway/requests/forwarder_options.h
@@ -9,8 +9,9 @@
 namespace pumicemast {
 
 struct ForwarderOptions {
-  /// How long the inferred end of a response is held back, in case an exit of its back end's process
-  /// is reported. Agents poll their engines every 120 ms and report an exit to all gateways at once.
+  /// How long the inferred end of a response is held back, in case an exit of its back end's
+  /// process is reported. Agents poll their engines every 120 ms and report an exit to all gateways
+  /// at once.
   Duration inferred_end_wait = milliseconds(250);
   std::uint64_t seed = 1;
   /// Retries that each first attempt earns, and retries that each service may save up. The bound
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -87,16 +87,16 @@
   Address backend_address;
   TimePoint sent_at{};
   TimePoint last_progress{};
-  bool connected = false;
-  bool head_received = false;
-  bool first_token_seen = false;
-  bool reading_paused = false;      ///< Its response is held back until the caller has read more.
-  bool streaming = false;           ///< The response of the attempt is an event stream.
   std::uint64_t events_before = 0;  ///< Complete events of earlier attempts.
-  bool slot_released = false;       ///< The attempt no longer counts as running.
   /// The end of the response is held back until then, in case an exit of its back end is reported.
   std::optional<TimePoint> end_held_until;
   bool backend_ended = false;  ///< The exit has been reported.
+  bool slot_released = false;  ///< The attempt no longer counts as running.
+  bool connected = false;
+  bool head_received = false;
+  bool first_token_seen = false;
+  bool reading_paused = false;  ///< Its response is held back until the caller has read more.
+  bool streaming = false;       ///< The response of the attempt is an event stream.
   ResponseMetadata response;
   std::string buffered;
   EventSplitter splitter;
--- a/tests/gateway/gateway_cores_test.cpp
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -2,8 +2,8 @@
 
 #include "common/log_budget.h"
 #include "gateway/backends/weight_targets.h"
-#include "http1/event_splitter.h"
 #include "gateway/requests/route_table.h"
+#include "http1/event_splitter.h"
 #include "support/gateway_harness.h"
 
 namespace pumicemast {
