Keep what an agent says about a leaving engine when the agent stops

Cause, from the logs: only the engine's agent had read the announcement. An agent's word bound gateways while its report was current, since a report may concern an earlier process at the address, and was not passed on between gateways. The agents were stopped as planned, so that the word ended; the gateway that sent the request had started 0.5 s before and had never heard it.

Ruled out: a lost digest (agents' words were not in digests), the list (its entry said ready, which an announcement beats).

Change: an agent's word outlasts the loss of the agent, until its next report. It counts as an announcement of the listed process, like one in a response, once the report states that process's start or repeats the leaving for a second: then no earlier process can be meant. Announcements are in digests already, so that gateways that start meanwhile learn of it.

Tests, failing before: a_leaving_known_from_an_agent_outlasts_the_loss_of_the_agent, ..._is_passed_on_to_other_gateways, ..._is_passed_on_at_the_first_report; with processes, a leaving engine whose agents have been stopped got a request 0.13 s after the bound, and 3.7 s after it from a gateway that started then. Now neither. an_unconfirmed_leaving_is_not_passed_on guards the other side.

--- a/src/gateway/backends/backend_choice.cpp
+++ b/src/gateway/backends/backend_choice.cpp
@@ -43,9 +43,12 @@
   if (!is_in_service(backend, requirements, now)) return false;
   if (now < backend.backoff_until || pushes_back(backend.record, now)) return false;
   if (!requirements.service->engine) return true;
-  if (!has_fresh_report(backend, now)) return true;
-  // The report may still be about an earlier process at the address, so it binds only while it is
-  // current.
+  if (!has_fresh_report(backend, now)) {
+    // A process that leaves does not return to service, so this outlasts the loss of its agent.
+    return !backend.report.leaving || is_of_another_process(backend.report, backend.record);
+  }
+  // The report may still be about an earlier process at the address, so the rest binds only while
+  // it is current.
   return backend.report.alive && !backend.report.busy && !backend.report.leaving;
 }
 
--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::size_t kMaximumIdleConnections = 24;
+/// Reports that state no start time may concern an earlier process at the address for a few hundred
+/// milliseconds. A leaving that they repeat for this time is that of the listed process.
+constexpr Duration kLeavingConfirmation = seconds(1);
 
 /// Whether the engine's process ended between two reports of one agent.
 bool has_process_ended(const LoadReport& before, const LoadReport& after) {
@@ -143,10 +146,7 @@
   Backend* backend = find(id->second);
   if (backend == nullptr) return std::nullopt;
   const bool ended = backend->has_report && has_process_ended(backend->report, report);
-  const bool was_leaving = has_fresh_report(*backend, now) && backend->report.leaving;
-  if (report.leaving && !was_leaving) {
-    notice_changes_.push_back({id->second, NoticeSource::agent, true, std::nullopt});
-  }
+  if (report.leaving) on_reported_leaving(*backend, report, now);
   backend->report = report;
   backend->reported_at = now;
   backend->has_report = true;
@@ -155,6 +155,25 @@
   return ended ? std::optional<std::string>(id->second) : std::nullopt;
 }
 
+bool BackendPool::is_of_another_process(const LoadReport& report, const BackendRecord& record) {
+  return report.started_at_ms != 0 && record.started_at_ms != 0 &&
+         report.started_at_ms != record.started_at_ms;
+}
+
+void BackendPool::on_reported_leaving(Backend& backend, const LoadReport& report, TimePoint now) {
+  const BackendRecord& record = backend.record;
+  if (!has_fresh_report(backend, now) || !backend.report.leaving) {
+    backend.reported_leaving_since = now;
+    notice_changes_.push_back({record.id, NoticeSource::agent, true, std::nullopt});
+  }
+  if (is_of_another_process(report, record)) return;
+  const bool states_same_start =
+      report.started_at_ms != 0 && report.started_at_ms == record.started_at_ms;
+  const bool repeated = now - backend.reported_leaving_since >= kLeavingConfirmation;
+  if (states_same_start || repeated)
+    record_announced_leaving({record.id, record.started_at_ms}, now);
+}
+
 void BackendPool::on_others_backlog(const Address& address, std::uint32_t pending_tokens) {
   const auto id = ids_by_address_.find(address);
   if (id == ids_by_address_.end()) return;
@@ -270,10 +289,15 @@
 
 void BackendPool::on_announced_leaving(const BackendIncarnation& backend, NoticeSource source,
                                        TimePoint now) {
-  if (!departures_.on_announced(backend, now)) return;
+  if (!record_announced_leaving(backend, now)) return;
   notice_changes_.push_back({backend.id, source, true, std::nullopt});
+}
+
+bool BackendPool::record_announced_leaving(const BackendIncarnation& backend, TimePoint now) {
+  if (!departures_.on_announced(backend, now)) return false;
   Backend* known = find(backend.id);
   if (known != nullptr) update_draining(*known, now);
+  return true;
 }
 
 std::vector<NoticeChange> BackendPool::take_notice_changes() {
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -244,6 +244,7 @@
     bool listed_as_draining = false;
     LoadReport report;
     TimePoint reported_at{};
+    TimePoint reported_leaving_since{};  ///< First of the current reports that say so.
     bool has_report = false;
     std::deque<TimePoint> sent;        ///< Send times of requests that the report can't include.
     double pending_prompt_tokens = 0;  ///< Of this gateway's requests without a first token.
@@ -260,6 +261,13 @@
   static void reset_for_new_incarnation(Backend& backend);
   void update_draining(Backend& backend, TimePoint now);
   void on_announced_leaving(const BackendIncarnation& backend, NoticeSource source, TimePoint now);
+  /// Whether both state when the process started, and differ.
+  static bool is_of_another_process(const LoadReport& report, const BackendRecord& record);
+  /// The agent reports that its engine leaves. Once it is certain that this concerns the listed
+  /// process, it binds as an announcement in a response does.
+  void on_reported_leaving(Backend& backend, const LoadReport& report, TimePoint now);
+  /// @return whether the announcement is new.
+  bool record_announced_leaving(const BackendIncarnation& backend, TimePoint now);
   bool usable(const Backend& backend, TimePoint now) const;
   /// Whether the back end belongs to the service and the request may run in its zone.
   bool serves(const Backend& backend, const BackendRequirements& requirements) const;
--- a/tests/gateway/requests/backend_notice_test.cpp
+++ b/tests/gateway/requests/backend_notice_test.cpp
@@ -15,6 +15,10 @@
   CPPUNIT_TEST(other_gateways_get_an_announced_leaving_in_digests);
   CPPUNIT_TEST(a_forwarded_announcement_binds_only_the_named_incarnation);
   CPPUNIT_TEST(a_leaving_engine_known_from_its_agent_gets_nothing_while_the_report_is_current);
+  CPPUNIT_TEST(a_leaving_known_from_an_agent_outlasts_the_loss_of_the_agent);
+  CPPUNIT_TEST(a_leaving_that_an_agent_confirms_is_passed_on_to_other_gateways);
+  CPPUNIT_TEST(a_leaving_of_the_listed_process_is_passed_on_at_the_first_report);
+  CPPUNIT_TEST(an_unconfirmed_leaving_is_not_passed_on);
   CPPUNIT_TEST(an_announced_leaving_ends_with_its_incarnation);
   CPPUNIT_TEST(a_back_end_that_asks_for_a_pause_gets_no_request_until_its_end);
   CPPUNIT_TEST(a_retry_respects_a_pause);
@@ -122,15 +126,72 @@
 
   void a_leaving_engine_known_from_its_agent_gets_nothing_while_the_report_is_current() {
     harness.add_engines();
+    report_leaving();
+    CPPUNIT_ASSERT(!recipients("/chat/1").contains("e1"));
+    harness.report_load(1, 4, 1);  // Another process answers at the address.
+    harness.report_load(2, 0, 1);
+    CPPUNIT_ASSERT(recipients("/chat/2").contains("e1"));
+  }
+
+  void report_leaving(std::int64_t started_at_ms = 0) {
     LoadReport report;
     report.alive = report.leaving = true;
     report.weight_version = 1;
     report.credit = 4;
+    report.started_at_ms = started_at_ms;
     harness.pool.on_report({"127.0.0.1", 1}, report, harness.now);
-    CPPUNIT_ASSERT(!recipients("/chat/1").contains("e1"));
+  }
+  std::vector<BackendIncarnation> passed_on() {
+    return harness.pool.departures().recently_announced(harness.now);
+  }
+
+  void a_leaving_known_from_an_agent_outlasts_the_loss_of_the_agent() {
+    harness.add_engines();
+    report_leaving();
+    harness.pool.on_agent_lost({"127.0.0.1", 1});
+    harness.pool.on_agent_lost({"127.0.0.1", 2});
+    CPPUNIT_ASSERT(recipients("/chat/1") == std::set<std::string>{"e2"});
+    harness.now += seconds(5);
+    CPPUNIT_ASSERT(recipients("/chat/2") == std::set<std::string>{"e2"});
     harness.report_load(1, 4, 1);  // Another process answers at the address.
     harness.report_load(2, 0, 1);
-    CPPUNIT_ASSERT(recipients("/chat/2").contains("e1"));
+    CPPUNIT_ASSERT(recipients("/chat/3").contains("e1"));
+  }
+
+  void a_leaving_that_an_agent_confirms_is_passed_on_to_other_gateways() {
+    harness.add_engines();
+    for (int report = 0; report < 12; ++report) {
+      report_leaving();
+      harness.now += milliseconds(100);
+    }
+    CPPUNIT_ASSERT((passed_on() == std::vector<BackendIncarnation>{{"e1", 0}}));
+  }
+
+  void a_leaving_of_the_listed_process_is_passed_on_at_the_first_report() {
+    harness.add_engines();
+    BackendRecord restarted = *harness.pool.record_of("e1");
+    restarted.started_at_ms = 5;
+    restarted.revision = ++harness.revision;
+    harness.pool.on_record(restarted, harness.now);
+    for (int report = 0; report < 12; ++report) {
+      report_leaving(4);  // Of the process before.
+      harness.now += milliseconds(100);
+    }
+    CPPUNIT_ASSERT(passed_on().empty());
+    report_leaving(5);
+    CPPUNIT_ASSERT((passed_on() == std::vector<BackendIncarnation>{{"e1", 5}}));
+  }
+
+  void an_unconfirmed_leaving_is_not_passed_on() {
+    harness.add_engines();
+    report_leaving();
+    harness.now += seconds(3);
+    report_leaving();  // The reports between were lost.
+    harness.now += milliseconds(500);
+    harness.report_load(1, 4, 1);
+    harness.now += milliseconds(500);
+    report_leaving();
+    CPPUNIT_ASSERT(passed_on().empty());
   }
 
   void an_announced_leaving_ends_with_its_incarnation() {
--- a/tests/processes/backend_notice_test.py
+++ b/tests/processes/backend_notice_test.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import signal
 import sys
 import tempfile
 import unittest
@@ -59,6 +60,20 @@
 class NoticePlatform(ThreeGatewayPlatform):
     backend_class = RecordingBackend
 
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.named_processes = {}
+
+    def launch(self, name, program, settings, stdout=None):
+        self.named_processes[name] = super().launch(name, program, settings, stdout)
+        return self.named_processes[name]
+
+    async def stop_process(self, name):
+        process = self.named_processes[name]
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            await asyncio.sleep(0.02)
+
 
 class BackendNoticeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
@@ -111,6 +126,32 @@
     async def test_other_gateways_learn_of_a_leaving_service_while_the_store_is_away(self):
         await self.check_leaving_binds_all_gateways(self.platform.plain[0], "/read/1")
 
+    async def leave_and_stop_the_agents(self):
+        """An engine leaves, which only its agent has read, and which its entry doesn't show."""
+        engine = self.platform.engines[0]
+        await self.platform.load("/chat/1", 20, 1)
+        engine.leaving = True
+        announced_at = self.now()
+        await asyncio.sleep(DRAIN_LIMIT_S)
+        await asyncio.gather(*(self.platform.stop_process(name) for name in ("host0", "host1")))
+        return engine, announced_at + DRAIN_LIMIT_S
+
+    async def test_a_leaving_engine_gets_nothing_after_the_agents_have_been_stopped(self):
+        engine, due_at = await self.leave_and_stop_the_agents()
+        responses = await self.platform.load("/chat/1", 20, 3)
+        self.assertEqual([], engine.arrivals_after(due_at))
+        self.assertEqual(len(responses), self.served(responses))
+
+    async def test_a_gateway_that_starts_without_agents_learns_of_the_leaving_from_the_others(self):
+        engine, due_at = await self.leave_and_stop_the_agents()
+        await self.platform.stop_process(f"gateway-{GATEWAYS[1]}")
+        self.platform.run_another_gateway(GATEWAYS[1])
+        await self.platform.wait(lambda: self.platform.serves(GATEWAYS[1], "/chat/1"))
+        # Few enough for one engine at the number of slots that gateways assume without reports.
+        responses = await self.platform.load("/chat/1", 5, 3, GATEWAYS[1:2])
+        self.assertEqual([], engine.arrivals_after(due_at))
+        self.assertEqual(len(responses), self.served(responses))
+
     async def check_pause_is_kept(self, backend, target):
         """One of two back ends refuses everything: the other one serves the callers."""
         await self.platform.load(target, 10, 1)
