Split the admission of requests from the request forwarder, and name how responses end

`truncate`, `complete` and `complete_inferred` didn't say what happens: they are fail_truncated, evaluate_response and accept_inferred_end. The status 503 of refusals had four definitions.

No behaviour changes; RequestForwarderTest, TruncatedResponseTest, BackendNoticeTest, BackendPoolTest, SlotReservationsTest and StoreRestoreTest pass.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -25,7 +25,6 @@
 constexpr Duration kStopMargin = milliseconds(300);
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
 
 ForwarderOptions forwarder_options(const GatewaySettings& settings) {
   constexpr double kRatioMargin = 0.9;
--- a/src/gateway/requests/forwarder_actions.h
+++ b/src/gateway/requests/forwarder_actions.h
@@ -17,6 +17,8 @@
 
 namespace pumicemast {
 
+inline constexpr int kStatusUnavailable = 503;
+
 /// Identifies a request within one gateway.
 using RequestNumber = std::uint64_t;
 
--- a/src/gateway/requests/request_authorizer.cpp
+++ b/src/gateway/requests/request_authorizer.cpp
@@ -5,7 +5,6 @@
 
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
 
 AllowedRegions restrictions_of(const RouteRule& route, const TenantRule* tenant) {
   AllowedRegions allowed;
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -7,7 +7,6 @@
 namespace pumicemast {
 namespace {
 
-constexpr int kStatusUnavailable = 503;
 constexpr int kFirstServerError = 500;
 /// Limit of attempts whose connection could not be established, and which thus cannot have run.
 constexpr std::uint32_t kMaximumConnectFailures = 4;
@@ -44,105 +43,6 @@
   }
 }
 
-void RequestForwarder::on_request(RequestNumber number, RequestMetadata request, TimePoint now,
-                                  ForwarderActions& actions) {
-  ++counters_.requests;
-  RequestSession& session = sessions_[number];
-  session.request = std::move(request);
-  session.arrived = now;
-  session.routes = routes_;
-  const AuthorizationResult authorization = authorizer_.authorize(routes_.get(), session.request);
-  session.route = authorization.route;
-  session.service = authorization.service;
-  session.tenant = authorization.tenant;
-  session.allowed_regions = authorization.allowed_regions;
-  session.fingerprint = fingerprint_for(session.request.content, session.tenant);
-  session.priority = authorization.priority;
-  session.ordered_by_priority = authorization.ordered_by_priority;
-  if (authorization.route != nullptr) planner_.plan_times(session);
-  if (authorization.refusal) {
-    refuse_before_sending(number, session, *authorization.refusal, now, actions);
-    return;
-  }
-  if (stopping_) {
-    refuse_before_sending(number, session, {kStatusUnavailable, RefusalReason::stopping}, now,
-                          actions);
-    return;
-  }
-  if (session.request.body_refused) {
-    refuse_before_sending(number, session, {kStatusUnavailable, RefusalReason::memory}, now,
-                          actions);
-    return;
-  }
-  if (quarantine_.quarantined(session.fingerprint, now)) {
-    // It has not run, but no retry time is stated: while it is in quarantine no gateway runs it.
-    refuse(number, session, kStatusUnavailable, RefusalReason::quarantined, {}, now, actions);
-    return;
-  }
-  if (const auto excluded = placement_refusal(planner_.backend_requirements(session, now))) {
-    refuse_before_sending(number, session, {kStatusUnavailable, *excluded}, now, actions);
-    return;
-  }
-  retries_.for_service(session.service->name).on_first_attempt();
-  if (session.returning) ++counters_.returning;
-  if (session.service->engine && !session.returning) ++counters_.engine_first_attempts;
-  if (must_yield(session, now)) {
-    ++counters_.yielded;
-    refuse_before_sending(number, session, {kStatusUnavailable, RefusalReason::no_capacity}, now,
-                          actions);
-    return;
-  }
-  if (dispatch(number, session, now, actions)) return;
-  if (refuse_while_paused(number, session, now, actions)) return;
-  session.waiting = true;
-  waiting_.insert(rank_of(number, session));
-  queue_for_slot(number, session, now, actions);
-}
-
-void RequestForwarder::refuse_before_sending(RequestNumber number, RequestSession& session,
-                                             const RequestRefusal& refusal, TimePoint now,
-                                             ForwarderActions& actions) {
-  const bool retryable = refusal.status == kStatusUnavailable;
-  const Duration retry_after = retryable ? choose_retry_after(session, now) : Duration::zero();
-  refuse(number, session, refusal.status, refusal.reason, retry_after, now, actions);
-}
-
-bool RequestForwarder::refuse_while_paused(RequestNumber number, RequestSession& session,
-                                           TimePoint now, ForwarderActions& actions) {
-  const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
-  if (!resumes_at || *resumes_at < session.wait_until) return false;
-  refuse_before_sending(number, session, {kStatusUnavailable, RefusalReason::backends_paused}, now,
-                        actions);
-  return true;
-}
-
-Duration RequestForwarder::choose_retry_after(const RequestSession& session, TimePoint now) {
-  if (session.service == nullptr) return planner_.random_retry_after(session, now);
-  const auto resumes_at = pool_.pause_ends_at(planner_.backend_requirements(session, now), now);
-  if (!resumes_at && session.slot_expected_at) {
-    return planner_.random_retry_after_slot(session, now, *session.slot_expected_at);
-  }
-  return planner_.random_retry_after(session, now, resumes_at);
-}
-
-std::optional<RefusalReason> RequestForwarder::placement_refusal(
-    const BackendRequirements& requirements) const {
-  switch (pool_.placement_of(requirements)) {
-    case ZoneVerdict::allowed:
-      return std::nullopt;
-    case ZoneVerdict::region_not_allowed:
-      return RefusalReason::region_not_allowed;
-    case ZoneVerdict::evacuated:
-      return RefusalReason::zone_evacuated;
-  }
-  return std::nullopt;
-}
-
-bool RequestForwarder::must_yield(const RequestSession& session, TimePoint now) const {
-  return session.returning && session.service->engine &&
-         overload_.is_overloaded(session.capacity_group(), session.overload_level(), now);
-}
-
 bool RequestForwarder::dispatch(RequestNumber number, RequestSession& session, TimePoint now,
                                 ForwarderActions& actions) {
   if (quarantine_.quarantined(session.fingerprint, now)) {
@@ -299,14 +199,14 @@
   if (end == ResponseEnd::inferred_from_close) record_inferred_end(session);
   const std::uint64_t events = session.splitter.event_count() - session.events_before;
   if (session.streaming && is_truncated(session.splitter, events, end)) {
-    truncate(number, session, now, actions);
+    fail_truncated(number, session, now, actions);
   } else if (end == ResponseEnd::stated || !check_inferred_end(number, session, now, actions)) {
-    complete(number, session, now, actions);
+    evaluate_response(number, session, now, actions);
   }
 }
 
-void RequestForwarder::complete(RequestNumber number, RequestSession& session, TimePoint now,
-                                ForwarderActions& actions) {
+void RequestForwarder::evaluate_response(RequestNumber number, RequestSession& session,
+                                         TimePoint now, ForwarderActions& actions) {
   const std::string backend = session.backend;
   if (session.response.not_run) {
     ++counters_.refused_by_backend;
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -236,16 +236,18 @@
   /// @return false if the response is complete as far as can be known.
   bool check_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
                           ForwarderActions& actions);
-  void truncate(RequestNumber number, RequestSession& session, TimePoint now,
-                ForwarderActions& actions);
+  /// Fails the attempt whose response was cut off by an orderly close.
+  void fail_truncated(RequestNumber number, RequestSession& session, TimePoint now,
+                      ForwarderActions& actions);
   /// Decides on a response whose end is held back, once there is evidence or none has come in time.
   void decide_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions);
-  void complete_inferred(RequestNumber number, RequestSession& session, TimePoint now,
+  /// Takes the held back end of a response for its actual end.
+  void accept_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
+                           ForwarderActions& actions);
+  /// Relays a complete response to its caller, or retries the request by what the response says.
+  void evaluate_response(RequestNumber number, RequestSession& session, TimePoint now,
                          ForwarderActions& actions);
-  /// Handles a complete response.
-  void complete(RequestNumber number, RequestSession& session, TimePoint now,
-                ForwarderActions& actions);
   void summarize(const RequestSession& session, const char* outcome, const char* reason, int status,
                  TimePoint now);
 
--- a/src/gateway/requests/request_forwarder_ends.cpp
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -6,8 +6,8 @@
 
 namespace pumicemast {
 
-void RequestForwarder::truncate(RequestNumber number, RequestSession& session, TimePoint now,
-                                ForwarderActions& actions) {
+void RequestForwarder::fail_truncated(RequestNumber number, RequestSession& session, TimePoint now,
+                                      ForwarderActions& actions) {
   ++counters_.truncated;
   session.end_held_until.reset();
   on_attempt_failed(number, AttemptFailure::truncated, now, actions);
@@ -20,7 +20,7 @@
   // A back end that leaves may exit as soon as it has sent its last response.
   if (pool_.leaving(session.backend)) return false;
   if (crash_correlator_.exited_recently(session.backend, now)) {
-    truncate(number, session, now, actions);
+    fail_truncated(number, session, now, actions);
     return true;
   }
   if (session.service->engine) {
@@ -40,22 +40,22 @@
     if (session.end_held_until && session.backend == backend) numbers.push_back(number);
   }
   for (const RequestNumber number : numbers) {
-    complete_inferred(number, sessions_.at(number), now, actions);
+    accept_inferred_end(number, sessions_.at(number), now, actions);
   }
 }
 
-void RequestForwarder::complete_inferred(RequestNumber number, RequestSession& session,
-                                         TimePoint now, ForwarderActions& actions) {
+void RequestForwarder::accept_inferred_end(RequestNumber number, RequestSession& session,
+                                           TimePoint now, ForwarderActions& actions) {
   session.end_held_until.reset();
-  complete(number, session, now, actions);
+  evaluate_response(number, session, now, actions);
 }
 
 void RequestForwarder::decide_inferred_end(RequestNumber number, RequestSession& session,
                                            TimePoint now, ForwarderActions& actions) {
   if (session.backend_ended) {
-    truncate(number, session, now, actions);
+    fail_truncated(number, session, now, actions);
   } else if (now >= *session.end_held_until) {
-    complete_inferred(number, session, now, actions);
+    accept_inferred_end(number, session, now, actions);
   }
 }
 
--- a/src/gateway/requests/request_forwarder_retry.cpp
+++ b/src/gateway/requests/request_forwarder_retry.cpp
@@ -5,7 +5,6 @@
 namespace {
 
 constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
 constexpr int kStatusGatewayTimeout = 504;
 /// No retry is sent when less time than this is left until the deadline.
 constexpr Duration kMinimumTimeLeft = milliseconds(30);
