Take no response for truncated because of an exit before its request was sent

Callers of a request that may not be repeated got a failure instead of a good response.

Cause: the time of the exit was compared with the present alone. A process that answers a request which was sent after the exit was reported is another one, or has not exited.

Test: response_to_a_request_sent_after_a_reported_exit_is_not_taken_for_truncated (failed before: the response was refused). A response that was under way at the exit is still taken for truncated (stream_of_an_engine_that_exited_before_its_close_arrived_is_resumed).

--- a/src/gateway/quarantine/crash_correlator.cpp
+++ b/src/gateway/quarantine/crash_correlator.cpp
@@ -31,6 +31,11 @@
   return exited != exited_.end() && now - exited->second <= kConfirmationTimeout;
 }
 
+bool CrashCorrelator::exited_since(const std::string& backend, TimePoint since,
+                                   TimePoint now) const {
+  return exited_recently(backend, now) && exited_.at(backend) >= since;
+}
+
 void CrashCorrelator::on_process_exit(const std::string& backend, TimePoint now) {
   exited_[backend] = now;
   const auto found = interrupted_.find(backend);
--- a/src/gateway/quarantine/crash_correlator.h
+++ b/src/gateway/quarantine/crash_correlator.h
@@ -33,8 +33,8 @@
                                TimePoint now);
   /// The back end's process exited, with or without requests running.
   void on_process_exit(const std::string& backend, TimePoint now);
-  /// Whether the back end's process exited a short time ago.
-  bool exited_recently(const std::string& backend, TimePoint now) const;
+  /// Whether the back end's process exited a short time ago, but not before `since`.
+  bool exited_since(const std::string& backend, TimePoint since, TimePoint now) const;
   /// Returns the crashes found since the last call, and again those taken before that have turned
   /// out to be part of a burst.
   std::vector<BackendCrash> take_crashes(TimePoint now);
@@ -50,6 +50,7 @@
     TimePoint at{};
   };
 
+  bool exited_recently(const std::string& backend, TimePoint now) const;
   bool in_burst(TimePoint at) const;
 
   std::map<std::string, std::vector<InterruptedResponse>>
--- a/src/gateway/requests/request_forwarder_ends.cpp
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -19,7 +19,8 @@
   if (session.response.not_run) return false;
   // A back end that leaves may exit as soon as it has sent its last response.
   if (pool_.leaving(session.backend)) return false;
-  if (crash_correlator_.exited_recently(session.backend, now)) {
+  // A process that has answered a later request is another one, or has not exited.
+  if (crash_correlator_.exited_since(session.backend, session.sent_at, now)) {
     fail_truncated(number, session, now, actions);
     return true;
   }
--- a/tests/gateway/requests/truncated_response_test.cpp
+++ b/tests/gateway/requests/truncated_response_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(held_back_end_takes_no_place_at_its_back_end);
   CPPUNIT_TEST(plain_response_is_relayed_once_its_service_is_found_listening);
   CPPUNIT_TEST(plain_response_of_a_service_that_exited_is_not_relayed);
+  CPPUNIT_TEST(response_to_a_request_sent_after_a_reported_exit_is_not_taken_for_truncated);
   CPPUNIT_TEST(caller_that_leaves_during_the_check_ends_the_request);
   CPPUNIT_TEST_SUITE_END();
 
@@ -331,6 +332,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
   }
 
+  void response_to_a_request_sent_after_a_reported_exit_is_not_taken_for_truncated() {
+    harness.configure();
+    harness.add_backend("p1", "plain", 1);
+    harness.forwarder.on_backend_ended("p1", harness.now);
+    harness.now += milliseconds(100);
+    const RequestNumber request = harness.send_request("/pay/1");
+    harness.receive_head(request, 200);
+    harness.receive_body(request, "body");
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    harness.find_listening("p1");
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+  }
+
   void plain_response_of_a_service_that_exited_is_not_relayed() {
     const std::string first = receive_closed_plain("/read/1");
     harness.forwarder.on_backend_ended(first, harness.now);
