Log and count what each inferred end was taken for, and by what evidence

Each decision has a line event=inferred_end_verdict now (verdict, evidence, how long the end was held back) and a counter. No decision changes.

A core test and a process test read the new lines.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -355,6 +355,10 @@
     metrics_.on_inferred_end(end);
     log_.log_inferred_end(end);
   }
+  for (const InferredEndVerdict& verdict : forwarder_.take_inferred_end_verdicts()) {
+    metrics_.on_inferred_end_verdict(verdict);
+    log_.log_inferred_end_verdict(verdict);
+  }
 }
 
 void GatewayDaemon::report_crashes() {
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -53,6 +53,14 @@
   log_line("inferred_end", text.str());
 }
 
+void GatewayLog::log_inferred_end_verdict(const InferredEndVerdict& verdict) {
+  log_line("inferred_end_verdict", "request id=" + verdict.request_id +
+                                       " event=inferred_end_verdict backends=" + verdict.backend +
+                                       " verdict=" + (verdict.complete ? "complete" : "cut") +
+                                       " evidence=" + to_string(verdict.evidence) +
+                                       " held_ms=" + std::to_string(to_milliseconds(verdict.held)));
+}
+
 void GatewayLog::log_crash(const BackendCrash& crash) {
   constexpr std::size_t kMaximumFingerprints = 16;  // Requests that an engine runs at once.
   std::ostringstream text;
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -23,6 +23,8 @@
   void log_request(const RequestSummary& summary);
   /// Logs a response whose end was inferred from the close of its connection.
   void log_inferred_end(const InferredEnd& end);
+  /// Logs what such a response was taken for, and by what.
+  void log_inferred_end_verdict(const InferredEndVerdict& verdict);
   /// Logs the crash of a back end and the requests that were running there.
   void log_crash(const BackendCrash& crash);
   /// Logs how many lines were suppressed, and flushes the log. Call periodically.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -45,6 +45,12 @@
   metrics_.count("pumicemast_gateway_inferred_ends_total", {{"at", place}});
 }
 
+void GatewayMetrics::on_inferred_end_verdict(const InferredEndVerdict& verdict) {
+  metrics_.count("pumicemast_gateway_inferred_end_verdicts_total",
+                 {{"verdict", verdict.complete ? "complete" : "cut"},
+                  {"evidence", to_string(verdict.evidence)}});
+}
+
 void GatewayMetrics::update(const ForwarderCounters& counters, const GatewayGauges& figures) {
   const auto set = [this](const char* name, double value) { metrics_.gauge(name, {}, value); };
   set("pumicemast_gateway_sends", static_cast<double>(counters.sends));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -31,6 +31,7 @@
   void on_backend_ended(const char* evidence);
   void on_crash(const BackendCrash& crash);
   void on_inferred_end(const InferredEnd& end);
+  void on_inferred_end_verdict(const InferredEndVerdict& verdict);
   void update(const ForwarderCounters& counters, const GatewayGauges& figures);
   void update(const RetryBudgets& retries);
   void update(const PermitCounters& permits);
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -196,9 +196,12 @@
   if (found == sessions_.end() || found->second.backend.empty()) return;
   RequestSession& session = found->second;
   session.splitter.end_stream();
+  session.closed_at = now;
   if (end == ResponseEnd::inferred_from_close) record_inferred_end(session);
   const std::uint64_t events = session.splitter.event_count() - session.events_before;
   if (session.streaming && is_truncated(session.splitter, events, end)) {
+    if (end == ResponseEnd::inferred_from_close)
+      record_verdict(session, false, EndEvidence::content, now);
     fail_truncated(number, session, now, actions);
   } else if (end == ResponseEnd::stated || !check_inferred_end(number, session, now, actions)) {
     evaluate_response(number, session, now, actions);
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -127,6 +127,8 @@
   void sweep(TimePoint now) { crash_correlator_.sweep(now); }
   /// Returns the responses whose ends were inferred from a close since the last call.
   std::vector<InferredEnd> take_inferred_ends();
+  /// Returns the decisions on such ends since the last call.
+  std::vector<InferredEndVerdict> take_inferred_end_verdicts();
   /// Returns the requests that ended since the last call.
   std::vector<RequestSummary> take_summaries();
 
@@ -230,6 +232,8 @@
   void check_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                      ForwarderActions& actions);
   void record_inferred_end(const RequestSession& session);
+  void record_verdict(const RequestSession& session, bool complete, EndEvidence evidence,
+                      TimePoint now);
   /// Decides on a response whose connection was closed, or holds its end back for evidence that its
   /// back end's process ended: the system closes the connections of such a process in an orderly
   /// way.
@@ -243,8 +247,8 @@
   void decide_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions);
   /// Takes the held back end of a response for its actual end.
-  void accept_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
-                           ForwarderActions& actions);
+  void accept_inferred_end(RequestNumber number, RequestSession& session, EndEvidence evidence,
+                           TimePoint now, ForwarderActions& actions);
   /// Relays a complete response to its caller, or retries the request by what the response says.
   void evaluate_response(RequestNumber number, RequestSession& session, TimePoint now,
                          ForwarderActions& actions);
@@ -267,6 +271,7 @@
   CrashCorrelator crash_correlator_;
   std::vector<RequestSummary> summaries_;
   std::vector<InferredEnd> inferred_ends_;
+  std::vector<InferredEndVerdict> inferred_end_verdicts_;
   RequestAuthorizer authorizer_;
   ForwarderCounters counters_;
   bool stopping_ = false;
--- a/src/gateway/requests/request_forwarder_ends.cpp
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -18,16 +18,21 @@
   // The head alone states that the request did not run.
   if (session.response.not_run) return false;
   // A back end that leaves may exit as soon as it has sent its last response.
-  if (pool_.leaving(session.backend)) return false;
+  if (pool_.leaving(session.backend)) {
+    record_verdict(session, true, EndEvidence::leaving, now);
+    return false;
+  }
   // A process that has answered a later request is another one, or has not exited.
   if (crash_correlator_.exited_since(session.backend, session.sent_at, now)) {
+    record_verdict(session, false, EndEvidence::exit, now);
     fail_truncated(number, session, now, actions);
     return true;
   }
-  if (session.service->engine) {
-    if (!pool_.known_alive(session.backend, now)) return false;  // No agent would report its end.
-  } else {
+  if (!session.service->engine) {
     actions.emplace_back(ProbeBackend{session.backend, session.backend_address});
+  } else if (!pool_.known_alive(session.backend, now)) {
+    record_verdict(session, true, EndEvidence::no_agent, now);
+    return false;
   }
   release_slot(session);
   session.end_held_until = std::min(now + options_.inferred_end_wait, session.deadline);
@@ -41,12 +46,14 @@
     if (session.end_held_until && session.backend == backend) numbers.push_back(number);
   }
   for (const RequestNumber number : numbers) {
-    accept_inferred_end(number, sessions_.at(number), now, actions);
+    accept_inferred_end(number, sessions_.at(number), EndEvidence::listening, now, actions);
   }
 }
 
 void RequestForwarder::accept_inferred_end(RequestNumber number, RequestSession& session,
-                                           TimePoint now, ForwarderActions& actions) {
+                                           EndEvidence evidence, TimePoint now,
+                                           ForwarderActions& actions) {
+  record_verdict(session, true, evidence, now);
   session.end_held_until.reset();
   evaluate_response(number, session, now, actions);
 }
@@ -54,9 +61,10 @@
 void RequestForwarder::decide_inferred_end(RequestNumber number, RequestSession& session,
                                            TimePoint now, ForwarderActions& actions) {
   if (session.backend_ended) {
+    record_verdict(session, false, EndEvidence::exit, now);
     fail_truncated(number, session, now, actions);
   } else if (now >= *session.end_held_until) {
-    accept_inferred_end(number, session, now, actions);
+    accept_inferred_end(number, session, EndEvidence::silence, now, actions);
   }
 }
 
@@ -72,8 +80,18 @@
   inferred_ends_.push_back(std::move(end));
 }
 
+void RequestForwarder::record_verdict(const RequestSession& session, bool complete,
+                                      EndEvidence evidence, TimePoint now) {
+  inferred_end_verdicts_.push_back(
+      {session.request.id, session.backend, complete, evidence, now - session.closed_at});
+}
+
 std::vector<InferredEnd> RequestForwarder::take_inferred_ends() {
   return std::exchange(inferred_ends_, {});
 }
 
+std::vector<InferredEndVerdict> RequestForwarder::take_inferred_end_verdicts() {
+  return std::exchange(inferred_end_verdicts_, {});
+}
+
 }  // namespace pumicemast
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -2,6 +2,24 @@
 
 namespace pumicemast {
 
+const char* to_string(EndEvidence evidence) {
+  switch (evidence) {
+    case EndEvidence::content:
+      return "content";
+    case EndEvidence::exit:
+      return "exit";
+    case EndEvidence::listening:
+      return "listening";
+    case EndEvidence::silence:
+      return "silence";
+    case EndEvidence::leaving:
+      return "leaving";
+    case EndEvidence::no_agent:
+      return "no_agent";
+  }
+  return "unknown";
+}
+
 const char* to_string(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::no_configuration:
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -58,6 +58,26 @@
   bool inside_event = false;
 };
 
+/// What an inferred end was judged by.
+enum class EndEvidence {
+  content,    ///< The stream ends inside an event, or has none.
+  exit,       ///< The back end's process was reported to have exited.
+  listening,  ///< A probe found the back end listening after the close.
+  silence,    ///< No exit was reported for as long as the end was held back.
+  leaving,    ///< None: the back end may exit after its last response.
+  no_agent,   ///< None: no agent would report an exit.
+};
+const char* to_string(EndEvidence evidence);
+
+/// The decision on an inferred end, for logs and metrics.
+struct InferredEndVerdict {
+  std::string request_id;
+  std::string backend;
+  bool complete = false;
+  EndEvidence evidence = EndEvidence::content;
+  Duration held = Duration::zero();  ///< From the close to the decision.
+};
+
 /// The forwarder's state of a request.
 struct RequestSession {
   RequestMetadata request;
@@ -88,6 +108,7 @@
   TimePoint sent_at{};
   TimePoint last_progress{};
   std::uint64_t events_before = 0;  ///< Complete events of earlier attempts.
+  TimePoint closed_at{};  ///< Close of the connection from which the response's end is inferred.
   /// The end of the response is held back until then, in case an exit of its back end is reported.
   std::optional<TimePoint> end_held_until;
   bool backend_ended = false;  ///< The exit has been reported.
--- a/tests/gateway/requests/truncated_response_test.cpp
+++ b/tests/gateway/requests/truncated_response_test.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(plain_response_of_a_service_that_exited_is_not_relayed);
   CPPUNIT_TEST(response_to_a_request_sent_after_a_reported_exit_is_not_taken_for_truncated);
   CPPUNIT_TEST(caller_that_leaves_during_the_check_ends_the_request);
+  CPPUNIT_TEST(decisions_on_inferred_ends_name_their_evidence);
   CPPUNIT_TEST_SUITE_END();
 
   tests::GatewayHarness harness;
@@ -357,6 +358,20 @@
     CPPUNIT_ASSERT_EQUAL(502, harness.refusal_status());
   }
 
+  void decisions_on_inferred_ends_name_their_evidence() {
+    const std::string backend = receive_closed_stream(kNotResumable);
+    harness.advance(milliseconds(100));
+    CPPUNIT_ASSERT(harness.forwarder.take_inferred_end_verdicts().empty());
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.advance(milliseconds(25));
+    const auto verdicts = harness.forwarder.take_inferred_end_verdicts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, verdicts.size());
+    CPPUNIT_ASSERT_EQUAL(backend, verdicts[0].backend);
+    CPPUNIT_ASSERT(!verdicts[0].complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("exit"), std::string(to_string(verdicts[0].evidence)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{125}, to_milliseconds(verdicts[0].held));
+  }
+
   void caller_that_leaves_during_the_check_ends_the_request() {
     const std::string backend = receive_closed_stream(kResumable);
     harness.actions.clear();
--- a/tests/processes/unframed_response_test.py
+++ b/tests/processes/unframed_response_test.py
@@ -128,6 +128,8 @@
             text = log.read_text(errors="replace")
             return re.search(r"request id=cut-1 event=inferred_end backends=e\d .*"
                              r"partial_bytes=[1-9]", text) and \
+                re.search(r"request id=cut-1 event=inferred_end_verdict backends=e\d "
+                          r"verdict=cut evidence=content", text) and \
                 re.search(r"request id=cut-1 outcome=aborted reason=backend_failed", text)
         await self.platform.wait(is_logged, 5)
         self.assertEqual(1, await self.metric(
