Add failing tests of ends that are certified without evidence

In the process tests callers get three of ten events, framed as complete: when the agent of an engine is killed before the engine exits between two events, and when an engine that has announced its leaving exits there. The core tests show the same for an agent that falls silent at that moment, for event streams on routes of another kind (cut inside an event, relayed with a length), and for a caller's deadline that comes first.

--- a/tests/gateway/requests/truncated_response_test.cpp
+++ b/tests/gateway/requests/truncated_response_test.cpp
@@ -51,6 +51,14 @@
   CPPUNIT_TEST(response_to_a_request_sent_after_a_reported_exit_is_not_taken_for_truncated);
   CPPUNIT_TEST(caller_that_leaves_during_the_check_ends_the_request);
   CPPUNIT_TEST(decisions_on_inferred_ends_name_their_evidence);
+  CPPUNIT_TEST(engine_without_a_current_report_is_probed_before_its_inferred_end_counts);
+  CPPUNIT_TEST(stream_of_an_engine_that_exits_without_an_agent_is_resumed);
+  CPPUNIT_TEST(end_is_not_certified_if_the_agent_falls_silent_with_its_engine);
+  CPPUNIT_TEST(stream_cut_off_by_the_exit_of_a_leaving_engine_is_resumed);
+  CPPUNIT_TEST(stream_cut_off_by_the_exit_of_a_leaving_engine_is_aborted_if_it_cannot_be_resumed);
+  CPPUNIT_TEST(empty_resumption_confirms_the_end_of_a_whole_stream);
+  CPPUNIT_TEST(event_stream_on_a_route_of_another_kind_never_ends_inside_an_event);
+  CPPUNIT_TEST(end_that_is_held_back_at_the_deadline_is_not_certified);
   CPPUNIT_TEST_SUITE_END();
 
   tests::GatewayHarness harness;
@@ -372,6 +380,144 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{125}, to_milliseconds(verdicts[0].held));
   }
 
+  void engine_without_a_current_report_is_probed_before_its_inferred_end_counts() {
+    harness.add_engines();
+    const RequestNumber request = harness.send_request(kResumable);
+    const std::string backend = harness.sent_to();
+    harness.receive_head(request, 200, false, true);
+    harness.receive_body(request, kEvents);
+    harness.now += seconds(1);  // No report is recent any more.
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    CPPUNIT_ASSERT(harness.first_action<EndResponse>() == nullptr);
+    CPPUNIT_ASSERT_EQUAL(backend, harness.probed());
+    harness.find_listening(backend);
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+  }
+
+  void stream_of_an_engine_that_exits_without_an_agent_is_resumed() {
+    for (const char* target : {kResumable, kNotResumable}) {
+      TruncatedResponseTest test;
+      test.harness.add_engines();
+      const RequestNumber request = test.harness.send_request(target);
+      const std::string backend = test.harness.sent_to();
+      test.harness.receive_head(request, 200, false, true);
+      test.harness.receive_body(request, kEvents);
+      test.harness.now += seconds(1);
+      // The other engine's agent still reports.
+      test.harness.report_load(backend == "e1" ? 2 : 1, 4, 1);
+      test.harness.complete_response(request, ResponseEnd::inferred_from_close);
+      test.harness.forwarder.on_backend_ended(backend, test.harness.now);
+      test.harness.advance(milliseconds(25));
+      CPPUNIT_ASSERT(test.outcome() ==
+                     (target == kResumable ? Outcome::resumed : Outcome::aborted));
+    }
+  }
+
+  void end_is_not_certified_if_the_agent_falls_silent_with_its_engine() {
+    for (const char* target : {kResumable, kNotResumable}) {
+      TruncatedResponseTest test;
+      const std::string backend = test.receive_closed_stream(target);
+      // Without another report of its agent, until a probe must have had an answer.
+      bool probed = false;
+      for (int step = 0; step < 30 && test.harness.first_action<SendToBackend>() == nullptr &&
+                         test.harness.first_action<AbortResponse>() == nullptr;
+           ++step) {
+        test.harness.advance(milliseconds(25));
+        test.harness.report_load(backend == "e1" ? 2 : 1, 4, 1);
+        probed = probed || test.harness.probed() == backend;
+        CPPUNIT_ASSERT(test.harness.first_action<EndResponse>() == nullptr);
+      }
+      CPPUNIT_ASSERT(probed);
+      CPPUNIT_ASSERT(test.outcome() ==
+                     (target == kResumable ? Outcome::resumed : Outcome::aborted));
+    }
+  }
+
+  /// Receives a stream of two events from an engine that announces its leaving, and the close of
+  /// its connection just before its exit is reported.
+  void receive_stream_of_exiting_engine(const std::string& target) {
+    harness.add_engines();
+    const RequestNumber request = harness.send_request(target);
+    const std::string backend = harness.sent_to();
+    BackendNotice notice;
+    notice.leaving = true;
+    harness.receive_head(request, 200, false, true, notice);
+    harness.receive_body(request, kEvents);
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    CPPUNIT_ASSERT(harness.first_action<EndResponse>() == nullptr);
+    harness.advance(milliseconds(50));
+    CPPUNIT_ASSERT(harness.first_action<EndResponse>() == nullptr);
+    harness.forwarder.on_backend_ended(backend, harness.now);
+    harness.advance(milliseconds(25));
+  }
+
+  void stream_cut_off_by_the_exit_of_a_leaving_engine_is_resumed() {
+    receive_stream_of_exiting_engine(kResumable);
+    CPPUNIT_ASSERT(outcome() == Outcome::resumed);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), harness.first_action<SendToBackend>()->resume_after);
+    harness.receive_head(harness.number, 200, false, true);
+    harness.receive_body(harness.number, "id: 3\ndata: c\n\n");
+    harness.complete_response(harness.number);
+    CPPUNIT_ASSERT(outcome() == Outcome::ended);
+  }
+
+  void stream_cut_off_by_the_exit_of_a_leaving_engine_is_aborted_if_it_cannot_be_resumed() {
+    receive_stream_of_exiting_engine(kNotResumable);
+    CPPUNIT_ASSERT(outcome() == Outcome::aborted);
+  }
+
+  // A whole stream whose engine exits just after it would be broken off in front of its caller.
+  void empty_resumption_confirms_the_end_of_a_whole_stream() {
+    for (const ResponseEnd end : {ResponseEnd::inferred_from_close, ResponseEnd::stated}) {
+      TruncatedResponseTest test;
+      test.receive_stream_of_exiting_engine(kResumable);
+      CPPUNIT_ASSERT(test.outcome() == Outcome::resumed);
+      const std::string second = test.harness.sent_to();
+      test.harness.receive_head(test.harness.number, 200, false, true);
+      test.harness.complete_response(test.harness.number, end);
+      for (int step = 0; step < 20 && test.harness.actions.empty(); ++step) {
+        test.harness.advance(milliseconds(25));
+        if (test.harness.actions.empty()) test.harness.report_load(second == "e1" ? 1 : 2, 4, 1);
+      }
+      CPPUNIT_ASSERT(test.outcome() == Outcome::ended);
+    }
+  }
+
+  void event_stream_on_a_route_of_another_kind_never_ends_inside_an_event() {
+    for (const ResponseEnd end : {ResponseEnd::inferred_from_close, ResponseEnd::stated}) {
+      for (const char* target : {"/read/1", "/pay/1"}) {
+        TruncatedResponseTest test;
+        test.harness.configure();
+        test.harness.add_backend("p1", "plain", 1);
+        test.harness.add_backend("p2", "plain", 2);
+        const RequestNumber request = test.harness.send_request(target);
+        const std::string backend = test.harness.sent_to();
+        test.harness.receive_head(request, 200, false, true);
+        test.harness.receive_body(request, std::string(kEvents) + "id: 3\nda");
+        test.harness.complete_response(request, end);
+        if (test.harness.first_action<SendToBackend>() == nullptr &&
+            test.harness.refusal_status() == 0) {
+          test.harness.find_listening(backend);
+        }
+        CPPUNIT_ASSERT(test.outcome() ==
+                       (target == std::string("/read/1") ? Outcome::resumed : Outcome::refused));
+      }
+    }
+  }
+
+  void end_that_is_held_back_at_the_deadline_is_not_certified() {
+    harness.add_engines();
+    const RequestNumber request = harness.send_request(kNotResumable, "key-1", milliseconds(300));
+    harness.receive_head(request, 200, false, true);
+    harness.receive_body(request, kEvents);
+    harness.now += milliseconds(200);
+    harness.complete_response(request, ResponseEnd::inferred_from_close);
+    for (int step = 0; step < 20 && harness.actions.empty(); ++step) {
+      harness.advance(milliseconds(10));
+    }
+    CPPUNIT_ASSERT(outcome() == Outcome::aborted);
+  }
+
   void caller_that_leaves_during_the_check_ends_the_request() {
     const std::string backend = receive_closed_stream(kResumable);
     harness.actions.clear();
--- a/tests/processes/unframed_response_test.py
+++ b/tests/processes/unframed_response_test.py
@@ -111,6 +111,31 @@
         response = await self.call_until_exit("POST", "/once/1", self.platform.engines[0])
         self.assertEqual((200, False), (response.status, response.complete))
 
+    async def test_a_stream_whose_engine_exits_after_its_agent_is_resumed(self):
+        engine, agent = self.platform.engines[0], self.platform.processes[0]
+        engine.event_gap = 0.3
+        killed = []
+
+        def kill_agent(_):
+            if engine.requests and not killed:
+                agent.kill()
+                killed.append(agent.wait())
+        engine.mode = "exit"
+        for _ in range(10):
+            response = await self.platform.call("POST", "/chat/1", on_event=kill_agent)
+            if killed:
+                break
+        self.assertTrue(killed)
+        self.assertEqual((200, COMPLETE_STREAM, True),
+                         (response.status, response.body, response.complete))
+
+    async def test_a_stream_cut_off_by_the_exit_of_a_leaving_engine_is_resumed(self):
+        engine = self.platform.engines[0]
+        engine.on_request_started = lambda headers: setattr(engine, "leaving", True)
+        response = await self.call_until_exit("POST", "/chat/1", self.platform.engines[0])
+        self.assertEqual((200, COMPLETE_STREAM, True),
+                         (response.status, response.body, response.complete))
+
     async def test_a_part_of_a_plain_response_whose_service_exits_is_not_relayed(self):
         first, second = self.platform.plain
         response = await self.call_until_exit("GET", "/read/1", first)
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -151,6 +151,11 @@
     const auto* send = first_action<SendToBackend>();
     return send == nullptr ? "" : send->backend;
   }
+  /// Back end that the last call probed; empty if it probed none.
+  std::string probed() const {
+    const auto* probe = first_action<ProbeBackend>();
+    return probe == nullptr ? "" : probe->backend;
+  }
   int refusal_status() const {
     const auto* refusal = first_action<SendRefusal>();
     return refusal == nullptr ? 0 : refusal->status;
