Certify no end of an engine's response without evidence that the engine lives on

What callers saw: a stream cut off between two events, framed as complete, when the engine's agent was gone or silent, or when the engine had announced its leaving; and event streams on routes of another kind, cut inside an event, with a length.

Cause: the absence of a report of an exit was taken for a report of its absence. The splitter of events followed streams of stream routes only.

Change: an end is certified by evidence: the agent reports the engine alive after the close, or a connection to the engine is accepted. Without either, or when a leaving engine exits, another engine is asked to continue; an empty continuation confirms the end. What may not be resumed is left without an end. Event streams are followed on all routes. An end held back at the caller's deadline is not certified.

--- a/src/gateway/backends/backend_pool.cpp
+++ b/src/gateway/backends/backend_pool.cpp
@@ -351,6 +351,12 @@
          found->second.report.alive;
 }
 
+bool BackendPool::reported_alive_since(const std::string& id, TimePoint since) const {
+  const auto found = backends_.find(id);
+  return found != backends_.end() && found->second.has_report && found->second.report.alive &&
+         found->second.reported_at >= since;
+}
+
 std::size_t BackendPool::reporting(TimePoint now) const {
   return static_cast<std::size_t>(
       std::count_if(backends_.begin(), backends_.end(), [&](const auto& entry) {
--- a/src/gateway/backends/backend_pool.h
+++ b/src/gateway/backends/backend_pool.h
@@ -191,6 +191,8 @@
   std::vector<PromptBacklog> take_changed_backlogs();
   /// Whether the back end is draining, removed or unknown.
   bool leaving(const std::string& id) const;
+  /// Whether its agent has reported the engine alive at this time or later.
+  bool reported_alive_since(const std::string& id, TimePoint since) const;
   /// The incarnation that the list names for this id.
   BackendIncarnation incarnation_of(const std::string& id) const;
   /// Whether a back end where the request may run has new enough weights, at any load.
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -78,11 +78,16 @@
   session.head_received = false;
   session.first_token_seen = false;
   session.reading_paused = false;
+  session.event_stream = false;
   session.streaming = false;
   session.buffered.clear();
   session.slot_released = false;
   session.end_held_until.reset();
   session.backend_ended = false;
+  session.end_probed = false;
+  if (session.splitter.event_count() > session.events_before || session.splitter.inside_event())
+    session.may_be_whole = session.closed_at.has_value() && !session.splitter.inside_event();
+  session.closed_at.reset();
   session.splitter.discard_partial_event();
   session.events_before = session.splitter.event_count();
   session.tried_backends.insert(choice.id);
@@ -170,8 +175,8 @@
   pool_.limits().on_response(session.backend, response.rate_limit, response.success,
                              session.sent_at, now);
   pool_.on_notice(session.backend_incarnation, response.notice, session.sent_at, now);
-  session.streaming =
-      event_stream && response.success && session.route->kind == RequestKind::stream;
+  session.event_stream = event_stream && response.success;
+  session.streaming = session.event_stream && session.route->kind == RequestKind::stream;
 }
 
 void RequestForwarder::on_response_body(RequestNumber number, std::string_view bytes, TimePoint now,
@@ -196,10 +201,11 @@
   if (found == sessions_.end() || found->second.backend.empty()) return;
   RequestSession& session = found->second;
   session.splitter.end_stream();
-  session.closed_at = now;
-  if (end == ResponseEnd::inferred_from_close) record_inferred_end(session);
-  const std::uint64_t events = session.splitter.event_count() - session.events_before;
-  if (session.streaming && is_truncated(session.splitter, events, end)) {
+  if (end == ResponseEnd::inferred_from_close) {
+    session.closed_at = now;
+    record_inferred_end(session);
+  }
+  if (ends_early(session, end)) {
     if (end == ResponseEnd::inferred_from_close)
       record_verdict(session, false, EndEvidence::content, now);
     fail_truncated(number, session, now, actions);
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -234,21 +234,34 @@
   void record_inferred_end(const RequestSession& session);
   void record_verdict(const RequestSession& session, bool complete, EndEvidence evidence,
                       TimePoint now);
-  /// Decides on a response whose connection was closed, or holds its end back for evidence that its
-  /// back end's process ended: the system closes the connections of such a process in an orderly
-  /// way.
+  /// Whether the content of a response shows that its end is missing. An empty continuation of a
+  /// stream that may have been whole shows that it was.
+  static bool ends_early(const RequestSession& session, ResponseEnd end);
+  /// Holds the inferred end of a response back until there is evidence whether its back end's
+  /// process has exited: the system closes the connections of such a process in an orderly way.
   /// @return false if the response is complete as far as can be known.
   bool check_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
                           ForwarderActions& actions);
+  void probe_for_end(RequestSession& session, ForwarderActions& actions);
   /// Fails the attempt whose response was cut off by an orderly close.
   void fail_truncated(RequestNumber number, RequestSession& session, TimePoint now,
                       ForwarderActions& actions);
   /// Decides on a response whose end is held back, once there is evidence or none has come in time.
   void decide_inferred_end(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions);
+  /// The back end's process has exited while the end was held back.
+  void decide_after_exit(RequestNumber number, RequestSession& session, TimePoint now,
+                         ForwarderActions& actions);
+  /// No exit was reported while the end was held back.
+  void decide_without_exit(RequestNumber number, RequestSession& session, TimePoint now,
+                           ForwarderActions& actions);
   /// Takes the held back end of a response for its actual end.
   void accept_inferred_end(RequestNumber number, RequestSession& session, EndEvidence evidence,
                            TimePoint now, ForwarderActions& actions);
+  /// Nothing tells whether the response is complete: asks another back end to continue it, which
+  /// sends nothing if it is, or leaves it without an end.
+  void continue_uncertain_response(RequestNumber number, RequestSession& session,
+                                   EndEvidence evidence, TimePoint now, ForwarderActions& actions);
   /// Relays a complete response to its caller, or retries the request by what the response says.
   void evaluate_response(RequestNumber number, RequestSession& session, TimePoint now,
                          ForwarderActions& actions);
--- a/src/gateway/requests/request_forwarder_ends.cpp
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -13,32 +13,38 @@
   on_attempt_failed(number, AttemptFailure::truncated, now, actions);
 }
 
+bool RequestForwarder::ends_early(const RequestSession& session, ResponseEnd end) {
+  if (!session.event_stream) return false;
+  const std::uint64_t events = session.splitter.event_count() - session.events_before;
+  if (session.may_be_whole && session.stream_started && events == 0)
+    return session.splitter.inside_event();
+  return is_truncated(session.splitter, events, end);
+}
+
 bool RequestForwarder::check_inferred_end(RequestNumber number, RequestSession& session,
                                           TimePoint now, ForwarderActions& actions) {
   // The head alone states that the request did not run.
   if (session.response.not_run) return false;
-  // A back end that leaves may exit as soon as it has sent its last response.
-  if (pool_.leaving(session.backend)) {
-    record_verdict(session, true, EndEvidence::leaving, now);
-    return false;
-  }
-  // A process that has answered a later request is another one, or has not exited.
-  if (crash_correlator_.exited_since(session.backend, session.sent_at, now)) {
+  const bool leaving = pool_.leaving(session.backend);
+  // A process that has answered a later request is another one, or has not exited. One that leaves
+  // may have stopped listening long before.
+  if (!leaving && crash_correlator_.exited_since(session.backend, session.sent_at, now)) {
     record_verdict(session, false, EndEvidence::exit, now);
     fail_truncated(number, session, now, actions);
     return true;
   }
-  if (!session.service->engine) {
-    actions.emplace_back(ProbeBackend{session.backend, session.backend_address});
-  } else if (!pool_.known_alive(session.backend, now)) {
-    record_verdict(session, true, EndEvidence::no_agent, now);
-    return false;
-  }
+  if (!session.service->engine || !pool_.known_alive(session.backend, now))
+    probe_for_end(session, actions);
   release_slot(session);
   session.end_held_until = std::min(now + options_.inferred_end_wait, session.deadline);
   return true;
 }
 
+void RequestForwarder::probe_for_end(RequestSession& session, ForwarderActions& actions) {
+  session.end_probed = true;
+  actions.emplace_back(ProbeBackend{session.backend, session.backend_address});
+}
+
 void RequestForwarder::on_backend_listening(const std::string& backend, TimePoint now,
                                             ForwarderActions& actions) {
   std::vector<RequestNumber> numbers;
@@ -61,13 +67,54 @@
 void RequestForwarder::decide_inferred_end(RequestNumber number, RequestSession& session,
                                            TimePoint now, ForwarderActions& actions) {
   if (session.backend_ended) {
+    decide_after_exit(number, session, now, actions);
+  } else if (now >= *session.end_held_until) {
+    decide_without_exit(number, session, now, actions);
+  }
+}
+
+void RequestForwarder::decide_after_exit(RequestNumber number, RequestSession& session,
+                                         TimePoint now, ForwarderActions& actions) {
+  if (!pool_.leaving(session.backend)) {
     record_verdict(session, false, EndEvidence::exit, now);
     fail_truncated(number, session, now, actions);
-  } else if (now >= *session.end_held_until) {
+  } else if (session.event_stream) {
+    continue_uncertain_response(number, session, EndEvidence::leaving_exit, now, actions);
+  } else {
+    accept_inferred_end(number, session, EndEvidence::leaving_exit, now, actions);
+  }
+}
+
+void RequestForwarder::decide_without_exit(RequestNumber number, RequestSession& session,
+                                           TimePoint now, ForwarderActions& actions) {
+  // The agent's state of the engine may be as old as its polling interval.
+  const TimePoint sampled_after_close = *session.closed_at + options_.inferred_end_wait / 2;
+  if (!session.service->engine) {
+    // A machine without a process at this address would have refused the probe.
     accept_inferred_end(number, session, EndEvidence::silence, now, actions);
+  } else if (pool_.reported_alive_since(session.backend, sampled_after_close)) {
+    accept_inferred_end(number, session, EndEvidence::report, now, actions);
+  } else if (now >= session.deadline) {
+    record_verdict(session, false, EndEvidence::deadline, now);
+    end_at_deadline(number, session, now, actions);
+  } else if (!session.end_probed) {
+    probe_for_end(session, actions);
+    session.end_held_until = std::min(now + options_.inferred_end_wait, session.deadline);
+  } else {
+    continue_uncertain_response(number, session, EndEvidence::silence, now, actions);
   }
 }
 
+void RequestForwarder::continue_uncertain_response(RequestNumber number, RequestSession& session,
+                                                   EndEvidence evidence, TimePoint now,
+                                                   ForwarderActions& actions) {
+  record_verdict(session, false, evidence, now);
+  session.end_held_until.reset();
+  session.may_have_run = true;
+  session.last_reason = RefusalReason::backend_failed;
+  retry_or_fail(number, session, now, actions);
+}
+
 void RequestForwarder::record_inferred_end(const RequestSession& session) {
   InferredEnd end;
   end.request_id = session.request.id;
@@ -82,8 +129,8 @@
 
 void RequestForwarder::record_verdict(const RequestSession& session, bool complete,
                                       EndEvidence evidence, TimePoint now) {
-  inferred_end_verdicts_.push_back(
-      {session.request.id, session.backend, complete, evidence, now - session.closed_at});
+  inferred_end_verdicts_.push_back({session.request.id, session.backend, complete, evidence,
+                                    now - session.closed_at.value_or(now)});
 }
 
 std::vector<InferredEnd> RequestForwarder::take_inferred_ends() {
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -8,14 +8,16 @@
       return "content";
     case EndEvidence::exit:
       return "exit";
+    case EndEvidence::leaving_exit:
+      return "leaving_exit";
     case EndEvidence::listening:
       return "listening";
+    case EndEvidence::report:
+      return "report";
     case EndEvidence::silence:
       return "silence";
-    case EndEvidence::leaving:
-      return "leaving";
-    case EndEvidence::no_agent:
-      return "no_agent";
+    case EndEvidence::deadline:
+      return "deadline";
   }
   return "unknown";
 }
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -60,12 +60,13 @@
 
 /// What an inferred end was judged by.
 enum class EndEvidence {
-  content,    ///< The stream ends inside an event, or has none.
-  exit,       ///< The back end's process was reported to have exited.
-  listening,  ///< A probe found the back end listening after the close.
-  silence,    ///< No exit was reported for as long as the end was held back.
-  leaving,    ///< None: the back end may exit after its last response.
-  no_agent,   ///< None: no agent would report an exit.
+  content,       ///< The stream ends inside an event, or has none.
+  exit,          ///< The back end's process was reported to have exited.
+  leaving_exit,  ///< The same of a back end that leaves: it may exit after its last response.
+  listening,     ///< A probe found the back end listening after the close.
+  report,        ///< The engine's agent reported it alive after the close.
+  silence,       ///< Neither an exit nor a living process was reported.
+  deadline,      ///< The caller's deadline came before any evidence.
 };
 const char* to_string(EndEvidence evidence);
 
@@ -108,16 +109,21 @@
   TimePoint sent_at{};
   TimePoint last_progress{};
   std::uint64_t events_before = 0;  ///< Complete events of earlier attempts.
-  TimePoint closed_at{};  ///< Close of the connection from which the response's end is inferred.
+  /// Close of the connection from which the end of the attempt's response is inferred.
+  std::optional<TimePoint> closed_at;
   /// The end of the response is held back until then, in case an exit of its back end is reported.
   std::optional<TimePoint> end_held_until;
   bool backend_ended = false;  ///< The exit has been reported.
+  bool end_probed = false;     ///< A probe of the back end was requested for its end.
+  /// The stream was closed in an orderly way after the last complete event, which may be its last.
+  bool may_be_whole = false;
   bool slot_released = false;  ///< The attempt no longer counts as running.
   bool connected = false;
   bool head_received = false;
   bool first_token_seen = false;
   bool reading_paused = false;  ///< Its response is held back until the caller has read more.
-  bool streaming = false;       ///< The response of the attempt is an event stream.
+  bool event_stream = false;    ///< The response of the attempt is an event stream.
+  bool streaming = false;       ///< The same, on a route for streams: it is relayed as it arrives.
   ResponseMetadata response;
   std::string buffered;
   EventSplitter splitter;
--- a/src/gateway/requests/response_relay.cpp
+++ b/src/gateway/requests/response_relay.cpp
@@ -23,6 +23,7 @@
     return;
   }
   session.last_progress = now;
+  if (session.event_stream) session.splitter.take_complete_events(bytes);
   // A stream was started: a plain response to its resumption is not part of it.
   if (session.stream_started) return;
   if (session.response_started) {
