Quarantine shared parts of prompts under which back ends crash

What callers saw: engines ended one after the other, 69 in 8 s; up to a third of all requests were refused meanwhile. Each request was another one, so that none stood under more than three ends.

Cause: the memory of crashes is keyed by the whole request, and the cause is a part of the prompt that different requests share. Class: a memory's key that is narrower than the cause it guards against.

Change: shared parts (service, model, id) are suspects beside the request. Three ends under different requests quarantine a part; a whole answer to any request with it clears it, at any gateway; the ends of a burst count as one; a gateway that does not know what ends well blames none. Updates between gateways carry the kind and a hash of the request that had the part; a receiver that has completed the part lately vouches for it. Verdicts are sent before completions to a gateway that asks for them.

Ruled out: late or missing verdicts (203 of 246 fingerprints stand under one end).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -366,9 +366,10 @@
     metrics_.on_crash(crash);
     log_.log_crash(crash);
   }
-  for (const RequestFingerprint& request : fleet_.quarantine().take_newly_quarantined()) {
-    const std::size_t crash_count = fleet_.quarantine().crash_count(request);
-    log_.log_line("quarantine", "request fingerprint=" + to_string(request) +
+  for (const CrashSuspect& suspect : fleet_.quarantine().take_newly_quarantined()) {
+    const std::size_t crash_count = fleet_.quarantine().crash_count(suspect);
+    log_.log_line("quarantine", std::string(to_string(suspect.kind)) +
+                                    " fingerprint=" + to_string(suspect.fingerprint) +
                                     " state=QUARANTINED ends=" + std::to_string(crash_count));
   }
   fleet_.gossip_crashes();
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -40,7 +40,8 @@
        << " named_ms=" << to_milliseconds(summary.naming_age)
        << " taken_back=" << summary.taken_back
        << " begun_late=" << (summary.begun_late ? "yes" : "no") << " priority=" << summary.priority
-       << " denied_by=" << (summary.denied_by.empty() ? "-" : summary.denied_by);
+       << " denied_by=" << (summary.denied_by.empty() ? "-" : summary.denied_by)
+       << " quarantined_by=" << (summary.quarantined_by.empty() ? "-" : summary.quarantined_by);
   log_line("request_" + summary.outcome, text.str());
 }
 
--- a/src/gateway/quarantine/crash_correlator.cpp
+++ b/src/gateway/quarantine/crash_correlator.cpp
@@ -15,9 +15,16 @@
 /// Fewer exits within the span are treated as a coincidence.
 constexpr std::ptrdiff_t kMinimumBurstSize = 3;
 
-void add_parts(PromptParts& parts, const PromptParts& more) {
+void add_parts(SuspectedParts& parts, const PromptParts& more, const RequestFingerprint& request) {
   for (const PromptPart& part : more) {
-    if (std::find(parts.begin(), parts.end(), part) == parts.end()) parts.push_back(part);
+    const auto known = std::find_if(parts.begin(), parts.end(), [&](const SuspectedPart& seen) {
+      return seen.fingerprint == part.fingerprint;
+    });
+    if (known == parts.end()) {
+      parts.push_back({part.id, part.fingerprint, request.low});
+    } else {
+      known->carrier = std::min(known->carrier, request.low);
+    }
   }
 }
 
@@ -27,7 +34,9 @@
                                               const RequestFingerprint& request, TimePoint now,
                                               const PromptParts& prompt_parts) {
   if (exited_recently(backend.id, now)) {
-    unreported_.push_back({backend, exited_.at(backend.id), {request}, false, prompt_parts});
+    BackendCrash crash{backend, exited_.at(backend.id), {request}, false, {}};
+    add_parts(crash.prompt_parts, prompt_parts, request);
+    unreported_.push_back(std::move(crash));
     return;
   }
   interrupted_[backend.id].push_back({backend, request, now, prompt_parts});
@@ -51,7 +60,7 @@
   for (const InterruptedResponse& interrupted : found->second) {
     if (now - interrupted.at > kConfirmationTimeout) continue;
     crash.requests.push_back(interrupted.request);
-    add_parts(crash.prompt_parts, interrupted.prompt_parts);
+    add_parts(crash.prompt_parts, interrupted.prompt_parts, interrupted.request);
   }
   interrupted_.erase(found);
   if (!crash.requests.empty()) unreported_.push_back(std::move(crash));
@@ -81,11 +90,18 @@
   return result;
 }
 
-bool CrashCorrelator::awaits_confirmation(const RequestFingerprint& request, TimePoint now) const {
+bool CrashCorrelator::InterruptedResponse::concerns(const CrashSuspect& suspect) const {
+  if (suspect.kind == SuspectKind::request) return request == suspect.fingerprint;
+  return std::any_of(prompt_parts.begin(), prompt_parts.end(), [&](const PromptPart& part) {
+    return part.fingerprint == suspect.fingerprint;
+  });
+}
+
+bool CrashCorrelator::awaits_confirmation(const CrashSuspect& suspect, TimePoint now) const {
   return std::any_of(interrupted_.begin(), interrupted_.end(), [&](const auto& entry) {
     return std::any_of(
         entry.second.begin(), entry.second.end(), [&](const InterruptedResponse& interrupted) {
-          return interrupted.request == request && now - interrupted.at <= kConfirmationTimeout;
+          return interrupted.concerns(suspect) && now - interrupted.at <= kConfirmationTimeout;
         });
   });
 }
--- a/src/gateway/quarantine/crash_correlator.h
+++ b/src/gateway/quarantine/crash_correlator.h
@@ -13,6 +13,7 @@
 
 #include "common/time.h"
 #include "fleet/backend_record.h"
+#include "gateway/quarantine/crash_suspect.h"
 #include "gateway/quarantine/prompt_part.h"
 #include "gateway/quarantine/request_fingerprint.h"
 
@@ -25,7 +26,7 @@
   std::vector<RequestFingerprint> requests;
   /// Several back ends exited at about the same time, possibly for a common cause.
   bool in_burst = false;
-  PromptParts prompt_parts = {};  ///< Shared parts of these requests' prompts, each once.
+  SuspectedParts prompt_parts = {};  ///< Shared parts of these requests' prompts, each once.
 };
 
 class CrashCorrelator {
@@ -41,8 +42,8 @@
   /// Returns the crashes found since the last call, and again those taken before that have turned
   /// out to be part of a burst.
   std::vector<BackendCrash> take_crashes(TimePoint now);
-  /// Whether a report that the back end exited under the request may still arrive.
-  bool awaits_confirmation(const RequestFingerprint& request, TimePoint now) const;
+  /// Whether a report that a back end exited under the suspect may still arrive.
+  bool awaits_confirmation(const CrashSuspect& suspect, TimePoint now) const;
   /// Drops interrupted responses that were not confirmed in time. Call periodically.
   void sweep(TimePoint now);
 
@@ -52,6 +53,8 @@
     RequestFingerprint request;
     TimePoint at{};
     PromptParts prompt_parts;
+
+    bool concerns(const CrashSuspect& suspect) const;
   };
 
   bool exited_recently(const std::string& backend, TimePoint now) const;
--- a/src/gateway/quarantine/crash_update.h
+++ b/src/gateway/quarantine/crash_update.h
@@ -1,5 +1,5 @@
 /// Crash updates: what gateways tell each other about requests that were running when back ends
-/// crashed.
+/// crashed, and about shared parts of their prompts.
 ///
 /// A decision core: no I/O.
 #pragma once
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "common/time.h"
-#include "gateway/quarantine/request_fingerprint.h"
+#include "gateway/quarantine/crash_suspect.h"
 #include "limits/token_bucket.h"
 
 namespace pumicemast {
@@ -20,20 +20,23 @@
   bool in_burst = false;  ///< Several back ends exited at about the same time.
   /// The observing gateway did not know yet which requests complete.
   bool observer_warming_up = false;
+  std::uint64_t carrier = 0;  ///< Of a shared part, as in SuspectedPart.
 };
 
 /// A crash, as one gateway reports it to another.
 struct ReportedCrash {
   std::uint64_t backend = 0;  ///< As in CrashEvent.
   Duration age = Duration::zero();
-  std::vector<RequestFingerprint> requests;
-  bool in_burst = false;             ///< As in CrashEvent.
-  bool observer_warming_up = false;  ///< As in CrashEvent.
+  std::vector<RequestFingerprint> requests;  ///< Or shared parts, depending on `kind`.
+  bool in_burst = false;                     ///< As in CrashEvent.
+  bool observer_warming_up = false;          ///< As in CrashEvent.
+  SuspectKind kind = SuspectKind::request;
+  std::vector<std::uint64_t> carriers = {};  ///< Of each of these parts; empty for requests.
 };
 
-/// A complete response to a request with recorded crashes: this time the back end survived it.
+/// A complete response to a suspect with recorded crashes: this time the back end survived it.
 struct ReportedCompletion {
-  RequestFingerprint request;
+  CrashSuspect suspect;
   Duration age = Duration::zero();
 };
 
@@ -50,23 +53,22 @@
  public:
   CrashUpdateQueue();
 
-  /// @param known_crashes  number of crashes recorded for the request; entries with more are sent
+  /// @param known_crashes  number of crashes recorded for the suspect; entries with more are sent
   ///                       first.
-  void add_crash(const RequestFingerprint& request, const CrashEvent& event,
-                 std::size_t known_crashes);
-  void add_completion(const RequestFingerprint& request, TimePoint at);
+  void add_crash(const CrashSuspect& suspect, const CrashEvent& event, std::size_t known_crashes);
+  void add_completion(const CrashSuspect& suspect, TimePoint at);
   /// Returns the entries to be sent now; empty when the rate limit is reached. The rest stays
   /// queued.
   CrashUpdate take(TimePoint now);
 
  private:
   struct QueuedCrash {
-    RequestFingerprint request;
+    CrashSuspect suspect;
     CrashEvent event;
     std::size_t known_crashes = 0;
   };
   struct QueuedCompletion {
-    RequestFingerprint request;
+    CrashSuspect suspect;
     TimePoint at{};
   };
 
--- a/src/gateway/quarantine/request_fingerprint.cpp
+++ b/src/gateway/quarantine/request_fingerprint.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstring>
 
+#include "gateway/quarantine/crash_suspect.h"
 #include "gateway/quarantine/prompt_part.h"
 #include "weights/sha256.h"
 
@@ -39,6 +40,10 @@
 
 }  // namespace
 
+const char* to_string(SuspectKind kind) {
+  return kind == SuspectKind::request ? "request" : "prompt_part";
+}
+
 std::string to_string(const RequestFingerprint& fingerprint) {
   std::array<char, 33> text{};
   std::snprintf(text.data(), text.size(), "%016llx%016llx",
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -45,7 +45,7 @@
 
 bool RequestForwarder::dispatch(RequestNumber number, RequestSession& session, TimePoint now,
                                 ForwarderActions& actions) {
-  if (quarantine_.quarantined(session.fingerprint, now)) {
+  if (is_quarantined(session, now)) {
     give_up(number, session, RefusalReason::quarantined, now, actions);
     return true;
   }
@@ -155,9 +155,20 @@
 }
 
 bool RequestForwarder::may_crash_another(const RequestSession& session, TimePoint now) const {
-  if (quarantine_.quarantined(session.fingerprint, now)) return true;
-  if (!crash_correlator_.awaits_confirmation(session.fingerprint, now)) return false;
-  return quarantine_.crash_count(session.fingerprint) + 1 >= quarantine_.crash_threshold();
+  if (quarantine_.first_quarantined(session.suspects, now) != nullptr) return true;
+  return std::any_of(
+      session.suspects.begin(), session.suspects.end(), [&](const CrashSuspect& suspect) {
+        return quarantine_.crash_count(suspect) + 1 >= quarantine_.crash_threshold() &&
+               crash_correlator_.awaits_confirmation(suspect, now);
+      });
+}
+
+bool RequestForwarder::is_quarantined(RequestSession& session, TimePoint now) const {
+  const CrashSuspect* suspect = quarantine_.first_quarantined(session.suspects, now);
+  if (suspect == nullptr) return false;
+  session.quarantined_by =
+      std::string(to_string(suspect->kind)) + ":" + to_string(suspect->fingerprint);
+  return true;
 }
 
 void RequestForwarder::on_connected(RequestNumber number) {
@@ -230,7 +241,7 @@
     return;
   }
   // Whatever the status is, the back end has run the request and is alive.
-  quarantine_.on_completed(session.fingerprint, now);
+  quarantine_.on_completed(session.suspects, now);
   if (session.stream_started && !session.streaming) {
     // The resumption failed; its response is not part of the stream.
     session.may_have_run = true;
@@ -346,7 +357,7 @@
     if (found == sessions_.end() || must_yield(found->second, now)) continue;
     RequestSession& session = found->second;
     // Queued requests wait longer: many of them would each search all engines without a result.
-    if (session.ordered_by_priority && !quarantine_.quarantined(session.fingerprint, now)) {
+    if (session.ordered_by_priority && !is_quarantined(session, now)) {
       if (!without_room.contains(session.service) && !pool_.may_have_room(*session.service, now)) {
         without_room.insert(session.service);
       }
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -187,7 +187,10 @@
   /// The attempt has ended at its back end, whatever becomes of its response.
   void release_slot(RequestSession& session);
   void release_backend(RequestSession& session);
-  static void identify_prompt_parts(RequestSession& session);
+  /// Sets what the request would be suspected by if a back end crashed under it.
+  static void identify_suspects(RequestSession& session);
+  /// Whether the request, or a part of its prompt, is in quarantine; records which for its summary.
+  bool is_quarantined(RequestSession& session, TimePoint now) const;
   /// Records that the attempt broke off, which may be due to a crash of its back end.
   void record_possible_crash(const RequestSession& session, TimePoint now,
                              ForwarderActions& actions);
--- a/src/gateway/requests/request_forwarder_admission.cpp
+++ b/src/gateway/requests/request_forwarder_admission.cpp
@@ -22,7 +22,7 @@
   session.priority = authorization.priority;
   session.ordered_by_priority = authorization.ordered_by_priority;
   if (authorization.route != nullptr) planner_.plan_times(session);
-  identify_prompt_parts(session);
+  identify_suspects(session);
   if (authorization.refusal) {
     refuse_before_sending(number, session, *authorization.refusal, now, actions);
     return;
@@ -37,7 +37,7 @@
                           actions);
     return;
   }
-  if (quarantine_.quarantined(session.fingerprint, now)) {
+  if (is_quarantined(session, now)) {
     // It has not run, but no retry time is stated: while it is in quarantine no gateway runs it.
     refuse(number, session, kStatusUnavailable, RefusalReason::quarantined, {}, now, actions);
     return;
@@ -62,11 +62,14 @@
   queue_for_slot(number, session, now, actions);
 }
 
-void RequestForwarder::identify_prompt_parts(RequestSession& session) {
+void RequestForwarder::identify_suspects(RequestSession& session) {
+  session.suspects = {session.fingerprint};
   if (session.service == nullptr) return;
   for (const std::string& id : session.request.shared_prompt_parts) {
     session.prompt_parts.push_back(
         {id, fingerprint_prompt_part(session.service->name, session.request.model, id)});
+    session.suspects.emplace_back(session.prompt_parts.back().fingerprint,
+                                  SuspectKind::prompt_part);
   }
 }
 
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -34,7 +34,7 @@
 
 void RequestForwarder::check_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                                      ForwarderActions& actions) {
-  if (!session.first_token_seen && quarantine_.quarantined(session.fingerprint, now)) {
+  if (!session.first_token_seen && is_quarantined(session, now)) {
     cancel_quarantined_attempt(number, session, now, actions);
     return;
   }
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -88,6 +88,7 @@
   summary.reason = reason;
   summary.backends = tried_backend_names;
   summary.priority = priority;
+  summary.quarantined_by = quarantined_by;
   summary.denied_by = slot_denials;
   summary.status = status;
   summary.sends = sends;
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -8,6 +8,7 @@
 
 #include "common/time.h"
 #include "fleet/backend_record.h"
+#include "gateway/quarantine/crash_suspect.h"
 #include "gateway/quarantine/prompt_part.h"
 #include "gateway/requests/forwarder_actions.h"
 #include "gateway/requests/route_table.h"
@@ -28,7 +29,8 @@
   std::string reason;
   std::string backends;  ///< Back ends tried, in order.
   int priority = 0;
-  std::string denied_by;  ///< Engines that denied a slot, each with its reason, in order.
+  std::string quarantined_by;  ///< Kind and fingerprint of what it was refused for, or empty.
+  std::string denied_by;       ///< Engines that denied a slot, each with its reason, in order.
   int status = 0;
   std::uint32_t sends = 0;
   std::uint64_t configuration = 0;
@@ -90,6 +92,7 @@
   AllowedRegions allowed_regions;
   RequestFingerprint fingerprint;  ///< Of the content and the tenant.
   PromptParts prompt_parts;        ///< Shared parts of its prompt.
+  CrashSuspects suspects;          ///< The request and these parts.
   int priority = 0;
   /// The service's engines grant slots by priority; `priority` is then a level of its order.
   bool ordered_by_priority = false;
@@ -152,7 +155,8 @@
                            TimePoint now) const;
 
   std::string tried_backend_names;
-  std::string slot_denials;  ///< As `RequestSummary::denied_by`.
+  std::string quarantined_by;  ///< As `RequestSummary::quarantined_by`.
+  std::string slot_denials;    ///< As `RequestSummary::denied_by`.
   double expected_ms = 0;
   TimePoint first_sent{};
   TimePoint first_event{};
--- a/src/gateway/status_pages.cpp
+++ b/src/gateway/status_pages.cpp
@@ -21,9 +21,12 @@
 
 std::string quarantine_page(const RequestQuarantine& quarantine, TimePoint now) {
   std::string page;
-  for (const QuarantinedRequest& entry : quarantine.list(now)) {
-    page += "fingerprint=" + to_string(entry.request) + " ends=" + std::to_string(entry.crashes) +
-            " held_for_s=" + std::to_string(to_milliseconds(entry.held_for) / 1000) + "\n";
+  for (const QuarantinedSuspect& entry : quarantine.list(now)) {
+    page += "fingerprint=" + to_string(entry.suspect.fingerprint) +
+            " ends=" + std::to_string(entry.crashes) +
+            " held_for_s=" + std::to_string(to_milliseconds(entry.held_for) / 1000);
+    if (entry.suspect.kind == SuspectKind::prompt_part) page += " kind=prompt_part";
+    page += "\n";
   }
   return page;
 }
--- a/src/gateway/status_pages.h
+++ b/src/gateway/status_pages.h
@@ -8,7 +8,7 @@
 
 namespace pumicemast {
 
-/// One line for each quarantined request.
+/// One line for each quarantined request or part of prompts.
 std::string quarantine_page(const RequestQuarantine& quarantine, TimePoint now);
 /// One line for each known back end: whether it gets requests, and if not, why and since when.
 std::string backends_page(const BackendPool& pool, TimePoint now);
--- a/tests/fuzz/bad_bytes_test.cpp
+++ b/tests/fuzz/bad_bytes_test.cpp
@@ -317,7 +317,7 @@
   void crash_updates() {
     const CrashUpdate update{
         {{5, milliseconds(120), {{1, 2}, {3, 4}}, true}, {6, seconds(5), {{3, 4}}}},
-        {{{1, 2}, milliseconds(7)}}};
+        {{RequestFingerprint{1, 2}, milliseconds(7)}}};
     const EncodedFrame frame = encode_frame(encode(update));
     const std::string good(reinterpret_cast<const char*>(frame.data()), frame.size());
     RequestQuarantine quarantine;
--- a/tests/gateway/quarantine/request_quarantine_test.cpp
+++ b/tests/gateway/quarantine/request_quarantine_test.cpp
@@ -245,7 +245,7 @@
     CPPUNIT_ASSERT(decoded.crashes[0].requests == update.crashes[0].requests);
     CPPUNIT_ASSERT(decoded.crashes[0].age == milliseconds(120));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, decoded.crashes[1].backend);
-    CPPUNIT_ASSERT(decoded.completions.at(0).request == kRequest);
+    CPPUNIT_ASSERT(decoded.completions.at(0).suspect == CrashSuspect(kRequest));
     CPPUNIT_ASSERT(decoded.completions.at(0).age == milliseconds(7));
   }
 
@@ -261,10 +261,10 @@
     crash_under(2, "e1");
     crash_under(2, "e2");
     for (std::uint64_t request = 3; request < 10; ++request) crash_under(request, "e5");
-    CPPUNIT_ASSERT(small.quarantined({1, 1}, now_));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, small.crash_count({2, 2}));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, small.crash_count({8, 8}));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, small.crash_count({9, 9}));
+    CPPUNIT_ASSERT(small.quarantined(RequestFingerprint{1, 1}, now_));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, small.crash_count(RequestFingerprint{2, 2}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, small.crash_count(RequestFingerprint{8, 8}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, small.crash_count(RequestFingerprint{9, 9}));
   }
 
   void differing_verdicts_are_requested_with_growing_intervals() {
--- a/tests/gateway/requests/crash_containment_test.cpp
+++ b/tests/gateway/requests/crash_containment_test.cpp
@@ -271,7 +271,7 @@
         sent_entries += crash.requests.size();
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{4096}, quarantine.list(now).size());
-    CPPUNIT_ASSERT(quarantine.quarantined({10000, 10000}, now));
+    CPPUNIT_ASSERT(quarantine.quarantined(RequestFingerprint{10000, 10000}, now));
     // 100 s at 64 entries per second, plus the burst allowance.
     CPPUNIT_ASSERT(sent_entries <= 64 * 100 + 200);
     CPPUNIT_ASSERT(quarantine.verdicts(now).crashes.size() <= 256 * 6);
--- a/tests/support/crash_simulation.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -404,10 +404,11 @@
 }
 
 std::size_t CrashSimulation::part_quarantined_at(const std::string& part) const {
-  const RequestFingerprint fingerprint = fingerprint_prompt_part("engines", "m", part);
+  const CrashSuspect suspect(fingerprint_prompt_part("engines", "m", part),
+                             SuspectKind::prompt_part);
   return static_cast<std::size_t>(std::count_if(
       gateways_.begin(), gateways_.end(),
-      [&](const auto& gateway) { return gateway->quarantine.quarantined(fingerprint, now_); }));
+      [&](const auto& gateway) { return gateway->quarantine.quarantined(suspect, now_); }));
 }
 
 const RequestQuarantine& CrashSimulation::quarantine(std::size_t gateway) const {
