Count the crashes of a part under one crash without sorting

With all records taken, each new one asks for the counted crashes of all others. Most parts are under one crash, which needs no order; several are sorted as before. A test floods the quarantine with parts made up for each request: the verdict stays, and what is sent stays within its rate. No verdict changes.

--- a/src/gateway/quarantine/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -38,6 +38,12 @@
 }
 
 std::size_t RequestQuarantine::Record::counted_part_crashes() const {
+  // Most parts are under one crash at most, and make_room() asks for all of them.
+  if (crashes.empty()) return 0;
+  if (crashes.size() == 1) {
+    const RecordedCrash& only = crashes.front();
+    return only.discounted || only.event.observer_warming_up || only.event.in_burst ? 0 : 1;
+  }
   std::vector<CrashEvent> events;
   for (const RecordedCrash& seen : crashes) {
     if (!seen.discounted && !seen.event.observer_warming_up) events.push_back(seen.event);
--- a/tests/gateway/quarantine/prompt_part_quarantine_test.cpp
+++ b/tests/gateway/quarantine/prompt_part_quarantine_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(a_part_and_a_request_with_equal_fingerprints_are_different_suspects);
   CPPUNIT_TEST(verdicts_on_parts_reach_a_gateway_that_has_just_started);
   CPPUNIT_TEST(verdicts_are_not_displaced_by_parts_that_complete);
+  CPPUNIT_TEST(parts_made_up_for_each_request_displace_no_verdict);
   CPPUNIT_TEST(the_same_part_of_another_model_is_not_blamed);
   CPPUNIT_TEST(a_request_with_a_quarantined_part_is_refused_at_once_without_a_retry_time);
   CPPUNIT_TEST(an_attempt_that_has_not_begun_is_cancelled_when_its_part_is_quarantined);
@@ -198,6 +199,25 @@
     CPPUNIT_ASSERT(starting.quarantined(part(), now_ + seconds(1)));
   }
 
+  void parts_made_up_for_each_request_displace_no_verdict() {
+    for (int crashes = 0; crashes < 3; ++crashes) quarantine_.on_crash(crash());
+    quarantine_.take_update(now_);
+    std::size_t sent_entries = 0;
+    for (std::uint64_t number = 0; number < 200; ++number) {
+      BackendCrash flooded = crash();
+      flooded.prompt_parts.clear();
+      for (std::uint64_t made_up = 0; made_up < 32; ++made_up) {
+        flooded.prompt_parts.push_back({"x", {number + 1, made_up + 1000}, number});
+      }
+      quarantine_.on_crash(flooded);
+      for (const ReportedCrash& sent : quarantine_.take_update(now_).crashes)
+        sent_entries += sent.requests.size();
+    }
+    CPPUNIT_ASSERT(quarantine_.quarantined(part(), now_));
+    // 200 s at 64 entries per second, plus the burst allowance.
+    CPPUNIT_ASSERT(sent_entries <= 64 * 200 + 200);
+  }
+
   void the_same_part_of_another_model_is_not_blamed() {
     CPPUNIT_ASSERT(fingerprint_prompt_part("s", "m", "1") ==
                    fingerprint_prompt_part("s", "m", "1"));
