--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -25,10 +26,20 @@
 ENGINES = ["127.0.0.11", "127.0.0.12"]  # One address per machine: all agents use the same port.
 
 
+# Below the range from which the system takes the ports of outgoing connections: one of them could
+# take the port before the process that it is meant for.
+PORTS_OF_PROCESSES = range(12000, 32000)
+
+
 def free_port():
-    with socket.socket() as listener:
-        listener.bind(("0.0.0.0", 0))
-        return listener.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(PORTS_OF_PROCESSES)
+        with socket.socket() as listener:
+            try:
+                listener.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+            return port
 
 
 class Response:
