Log and count connections that are closed before their callers have the response

Logs could not tell why a caller's response broke off: a connection was closed without a line, whatever was still queued. Now a connection that closes with undelivered response bytes has a line with the reason, these bytes, and unread input (with which the system resets it), and is counted by reason; the line at the end of a stop has what is left undelivered; a repeated stop signal has a line. No behaviour changes.

--- a/src/common/event_loop.cpp
+++ b/src/common/event_loop.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "common/log.h"
 
 namespace pumicemast {
 
@@ -42,6 +43,7 @@
 gboolean EventLoop::handle_signal(gpointer self) {
   auto* loop = static_cast<EventLoop*>(self);
   if (loop->terminating_) {
+    LOG(WARNING) << "process event=repeated_stop_signal state=ENDING";
     loop->quit();
     return G_SOURCE_CONTINUE;
   }
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -131,8 +131,13 @@
   const bool idle = now - last_caller_activity_ >= kIdleBeforeExit && !awaits_any_request();
   if (!grace_ending && !idle) return;
   step("finished");
+  std::size_t undelivered_bytes = 0;
+  for (const auto& [key, connection] : callers_) {
+    undelivered_bytes += connection->undelivered_bytes();
+  }
   LOG(INFO) << "gateway event=end active=" << forwarder_.active()
-            << " connections=" << callers_.size();
+            << " connections=" << callers_.size() << " undelivered_bytes=" << undelivered_bytes
+            << " stopping_ms=" << to_milliseconds(since);
   log_.flush();
   loop_.quit();
 }
@@ -194,6 +199,10 @@
 void GatewayDaemon::on_caller_connection_closed(CallerConnection& connection) {
   callers_by_number_.erase(connection.caller_number);
   if (memory_) memory_->remove(connection.caller_number);
+  if (connection.remains().undelivered_bytes > 0) {
+    metrics_.on_undelivered(connection.remains());
+    log_.log_undelivered(connection.remains(), state_);
+  }
   auto node = callers_.extract(&connection);
   if (!node.empty()) deleter_.defer(std::move(node.mapped()));
 }
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -81,6 +81,13 @@
   log_line("crash", text.str());
 }
 
+void GatewayLog::log_undelivered(const ConnectionRemains& remains, const std::string& state) {
+  log_line("undelivered",
+           std::string("caller event=closed_undelivered reason=") + to_string(remains.reason) +
+               " undelivered_bytes=" + std::to_string(remains.undelivered_bytes) +
+               " unread_bytes=" + std::to_string(remains.unread_bytes) + " gateway_state=" + state);
+}
+
 void GatewayLog::flush() {
   for (const auto& [kind, count] : budget_.take_suppressed()) {
     LOG(INFO) << "log kind=" << kind << " lines_left_out=" << count << " reason=budget";
--- a/src/gateway/gateway_log.h
+++ b/src/gateway/gateway_log.h
@@ -6,6 +6,7 @@
 #include "common/log_budget.h"
 #include "gateway/quarantine/crash_correlator.h"
 #include "gateway/requests/request_session.h"
+#include "http1/caller_connection.h"
 
 namespace pumicemast {
 
@@ -27,6 +28,9 @@
   void log_inferred_end_verdict(const InferredEndVerdict& verdict);
   /// Logs the crash of a back end and the requests that were running there.
   void log_crash(const BackendCrash& crash);
+  /// Logs a connection that was closed before its caller had received all queued responses.
+  /// @param state  of the gateway's state chart.
+  void log_undelivered(const ConnectionRemains& remains, const std::string& state);
   /// Logs how many lines were suppressed, and flushes the log. Call periodically.
   void flush();
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include "common/metrics.h"
 #include "gateway/memory/memory_budget.h"
 #include "gateway/requests/request_forwarder.h"
+#include "http1/caller_connection.h"
 
 namespace pumicemast {
 
@@ -40,6 +41,10 @@
   /// @param reads_paused  responses that are held back now.
   void update(const HeldBytes& held, std::size_t reads_paused);
   void on_memory_refusal() { metrics_.count("pumicemast_gateway_memory_refusals_total"); }
+  void on_undelivered(const ConnectionRemains& remains) {
+    metrics_.count("pumicemast_gateway_undelivered_responses_total",
+                   {{"reason", to_string(remains.reason)}});
+  }
   void on_slow_reader_cut() { metrics_.count("pumicemast_gateway_slow_readers_cut_total"); }
   std::string serialize() const { return metrics_.serialize(); }
   Metrics& registry() { return metrics_; }
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -28,6 +28,22 @@
 
 }  // namespace
 
+const char* to_string(CloseReason reason) {
+  switch (reason) {
+    case CloseReason::completed:
+      return "completed";
+    case CloseReason::idle:
+      return "idle";
+    case CloseReason::body_refused:
+      return "body_refused";
+    case CloseReason::aborted:
+      return "aborted";
+    case CloseReason::by_caller:
+      return "by_caller";
+  }
+  return "unknown";
+}
+
 CallerConnection::CallerConnection(int descriptor, RequestLimits limits,
                                    CallerConnectionObserver& observer)
     : observer_(observer),
@@ -179,6 +195,7 @@
 void CallerConnection::abort_response() {
   if (state_ == State::closed) return;
   flush();
+  record_remains(CloseReason::aborted);
   state_ = State::closed;
   stream_.reset();
   observer_.on_caller_connection_closed(*this);
@@ -197,18 +214,23 @@
     stream_.set_reading(false);
     return;
   }
-  close();
+  close(CloseReason::completed);
+}
+
+void CallerConnection::record_remains(CloseReason reason) {
+  remains_ = {reason, stream_.undelivered_bytes(), stream_.unread_bytes()};
 }
 
-void CallerConnection::close() {
+void CallerConnection::close(CloseReason reason) {
   if (state_ == State::closed) return;
+  record_remains(reason);
   state_ = State::closed;
   stream_.close();
   observer_.on_caller_connection_closed(*this);
 }
 
 void CallerConnection::on_stream_drained() {
-  if (close_when_drained_) close();
+  if (close_when_drained_) close(CloseReason::completed);
 }
 
 void CallerConnection::on_stream_written() {
@@ -218,6 +240,7 @@
 void CallerConnection::on_stream_end(StreamEnd) {
   if (state_ == State::closed) return;
   const bool in_progress = state_ == State::handling;
+  record_remains(CloseReason::by_caller);
   state_ = State::closed;
   if (in_progress) observer_.on_caller_disconnected(*this);
   observer_.on_caller_connection_closed(*this);
@@ -227,7 +250,7 @@
   if (state_ != State::waiting) return;
   const Duration waited = now - waiting_since_;
   if (discarding_) {
-    if (waited >= head_timeout) close();
+    if (waited >= head_timeout) close(CloseReason::body_refused);
     return;
   }
   if (reader_.has_partial()) {
@@ -237,7 +260,7 @@
   // A caller that has not sent a request yet is about to send one, however slow its machine is.
   const bool idle_while_closing =
       closing_ && received_request_ && waited >= kClosingIdleTimeout && stream_.queued_bytes() == 0;
-  if (idle_while_closing || waited >= idle_timeout) close();
+  if (idle_while_closing || waited >= idle_timeout) close(CloseReason::idle);
 }
 
 }  // namespace pumicemast
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -25,10 +25,28 @@
   virtual void on_caller_request(CallerConnection& connection, ReceivedRequest request) = 0;
   /// The caller disconnected while its request was in progress; no response can be sent any more.
   virtual void on_caller_disconnected(CallerConnection& connection) = 0;
-  /// The connection is closed; the owner destroys it after this loop iteration.
+  /// The connection is closed; the owner destroys it after this loop iteration. See remains().
   virtual void on_caller_connection_closed(CallerConnection& connection) = 0;
 };
 
+/// Why a connection was closed.
+enum class CloseReason {
+  completed,     ///< After its last response.
+  idle,          ///< No request for the idle timeout, or for a short time while closing.
+  body_refused,  ///< The rest of a refused body did not arrive in time.
+  aborted,       ///< Its response could not be completed.
+  by_caller,     ///< By the caller, or by a failure of the network.
+};
+const char* to_string(CloseReason reason);
+
+/// What was left on a connection when it was closed. Output is lost if the system resets the
+/// connection, which it does if there is input.
+struct ConnectionRemains {
+  CloseReason reason = CloseReason::by_caller;
+  std::size_t undelivered_bytes = 0;  ///< Response bytes that the caller's system had not received.
+  std::size_t unread_bytes = 0;       ///< Bytes of the caller that had not been read.
+};
+
 /// How the body of a response is delimited.
 enum class ResponseFraming { length, chunked };
 
@@ -48,7 +66,7 @@
   void abort_response();
   /// Sends the buffered output; called once after a group of writes.
   void flush();
-  void close();
+  void close(CloseReason reason);
 
   /// From now on, responses that begin carry Connection: close. An idle connection is closed after
   /// a short time, unless its caller has not sent a request yet.
@@ -70,6 +88,10 @@
   std::uint64_t bytes_sent() const { return stream_.bytes_sent(); }
   /// Bytes of an incomplete request, and of further ones.
   std::size_t received_bytes() const { return reader_.body_bytes() + reader_.pending_bytes(); }
+  /// Response bytes that the caller's system has not received yet.
+  std::size_t undelivered_bytes() const { return stream_.undelivered_bytes(); }
+  /// Of a closed connection.
+  const ConnectionRemains& remains() const { return remains_; }
   /// Expected length of the body being received; 0 when none is.
   std::size_t expected_body_bytes() const { return expected_body_bytes_; }
   std::uint64_t request_number = 0;  ///< Set by the owner to identify the request in progress.
@@ -88,6 +110,7 @@
   void report_request(ReceivedRequest request);
   void refuse(int status);
   void close_after_flush();
+  void record_remains(CloseReason reason);
 
   CallerConnectionObserver& observer_;
   RequestReader reader_;
@@ -108,6 +131,7 @@
   /// connection with unread bytes would reset it.
   bool discarding_ = false;
   std::size_t expected_body_bytes_ = 0;
+  ConnectionRemains remains_;
 };
 
 }  // namespace pumicemast
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -1,6 +1,8 @@
 #include "http1/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +24,13 @@
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+/// The size that the system returns for `request`; 0 where it does not support it.
+std::size_t buffer_size(int descriptor, unsigned long request) {
+  int bytes = 0;
+  if (descriptor < 0 || ioctl(descriptor, request, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 
 }  // namespace
@@ -94,6 +103,12 @@
   if (descriptor_ >= 0) setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
 }
 
+std::size_t TcpStream::undelivered_bytes() const {
+  return queued_bytes_ + buffer_size(descriptor_, SIOCOUTQ);
+}
+
+std::size_t TcpStream::unread_bytes() const { return buffer_size(descriptor_, SIOCINQ); }
+
 void TcpStream::set_reading(bool reading) {
   if (reading == reading_) return;
   reading_ = reading;
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -73,6 +73,12 @@
   bool connected() const { return connected_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   std::size_t queued_bytes() const { return queued_bytes_; }
+  /// Sent bytes that the peer's system has not acknowledged, and queued ones. They are lost if the
+  /// connection is reset.
+  std::size_t undelivered_bytes() const;
+  /// Bytes that the system has received and that were not read. Closing the connection with such
+  /// bytes resets it.
+  std::size_t unread_bytes() const;
 
  private:
   void on_readable() override;
