--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -63,6 +63,8 @@
         self.cold_left_ms = {}  # By back end.
         self.evacuations = False  # Whether gateways follow evacuations.
         self.memory_mb = None  # Of the gateway.
+        self.stop_grace_ms = 6000  # Of the gateway.
+        self.limits = {}  # Of callers, besides the usual ones.
         self.route_fields = {}  # Of every route.
         self.tenant_fields = {}  # Of the first tenant.
         self.other_tenants = []
@@ -99,7 +101,8 @@
         self.store.put("config", "main", {
             "version": version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536,
-                       "headerTimeoutMs": header_timeout_ms, "idleTimeoutMs": 15000},
+                       "headerTimeoutMs": header_timeout_ms, "idleTimeoutMs": 15000,
+                       **self.limits},
             "tenants": [{"name": "acme", "apiKeys": ["key"], **self.tenant_fields},
                         *self.other_tenants]})
 
@@ -162,7 +165,7 @@
 zones=z1;z2;z3;
 regions=z1:r1;z2:r2;z3:r3;
 charts={ROOT}/charts
-stop_grace_ms=6000
+stop_grace_ms={self.stop_grace_ms}
 [listen]
 callers=127.0.0.1:{self.callers}
 ready=127.0.0.1:{self.ready_port}
