Count a response as delivered when its caller has it, not when it is queued

Callers saw responses that broke off: around a stop, after a configuration with a lower idle timeout, after they had closed their own direction, and on a connection's last response when they had sent more. A request that was sent ahead on a kept connection got no response at a stop.

Cause: a response left the forwarder when it was queued, and from then on nothing owned it. A stop ended the process when the forwarder was empty; expire() measured idleness from the moment of queueing; the end of a caller's direction dropped the queue; and the connection was closed as soon as its queue was empty, with bytes in the system's buffer and unread input, for which the system resets the connection and discards those bytes.

Now a connection ends in steps (written, this direction closed, input discarded until the caller closes, 2 s without input or 10 s at most); it is idle only when the caller's system has everything; it is given up after 30 s without any progress. A pipelined request waits until the response before it is written, and is answered also while the gateway stops: Connection: close stands on the last response only. A stop waits for all deliveries, within the grace period.

Ruled out: a longer fixed wait at the stop (slow callers need what they need); SO_LINGER (blocks the loop, or resets); waiting for acknowledgement alone (input that arrives after the close still resets on systems that discard what was received before a reset).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -122,14 +122,14 @@
 void GatewayDaemon::check_stopped(TimePoint now) {
   if (state_ != "STOPPING") return;
   const Duration since = now - stop_requested_;
-  const bool nothing_left = forwarder_.active() == 0;
   if (since >= kStopAcceptPeriod) forwarder_.set_stopping();
   const bool grace_ending = since >= settings_.stop_grace - kStopMargin;
+  const bool nothing_left = forwarder_.active() == 0 && !delivers_any_response();
   if (!grace_ending && (since < kStopAcceptPeriod || !nothing_left)) return;
   if (!refusing_connections_) refuse_connections(now);
   // Connections in the listen queue may carry requests; exiting now would reset them.
   const bool idle = now - last_caller_activity_ >= kIdleBeforeExit && !awaits_any_request();
-  if (!grace_ending && !idle) return;
+  if (!grace_ending && (!idle || !nothing_left)) return;
   step("finished");
   std::size_t undelivered_bytes = 0;
   for (const auto& [key, connection] : callers_) {
@@ -147,6 +147,11 @@
                      [](const auto& entry) { return entry.first->awaits_request(); });
 }
 
+bool GatewayDaemon::delivers_any_response() const {
+  return std::any_of(callers_.begin(), callers_.end(),
+                     [](const auto& entry) { return entry.first->is_delivering(); });
+}
+
 void GatewayDaemon::refuse_connections(TimePoint now) {
   refusing_connections_ = true;
   last_caller_activity_ = now;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -122,6 +122,8 @@
   void report_crashes();
   void step(const char* event);
   void check_stopped(TimePoint now);
+  /// Whether any caller still receives a response.
+  bool delivers_any_response() const;
   void refuse_connections(TimePoint now);
   /// Whether any connected caller has not yet sent a complete request.
   bool awaits_any_request() const;
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -13,6 +13,15 @@
 /// Idle time after which a connection is closed once set_closing() was called. It is not closed at
 /// once, since the caller's next request may be in transit.
 constexpr Duration kClosingIdleTimeout = milliseconds(500);
+/// A caller that takes nothing of a queued response for this long has stopped reading: longer than
+/// the time limit of any route.
+constexpr Duration kUnreadTimeout = seconds(30);
+/// A lingering connection is closed when its caller has sent nothing for this long, and in any case
+/// after the second time.
+constexpr Duration kLingerIdleTimeout = seconds(2);
+constexpr Duration kLingerTimeout = seconds(10);
+/// A caller that sends more than this after its last request is not read any further.
+constexpr std::size_t kMaximumDiscardedBytes = 8U * 1024U * 1024U;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusBodyTooLarge = 413;
@@ -34,8 +43,8 @@
       return "completed";
     case CloseReason::idle:
       return "idle";
-    case CloseReason::body_refused:
-      return "body_refused";
+    case CloseReason::unread:
+      return "unread";
     case CloseReason::aborted:
       return "aborted";
     case CloseReason::by_caller:
@@ -52,9 +61,13 @@
       waiting_since_(loop_now()) {}
 
 void CallerConnection::on_stream_data(std::string_view bytes) {
-  if (state_ == State::closed || discarding_) return;
-  if (state_ == State::handling) {
-    // Pipelined bytes are kept until the current response has ended.
+  if (state_ == State::closed) return;
+  if (state_ == State::draining || state_ == State::lingering || body_refused_) {
+    discard(bytes.size());
+    return;
+  }
+  if (state_ == State::handling || stream_.queued_bytes() > 0) {
+    // Pipelined bytes are kept until the current response has been written.
     reader_.append_pending(bytes);
     if (reader_.pending_bytes() > kMaximumPipelinedBytes) stream_.set_reading(false);
     return;
@@ -67,7 +80,7 @@
   switch (status) {
     case RequestStatus::need_more:
       if (!admit_body()) {
-        discarding_ = true;
+        body_refused_ = true;
         report_request(reader_.take_head());
         return;
       }
@@ -113,7 +126,7 @@
   state_ = State::handling;
   received_request_ = true;
   continue_sent_ = false;
-  keep_alive_ = request.keep_alive && !discarding_;
+  keep_alive_ = request.keep_alive && !body_refused_;
   http_1_0_ = request.head.version() < kHttp11;
   head_request_ = request.head.method() == boost::beast::http::verb::head;
   observer_.on_caller_request(*this, std::move(request));
@@ -128,7 +141,8 @@
 void CallerConnection::begin_response(int status, std::string_view reason, std::string_view fields,
                                       ResponseFraming framing, std::size_t length) {
   framing_ = framing;
-  if (closing_ || (http_1_0_ && framing == ResponseFraming::chunked)) keep_alive_ = false;
+  if ((closing_ && !has_pipelined()) || (http_1_0_ && framing == ResponseFraming::chunked))
+    keep_alive_ = false;
   output_.append(status_line(status, reason));
   output_.append(fields);
   if (framing == ResponseFraming::length) {
@@ -168,17 +182,22 @@
   }
   flush();
   if (state_ != State::handling) return;  // The write failed.
-  if (!keep_alive_ || closing_) {
-    close_after_flush();
+  if (!keep_alive_) {
+    begin_closing();
     return;
   }
   state_ = State::waiting;
   waiting_since_ = loop_now();
+  undelivered_ = 0;
   stream_.set_reading(true);
+  resume_pipelined();
+}
+
+void CallerConnection::resume_pipelined() {
   // A loop instead of recursion, since a caller may have pipelined many requests.
   if (resuming_) return;
   resuming_ = true;
-  while (state_ == State::waiting && reader_.pending_bytes() > 0) {
+  while (state_ == State::waiting && has_pipelined() && stream_.queued_bytes() == 0) {
     const std::size_t before = reader_.pending_bytes();
     handle(reader_.resume());
     if (reader_.pending_bytes() == before) break;
@@ -201,20 +220,43 @@
   observer_.on_caller_connection_closed(*this);
 }
 
-void CallerConnection::close_after_flush() {
+void CallerConnection::begin_closing() {
   if (state_ == State::closed) return;
-  if (discarding_) {
-    state_ = State::waiting;
-    waiting_since_ = loop_now();
+  state_ = State::draining;
+  undelivered_ = 0;
+  stream_.set_reading(true);
+  if (stream_.queued_bytes() == 0) linger();
+}
+
+void CallerConnection::linger() {
+  if (stream_.input_ended()) {
+    close(CloseReason::completed);
     return;
   }
-  if (stream_.queued_bytes() > 0) {
-    state_ = State::waiting;
-    close_when_drained_ = true;
-    stream_.set_reading(false);
-    return;
+  state_ = State::lingering;
+  lingering_since_ = loop_now();
+  last_discard_ = lingering_since_;
+  stream_.shutdown_sending();
+}
+
+void CallerConnection::discard(std::size_t bytes) {
+  discarded_bytes_ += bytes;
+  last_discard_ = loop_now();
+  if (discarded_bytes_ > kMaximumDiscardedBytes) stream_.set_reading(false);
+}
+
+bool CallerConnection::is_delivering() const {
+  if (state_ == State::draining || state_ == State::lingering) return true;
+  return state_ == State::waiting && stream_.undelivered_bytes() > 0;
+}
+
+bool CallerConnection::delivery_progresses(TimePoint now) {
+  const std::size_t undelivered = stream_.undelivered_bytes();
+  if (undelivered != undelivered_) {
+    undelivered_ = undelivered;
+    delivered_at_ = now;
   }
-  close(CloseReason::completed);
+  return now - delivered_at_ < kUnreadTimeout;
 }
 
 void CallerConnection::record_remains(CloseReason reason) {
@@ -230,7 +272,20 @@
 }
 
 void CallerConnection::on_stream_drained() {
-  if (close_when_drained_) close(CloseReason::completed);
+  if (state_ == State::draining) {
+    linger();
+  } else if (state_ == State::waiting) {
+    waiting_since_ = loop_now();
+    stream_.set_reading(true);
+    resume_pipelined();
+  }
+}
+
+bool CallerConnection::on_stream_input_end() {
+  // A caller that waits for a response has left; one that only has to read the rest of it may have
+  // closed its own direction alone.
+  if (state_ == State::waiting && stream_.queued_bytes() > 0) state_ = State::draining;
+  return state_ == State::draining;
 }
 
 void CallerConnection::on_stream_written() {
@@ -247,20 +302,49 @@
 }
 
 void CallerConnection::expire(TimePoint now, Duration idle_timeout, Duration head_timeout) {
-  if (state_ != State::waiting) return;
-  const Duration waited = now - waiting_since_;
-  if (discarding_) {
-    if (waited >= head_timeout) close(CloseReason::body_refused);
+  switch (state_) {
+    case State::handling:
+    case State::closed:
+      return;
+    case State::draining:
+      if (!delivery_progresses(now)) close(CloseReason::unread);
+      return;
+    case State::lingering:
+      if (now - last_discard_ >= kLingerIdleTimeout || now - lingering_since_ >= kLingerTimeout) {
+        expire_lingering(now);
+      }
+      return;
+    case State::waiting:
+      expire_waiting(now, idle_timeout, head_timeout);
+  }
+}
+
+void CallerConnection::expire_lingering(TimePoint now) {
+  if (stream_.undelivered_bytes() == 0) {
+    close(CloseReason::completed);
+  } else if (!delivery_progresses(now)) {
+    close(CloseReason::unread);
+  }
+}
+
+void CallerConnection::expire_waiting(TimePoint now, Duration idle_timeout, Duration head_timeout) {
+  if (stream_.queued_bytes() > 0) {
+    if (!delivery_progresses(now)) close(CloseReason::unread);
     return;
   }
+  const Duration waited = now - waiting_since_;
   if (reader_.has_partial()) {
     if (waited >= head_timeout) refuse(kStatusTimeout);
     return;
   }
   // A caller that has not sent a request yet is about to send one, however slow its machine is.
-  const bool idle_while_closing =
-      closing_ && received_request_ && waited >= kClosingIdleTimeout && stream_.queued_bytes() == 0;
-  if (idle_while_closing || waited >= idle_timeout) close(CloseReason::idle);
+  const bool idle_while_closing = closing_ && received_request_ && waited >= kClosingIdleTimeout;
+  if (!idle_while_closing && waited < idle_timeout) return;
+  if (stream_.undelivered_bytes() == 0) {
+    close(CloseReason::idle);
+  } else if (!delivery_progresses(now)) {
+    close(CloseReason::unread);
+  }
 }
 
 }  // namespace pumicemast
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -31,11 +31,11 @@
 
 /// Why a connection was closed.
 enum class CloseReason {
-  completed,     ///< After its last response.
-  idle,          ///< No request for the idle timeout, or for a short time while closing.
-  body_refused,  ///< The rest of a refused body did not arrive in time.
-  aborted,       ///< Its response could not be completed.
-  by_caller,     ///< By the caller, or by a failure of the network.
+  completed,  ///< After its last response.
+  idle,       ///< No request for the idle timeout, or for a short time while closing.
+  unread,     ///< The caller took nothing of its response for a long time.
+  aborted,    ///< Its response could not be completed.
+  by_caller,  ///< By the caller, or by a failure of the network.
 };
 const char* to_string(CloseReason reason);
 
@@ -50,6 +50,10 @@
 /// How the body of a response is delimited.
 enum class ResponseFraming { length, chunked };
 
+/// A connection ends in steps, so that its last response arrives whole: the response is written,
+/// this direction is closed, and the input is discarded until the caller closes as well. Closing at
+/// once would make the system reset the connection if the caller has sent more, or sends more
+/// before it has read the response.
 class CallerConnection : private StreamObserver {
  public:
   CallerConnection(int descriptor, RequestLimits limits, CallerConnectionObserver& observer);
@@ -68,13 +72,15 @@
   void flush();
   void close(CloseReason reason);
 
-  /// From now on, responses that begin carry Connection: close. An idle connection is closed after
-  /// a short time, unless its caller has not sent a request yet.
+  /// From now on, responses that begin carry Connection: close, unless the caller has already sent
+  /// a further request. An idle connection is closed after a short time, unless its caller has not
+  /// sent a request yet.
   void set_closing() { closing_ = true; }
   void limit_send_buffer(int bytes) { stream_.limit_send_buffer(bytes); }
   void set_limits(RequestLimits limits) { reader_.set_limits(limits); }
   /// Closes a connection that has been idle for `idle_timeout`, and refuses a request that has been
-  /// incomplete for `head_timeout`.
+  /// incomplete for `head_timeout`. A connection whose caller still reads a response is not idle.
+  /// Call every few hundred milliseconds.
   void expire(TimePoint now, Duration idle_timeout, Duration head_timeout);
 
   bool handling() const { return state_ == State::handling; }
@@ -82,6 +88,8 @@
   bool awaits_request() const {
     return state_ == State::waiting && (!received_request_ || reader_.has_partial());
   }
+  /// Whether the caller has not received its last response whole, as far as can be known.
+  bool is_delivering() const;
   bool is_open() const { return stream_.is_open(); }
   std::size_t queued_bytes() const { return stream_.queued_bytes(); }
   /// Response bytes passed to the caller's system since the connection was opened.
@@ -98,10 +106,17 @@
   std::uint64_t caller_number = 0;   ///< Set by the owner to identify the connection.
 
  private:
-  enum class State { waiting, handling, closed };
+  enum class State {
+    waiting,    ///< For a request, or until the caller has taken the last response.
+    handling,   ///< A request is in progress.
+    draining,   ///< The last response is being written.
+    lingering,  ///< This direction is closed; waits until the caller closes its own.
+    closed,
+  };
 
   void on_stream_data(std::string_view bytes) override;
   void on_stream_end(StreamEnd end) override;
+  bool on_stream_input_end() override;
   void on_stream_drained() override;
   void on_stream_written() override;
   void handle(RequestStatus status);
@@ -109,7 +124,18 @@
   bool admit_body();
   void report_request(ReceivedRequest request);
   void refuse(int status);
-  void close_after_flush();
+  /// Handles requests that the caller sent before it had the response to an earlier one.
+  void resume_pipelined();
+  /// Whether bytes of a further request wait until the current response is written.
+  bool has_pipelined() const { return reader_.pending_bytes() > 0; }
+  void begin_closing();
+  void linger();
+  void expire_waiting(TimePoint now, Duration idle_timeout, Duration head_timeout);
+  void expire_lingering(TimePoint now);
+  void discard(std::size_t bytes);
+  /// @return whether the caller has taken bytes of its response since the last call, or not too
+  ///         long ago.
+  bool delivery_progresses(TimePoint now);
   void record_remains(CloseReason reason);
 
   CallerConnectionObserver& observer_;
@@ -126,10 +152,12 @@
   bool closing_ = false;
   bool continue_sent_ = false;
   bool resuming_ = false;
-  bool close_when_drained_ = false;
-  /// The rest of a refused body is discarded, so that the caller can read the response: closing a
-  /// connection with unread bytes would reset it.
-  bool discarding_ = false;
+  bool body_refused_ = false;  ///< The rest of the request's body is discarded.
+  std::size_t discarded_bytes_ = 0;
+  TimePoint last_discard_{};  ///< Also when lingering began.
+  TimePoint lingering_since_{};
+  std::size_t undelivered_ = 0;  ///< At the last check of the delivery.
+  TimePoint delivered_at_{};     ///< When the caller was last seen to take response bytes.
   std::size_t expected_body_bytes_ = 0;
   ConnectionRemains remains_;
 };
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -68,6 +68,10 @@
 
 void TcpStream::close() { drop_descriptor(); }
 
+void TcpStream::shutdown_sending() {
+  if (descriptor_ >= 0) ::shutdown(descriptor_, SHUT_WR);
+}
+
 void TcpStream::reset() {
   if (descriptor_ < 0) return;
   const linger abort_at_close{1, 0};
@@ -110,7 +114,7 @@
 std::size_t TcpStream::unread_bytes() const { return buffer_size(descriptor_, SIOCINQ); }
 
 void TcpStream::set_reading(bool reading) {
-  if (reading == reading_) return;
+  if (reading == reading_ || input_ended_) return;
   reading_ = reading;
   update_interest();
 }
@@ -149,12 +153,22 @@
   if (count > 0) {
     observer_.on_stream_data({buffer.data(), static_cast<std::size_t>(count)});
   } else if (count == 0) {
-    fail(StreamEnd::closed_by_peer);
+    end_input();
   } else if (!would_block(errno)) {
     fail(StreamEnd::reset);
   }
 }
 
+void TcpStream::end_input() {
+  if (!observer_.on_stream_input_end()) {
+    fail(StreamEnd::closed_by_peer);
+    return;
+  }
+  reading_ = false;
+  input_ended_ = true;
+  update_interest();
+}
+
 void TcpStream::finish_connecting() {
   int error = 0;
   socklen_t size = sizeof(error);
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -32,6 +32,9 @@
   virtual void on_stream_data(std::string_view bytes) = 0;
   /// Called at most once, and not after close() or reset().
   virtual void on_stream_end(StreamEnd end) = 0;
+  /// The peer has closed its direction; it may still read.
+  /// @return true to keep the connection for sending; otherwise it ends as `closed_by_peer`.
+  virtual bool on_stream_input_end() { return false; }
   /// All queued bytes have been written to the socket.
   virtual void on_stream_drained() {}
   /// Some of the queued bytes have been written to the socket, or all of them.
@@ -59,6 +62,9 @@
   void close();
   /// Resets the connection, so that the peer sees a failure instead of an orderly close.
   void reset();
+  /// Closes this direction in an orderly way once all sent bytes have been delivered. Nothing may
+  /// be queued. Bytes of the peer are still received.
+  void shutdown_sending();
   /// Pauses or resumes reading; while paused, TCP flow control holds the sender back.
   void set_reading(bool reading);
   /// Turns keepalive probes on or off for a connection opened by this process.
@@ -71,6 +77,8 @@
 
   bool is_open() const { return descriptor_ >= 0; }
   bool connected() const { return connected_; }
+  /// Whether the peer has closed its direction.
+  bool input_ended() const { return input_ended_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   std::size_t queued_bytes() const { return queued_bytes_; }
   /// Sent bytes that the peer's system has not acknowledged, and queued ones. They are lost if the
@@ -85,6 +93,7 @@
   void on_writable() override;
   void on_broken() override;
   void finish_connecting();
+  void end_input();
   void update_interest();
   /// @return false after a failure, which has been reported to the observer.
   bool write_available(std::string_view& bytes);
@@ -104,6 +113,7 @@
   std::uint64_t bytes_sent_ = 0;
   bool connected_ = false;
   bool reading_ = true;
+  bool input_ended_ = false;
   bool writing_ = false;
 };
 
