Let a repeated stop signal end no process early

Callers lost the responses in progress when a stopping process got a second SIGTERM: EventLoop quit at the second signal, whatever was left. Supervisors repeat signals, or signal a process and its group, so that a planned stop cut off everything that it had promised to finish.

Now SIGTERM begins a stop once; further ones are logged and change nothing, neither the end of the grace period nor what is in progress. A person who wants the process to end at once sends SIGINT after the first signal.

Why nothing found it: the soak avoided a second SIGTERM on purpose, and a test required the immediate end.

--- a/src/common/event_loop.cpp
+++ b/src/common/event_loop.cpp
@@ -36,19 +36,33 @@
 
 void EventLoop::on_terminate(std::function<void()> on_terminate) {
   on_terminate_ = std::move(on_terminate);
-  g_unix_signal_add(SIGTERM, &EventLoop::handle_signal, this);
-  g_unix_signal_add(SIGINT, &EventLoop::handle_signal, this);
+  g_unix_signal_add(SIGTERM, &EventLoop::handle_terminate, this);
+  g_unix_signal_add(SIGINT, &EventLoop::handle_interrupt, this);
 }
 
-gboolean EventLoop::handle_signal(gpointer self) {
+void EventLoop::begin_terminating() {
+  terminating_ = true;
+  on_terminate_();
+}
+
+gboolean EventLoop::handle_terminate(gpointer self) {
   auto* loop = static_cast<EventLoop*>(self);
   if (loop->terminating_) {
-    LOG(WARNING) << "process event=repeated_stop_signal state=ENDING";
+    LOG(INFO) << "process event=repeated_stop_signal state=STOPPING";
+  } else {
+    loop->begin_terminating();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean EventLoop::handle_interrupt(gpointer self) {
+  auto* loop = static_cast<EventLoop*>(self);
+  if (loop->terminating_) {
+    LOG(WARNING) << "process event=interrupt state=ENDING";
     loop->quit();
-    return G_SOURCE_CONTINUE;
+  } else {
+    loop->begin_terminating();
   }
-  loop->terminating_ = true;
-  loop->on_terminate_();
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/common/event_loop.h
+++ b/src/common/event_loop.h
@@ -24,7 +24,8 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  /// Calls `on_terminate` once at SIGTERM or SIGINT; a second signal quits the loop immediately.
+  /// Calls `on_terminate` once at SIGTERM or SIGINT. Further SIGTERM signals have no effect, since
+  /// supervisors repeat them; a SIGINT after another signal quits the loop immediately.
   void on_terminate(std::function<void()> on_terminate);
   /// Calls `on_hangup` at each SIGHUP, which by default terminates a process.
   void on_hangup(std::function<void()> on_hangup);
@@ -32,9 +33,12 @@
   void quit();
 
  private:
-  static gboolean handle_signal(gpointer self);
+  static gboolean handle_terminate(gpointer self);
+  static gboolean handle_interrupt(gpointer self);
   static gboolean handle_hangup(gpointer self);
 
+  void begin_terminating();
+
   GMainLoop* loop_;
   std::function<void()> on_terminate_;
   std::function<void()> on_hangup_;
