Answer all requests that are in progress when the grace period of a stop ends

A gateway that had to exit at the end of its grace period closed the connections of requests in progress: callers got neither a response nor word whether their request had run, and those that had never been sent to a back end counted as lost although they could have been refused as not run.

Now, 300 ms before the end, each request gets its final response: 503 with a time to return if no back end can have run it, 502 if one may have, or a visible break of a started response. The process exits when these are delivered, 150 ms before the end of the period at the latest.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -20,9 +20,11 @@
 /// A stopping gateway accepts requests for this long. Later ones are refused as not run, because
 /// they might not finish within the grace period.
 constexpr Duration kStopAcceptPeriod = milliseconds(3000);
-/// Remaining requests are dropped this long before the grace period ends, so that the process exits
-/// by itself.
-constexpr Duration kStopMargin = milliseconds(300);
+/// Remaining requests get a final response this long before the grace period ends.
+constexpr Duration kFinalResponseMargin = milliseconds(300);
+/// The process exits this long before the grace period ends, whatever is left: its platform would
+/// kill it then.
+constexpr Duration kExitMargin = milliseconds(150);
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 
@@ -123,13 +125,15 @@
   if (state_ != "STOPPING") return;
   const Duration since = now - stop_requested_;
   if (since >= kStopAcceptPeriod) forwarder_.set_stopping();
-  const bool grace_ending = since >= settings_.stop_grace - kStopMargin;
+  const bool grace_ending = since >= settings_.stop_grace - kFinalResponseMargin;
+  if (grace_ending) end_requests(now);
   const bool nothing_left = forwarder_.active() == 0 && !delivers_any_response();
   if (!grace_ending && (since < kStopAcceptPeriod || !nothing_left)) return;
   if (!refusing_connections_) refuse_connections(now);
   // Connections in the listen queue may carry requests; exiting now would reset them.
   const bool idle = now - last_caller_activity_ >= kIdleBeforeExit && !awaits_any_request();
-  if (!grace_ending && (!idle || !nothing_left)) return;
+  const bool grace_over = since >= settings_.stop_grace - kExitMargin;
+  if (!grace_over && (!idle || !nothing_left)) return;
   step("finished");
   std::size_t undelivered_bytes = 0;
   for (const auto& [key, connection] : callers_) {
@@ -152,6 +156,13 @@
                      [](const auto& entry) { return entry.first->is_delivering(); });
 }
 
+void GatewayDaemon::end_requests(TimePoint now) {
+  if (forwarder_.active() == 0) return;
+  ForwarderActions actions;
+  forwarder_.end_all(now, actions);
+  execute_actions(actions);
+}
+
 void GatewayDaemon::refuse_connections(TimePoint now) {
   refusing_connections_ = true;
   last_caller_activity_ = now;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -122,6 +122,8 @@
   void report_crashes();
   void step(const char* event);
   void check_stopped(TimePoint now);
+  /// Sends a final response to every request that is still in progress.
+  void end_requests(TimePoint now);
   /// Whether any caller still receives a response.
   bool delivers_any_response() const;
   void refuse_connections(TimePoint now);
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -77,6 +77,9 @@
   const RetryBudgets& retries() const { return retries_; }
   /// Refuses new requests from now on.
   void set_stopping() { stopping_ = true; }
+  /// Ends all requests in progress: those that have not run are refused as such, the others get the
+  /// response of a failed attempt, or their started response is broken off.
+  void end_all(TimePoint now, ForwarderActions& actions);
 
   void on_request(RequestNumber number, RequestMetadata request, TimePoint now,
                   ForwarderActions& actions);
@@ -226,6 +229,9 @@
                          ForwarderActions& actions);
   void end_at_deadline(RequestNumber number, RequestSession& session, TimePoint now,
                        ForwarderActions& actions);
+  /// Cancels the attempt in progress, if there is one, and ends the request.
+  void end_request(RequestNumber number, RequestSession& session, RefusalReason reason,
+                   TimePoint now, ForwarderActions& actions);
   void cancel_late_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions);
   /// Moves a request from a stalled back end to another one, if one may run it.
--- a/src/gateway/requests/request_forwarder_time.cpp
+++ b/src/gateway/requests/request_forwarder_time.cpp
@@ -116,15 +116,27 @@
 
 void RequestForwarder::end_at_deadline(RequestNumber number, RequestSession& session, TimePoint now,
                                        ForwarderActions& actions) {
+  end_request(number, session, RefusalReason::deadline_passed, now, actions);
+}
+
+void RequestForwarder::end_request(RequestNumber number, RequestSession& session,
+                                   RefusalReason reason, TimePoint now, ForwarderActions& actions) {
   if (!session.backend.empty()) {
     session.may_have_run = true;
     actions.emplace_back(CancelAttempt{number});
     release_backend(session);
   }
   if (session.response_started) {
-    abort(number, session, RefusalReason::deadline_passed, now, actions);
+    abort(number, session, reason, now, actions);
   } else {
-    give_up(number, session, RefusalReason::deadline_passed, now, actions);
+    give_up(number, session, reason, now, actions);
+  }
+}
+
+void RequestForwarder::end_all(TimePoint now, ForwarderActions& actions) {
+  while (!sessions_.empty()) {
+    const auto& [number, session] = *sessions_.begin();
+    end_request(number, sessions_.begin()->second, RefusalReason::stopping, now, actions);
   }
 }
 
--- a/tests/gateway/requests/forwarder_admission_test.cpp
+++ b/tests/gateway/requests/forwarder_admission_test.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 
 #include "support/gateway_harness.h"
@@ -12,6 +13,7 @@
   CPPUNIT_TEST(missing_configuration_is_refused_with_503_not_404_or_401);
   CPPUNIT_TEST(unknown_routes_get_404_and_unknown_keys_401);
   CPPUNIT_TEST(stopping_gateway_refuses_with_503);
+  CPPUNIT_TEST(every_request_gets_a_final_response_when_the_grace_period_ends);
   CPPUNIT_TEST(most_urgent_waiting_request_is_sent_first);
   CPPUNIT_TEST(request_without_capacity_is_refused_early_with_retry_after);
   CPPUNIT_TEST(refusal_reason_distinguishes_capacity_from_weights);
@@ -47,6 +49,40 @@
     CPPUNIT_ASSERT(harness.first_action<SendRefusal>()->reason == RefusalReason::stopping);
   }
 
+  // Guards against a process that exits with requests which were read and never answered.
+  void every_request_gets_a_final_response_when_the_grace_period_ends() {
+    harness.add_engines();
+    harness.add_backend("p1", "plain", 3);
+    const RequestNumber started = harness.send_request("/chat/1");
+    harness.receive_head(started, 200, false, true);
+    harness.receive_body(started, "id: 1\ndata: a\n\n");
+    const RequestNumber sent = harness.send_request("/write/1");
+    harness.report_load(1, 0, 1, 4);
+    harness.report_load(2, 0, 1, 4);
+    const RequestNumber waiting = harness.send_request("/chat/2");
+    CPPUNIT_ASSERT_EQUAL(std::string(), harness.sent_to());
+    harness.actions.clear();
+    harness.forwarder.end_all(harness.now, harness.actions);
+    std::map<RequestNumber, int> refusals;
+    std::set<RequestNumber> aborted;
+    std::set<RequestNumber> cancelled;
+    for (const ForwarderAction& action : harness.actions) {
+      if (const auto* refusal = std::get_if<SendRefusal>(&action)) {
+        refusals[refusal->request] = refusal->status;
+        CPPUNIT_ASSERT(refusal->reason == RefusalReason::stopping);
+      }
+      if (const auto* abort = std::get_if<AbortResponse>(&action)) aborted.insert(abort->request);
+      if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+        cancelled.insert(cancel->request);
+      }
+    }
+    const std::map<RequestNumber, int> expected = {{sent, 502}, {waiting, 503}};
+    CPPUNIT_ASSERT(expected == refusals);
+    CPPUNIT_ASSERT(std::set<RequestNumber>{started} == aborted);
+    CPPUNIT_ASSERT((std::set<RequestNumber>{started, sent}) == cancelled);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.forwarder.active());
+  }
+
   void most_urgent_waiting_request_is_sent_first() {
     FleetConfiguration configuration = tests::GatewayHarness::configuration();
     configuration.tenants.push_back({"urgent", {"key-0"}, 0});
