Close idle connections to a gateway's status and metrics pages

Nothing called StatusServer::expire() in a gateway: connections of clients that vanished, or that keep connections open, stayed open for the life of the process and used up its descriptors. The agent did call it.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -341,6 +341,8 @@
     connection->set_limits(limits.request);
     connection->expire(now, limits.idle_timeout, limits.head_timeout);
   }
+  status_server_.expire(now);
+  metrics_server_.expire(now);
   backends_.expire_idle(now);
   fleet_.sweep(now);
   forwarder_.sweep(now);
