Test that repeated stop signals cut off no request that a back end works on

The slow readers of the test beside it lose nothing where the system holds whole responses, so that it does not show the fault on gateways without a memory limit.

--- a/tests/processes/planned_stop_test.py
+++ b/tests/processes/planned_stop_test.py
@@ -181,6 +181,17 @@
         self.assert_whole(await answers)
         await self.wait_for_exit()
 
+    async def test_repeated_stop_signals_cut_off_no_request_in_progress(self):
+        calls = [asyncio.create_task(self.platform.call("POST", f"/write/late/{number}"))
+                 for number in range(3)]
+        await asyncio.sleep(0.1)
+        for _ in range(3):
+            self.stop_gateway()
+            await asyncio.sleep(0.05)
+        for response in await asyncio.gather(*calls):
+            self.assertEqual((200, True), (response.status, response.complete))
+        await self.wait_for_exit()
+
     async def test_a_repeated_stop_signal_does_not_extend_the_grace_period(self):
         reader, writer = await self.platform.open_caller()
         writer.write(encode_request("/write/long/1", "long", "POST"))
