Handle signals before a daemon listens, and take a doubled interrupt for one

A review of the mended stop found two ways in which a signal still cuts off requests. A daemon bound its addresses before it handled signals: SIGTERM or SIGHUP at that moment ended it with the first requests in its queue (SIGTERM 9 of 24, SIGHUP 11 of 24 starts in a probe). Two SIGINT within milliseconds, from a terminal and from a supervisor, ended a process at once (3 of 3 requests without a response, 3 of 3 runs).

The handlers are installed before start(); a SIGINT counts as a wish to end at once when it follows the last signal by a second or more.

--- a/src/common/daemon_main.h
+++ b/src/common/daemon_main.h
@@ -38,7 +38,7 @@
   Daemon daemon(std::move(settings), std::move(charts), loop);
   return handle_error(
       [&]() -> leaf::result<int> {
-        BOOST_LEAF_CHECK(daemon.start());
+        // Before the daemon listens: by default, a signal would end it with its first requests.
         loop.on_terminate([&] { daemon.terminate(); });
         std::unique_ptr<SettingsReloader> reloader;
         if constexpr (requires { daemon.reload(DaemonSettings()); }) {
@@ -55,6 +55,7 @@
             if (found.empty()) daemon.reload(changed);
           });
         }
+        BOOST_LEAF_CHECK(daemon.start());
         loop.run();
         if constexpr (requires { DaemonSettings::kLogsDecisions; }) flush_decision_log();
         return kExitOk;
--- a/src/common/event_loop.cpp
+++ b/src/common/event_loop.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+/// A SIGINT that follows another stop signal within this time is the same wish: a terminal and a
+/// supervisor may both send it.
+constexpr Duration kInterruptPause = seconds(1);
+
 std::unordered_set<Timer*>& active_timers() {
   static std::unordered_set<Timer*> timers;
   return timers;
@@ -42,6 +46,7 @@
 
 void EventLoop::begin_terminating() {
   terminating_ = true;
+  last_stop_signal_ = loop_now();
   on_terminate_();
 }
 
@@ -49,6 +54,7 @@
   auto* loop = static_cast<EventLoop*>(self);
   if (loop->terminating_) {
     LOG(INFO) << "process event=repeated_stop_signal state=STOPPING";
+    loop->last_stop_signal_ = loop_now();
   } else {
     loop->begin_terminating();
   }
@@ -57,12 +63,14 @@
 
 gboolean EventLoop::handle_interrupt(gpointer self) {
   auto* loop = static_cast<EventLoop*>(self);
-  if (loop->terminating_) {
+  const TimePoint now = loop_now();
+  if (!loop->terminating_) {
+    loop->begin_terminating();
+  } else if (now - loop->last_stop_signal_ >= kInterruptPause) {
     LOG(WARNING) << "process event=interrupt state=ENDING";
     loop->quit();
-  } else {
-    loop->begin_terminating();
   }
+  loop->last_stop_signal_ = now;
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/common/event_loop.h
+++ b/src/common/event_loop.h
@@ -25,7 +25,7 @@
   EventLoop& operator=(const EventLoop&) = delete;
 
   /// Calls `on_terminate` once at SIGTERM or SIGINT. Further SIGTERM signals have no effect, since
-  /// supervisors repeat them; a SIGINT after another signal quits the loop immediately.
+  /// supervisors repeat them; a SIGINT a second or more after the last signal quits the loop.
   void on_terminate(std::function<void()> on_terminate);
   /// Calls `on_hangup` at each SIGHUP, which by default terminates a process.
   void on_hangup(std::function<void()> on_hangup);
@@ -43,6 +43,7 @@
   std::function<void()> on_terminate_;
   std::function<void()> on_hangup_;
   bool terminating_ = false;
+  TimePoint last_stop_signal_{};
 };
 
 /// A timer that its destruction cancels. Its time includes suspensions of the machine; a timer that
