Deliver all responses before one that breaks off, and close no unread connection

Further ways in which a connection lost responses, found by a review: - Timers run before the sockets of a later pass: after a stall of the process, connections with a request in their socket were closed as idle, or got 408.

--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -13,15 +13,14 @@
 /// Idle time after which a connection is closed once set_closing() was called. It is not closed at
 /// once, since the caller's next request may be in transit.
 constexpr Duration kClosingIdleTimeout = milliseconds(500);
-/// A caller that takes nothing of a queued response for this long has stopped reading: longer than
-/// the time limit of any route.
+/// A caller that takes nothing of a queued response for this long has stopped reading.
 constexpr Duration kUnreadTimeout = seconds(30);
 /// A lingering connection is closed when its caller has sent nothing for this long, and in any case
 /// after the second time.
 constexpr Duration kLingerIdleTimeout = seconds(2);
 constexpr Duration kLingerTimeout = seconds(10);
 /// A caller that sends more than this after its last request is not read any further.
-constexpr std::size_t kMaximumDiscardedBytes = 8U * 1024U * 1024U;
+constexpr std::size_t kMaximumDiscardedBytes = 64U * 1024U * 1024U;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusBodyTooLarge = 413;
@@ -62,7 +61,8 @@
 
 void CallerConnection::on_stream_data(std::string_view bytes) {
   if (state_ == State::closed) return;
-  if (state_ == State::draining || state_ == State::lingering || body_refused_) {
+  if (state_ == State::draining || state_ == State::lingering || state_ == State::aborting ||
+      body_refused_) {
     discard(bytes.size());
     return;
   }
@@ -141,6 +141,7 @@
 void CallerConnection::begin_response(int status, std::string_view reason, std::string_view fields,
                                       ResponseFraming framing, std::size_t length) {
   framing_ = framing;
+  response_begins_at_ = stream_.bytes_sent() + stream_.queued_bytes();
   if ((closing_ && !has_pipelined()) || (http_1_0_ && framing == ResponseFraming::chunked))
     keep_alive_ = false;
   output_.append(status_line(status, reason));
@@ -191,6 +192,7 @@
   undelivered_ = 0;
   stream_.set_reading(true);
   resume_pipelined();
+  if (!resuming_) close_after_last_request();
 }
 
 void CallerConnection::resume_pipelined() {
@@ -214,12 +216,24 @@
 void CallerConnection::abort_response() {
   if (state_ == State::closed) return;
   flush();
+  if (state_ == State::closed) return;  // The write failed.
+  state_ = State::aborting;
+  // A reset would also discard what is left of the responses before this one.
+  if (earlier_responses_delivered()) reset();
+}
+
+void CallerConnection::reset() {
   record_remains(CloseReason::aborted);
   state_ = State::closed;
   stream_.reset();
   observer_.on_caller_connection_closed(*this);
 }
 
+bool CallerConnection::earlier_responses_delivered() const {
+  const std::uint64_t written = stream_.bytes_sent() + stream_.queued_bytes();
+  return written - stream_.undelivered_bytes() >= response_begins_at_;
+}
+
 void CallerConnection::begin_closing() {
   if (state_ == State::closed) return;
   state_ = State::draining;
@@ -229,14 +243,14 @@
 }
 
 void CallerConnection::linger() {
-  if (stream_.input_ended()) {
-    close(CloseReason::completed);
-    return;
-  }
   state_ = State::lingering;
   lingering_since_ = loop_now();
   last_discard_ = lingering_since_;
-  stream_.shutdown_sending();
+  if (!stream_.input_ended()) {
+    stream_.shutdown_sending();
+  } else if (stream_.undelivered_bytes() == 0) {
+    close(CloseReason::completed);
+  }
 }
 
 void CallerConnection::discard(std::size_t bytes) {
@@ -246,7 +260,8 @@
 }
 
 bool CallerConnection::is_delivering() const {
-  if (state_ == State::draining || state_ == State::lingering) return true;
+  if (state_ == State::draining || state_ == State::lingering || state_ == State::aborting)
+    return true;
   return state_ == State::waiting && stream_.undelivered_bytes() > 0;
 }
 
@@ -278,14 +293,20 @@
     waiting_since_ = loop_now();
     stream_.set_reading(true);
     resume_pipelined();
+    close_after_last_request();
   }
 }
 
 bool CallerConnection::on_stream_input_end() {
   // A caller that waits for a response has left; one that only has to read the rest of it may have
   // closed its own direction alone.
-  if (state_ == State::waiting && stream_.queued_bytes() > 0) state_ = State::draining;
-  return state_ == State::draining;
+  const bool reads_on = state_ == State::waiting && stream_.queued_bytes() > 0;
+  return reads_on || state_ == State::draining || state_ == State::aborting;
+}
+
+void CallerConnection::close_after_last_request() {
+  const bool unwritten = stream_.queued_bytes() > 0;
+  if (state_ == State::waiting && stream_.input_ended() && !unwritten) begin_closing();
 }
 
 void CallerConnection::on_stream_written() {
@@ -309,8 +330,12 @@
     case State::draining:
       if (!delivery_progresses(now)) close(CloseReason::unread);
       return;
+    case State::aborting:
+      if (earlier_responses_delivered() || !delivery_progresses(now)) reset();
+      return;
     case State::lingering:
-      if (now - last_discard_ >= kLingerIdleTimeout || now - lingering_since_ >= kLingerTimeout) {
+      if (stream_.input_ended() || now - last_discard_ >= kLingerIdleTimeout ||
+          now - lingering_since_ >= kLingerTimeout) {
         expire_lingering(now);
       }
       return;
@@ -334,12 +359,13 @@
   }
   const Duration waited = now - waiting_since_;
   if (reader_.has_partial()) {
-    if (waited >= head_timeout) refuse(kStatusTimeout);
+    if (waited >= head_timeout && !has_unread_input()) refuse(kStatusTimeout);
     return;
   }
   // A caller that has not sent a request yet is about to send one, however slow its machine is.
   const bool idle_while_closing = closing_ && received_request_ && waited >= kClosingIdleTimeout;
   if (!idle_while_closing && waited < idle_timeout) return;
+  if (has_unread_input()) return;
   if (stream_.undelivered_bytes() == 0) {
     close(CloseReason::idle);
   } else if (!delivery_progresses(now)) {
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -66,7 +66,8 @@
   void end_response();
   /// Sends a response with a body of known length.
   void respond(int status, std::string_view fields, std::string_view body);
-  /// Resets the connection, so that the caller sees that the response is incomplete.
+  /// Resets the connection, so that the caller sees that the response is incomplete; if it still
+  /// receives earlier responses, only after these.
   void abort_response();
   /// Sends the buffered output; called once after a group of writes.
   void flush();
@@ -88,6 +89,8 @@
   bool awaits_request() const {
     return state_ == State::waiting && (!received_request_ || reader_.has_partial());
   }
+  /// Whether input has arrived that was not read yet: after a stall, timers may fire before it is.
+  bool has_unread_input() const { return stream_.unread_bytes() > 0; }
   /// Whether the caller has not received its last response whole, as far as can be known.
   bool is_delivering() const;
   bool is_open() const { return stream_.is_open(); }
@@ -110,6 +113,7 @@
     waiting,    ///< For a request, or until the caller has taken the last response.
     handling,   ///< A request is in progress.
     draining,   ///< The last response is being written.
+    aborting,   ///< The connection is reset once earlier responses are delivered.
     lingering,  ///< This direction is closed; waits until the caller closes its own.
     closed,
   };
@@ -129,7 +133,11 @@
   /// Whether bytes of a further request wait until the current response is written.
   bool has_pipelined() const { return reader_.pending_bytes() > 0; }
   void begin_closing();
+  /// Begins to close if the caller has closed its direction and no request of it is left.
+  void close_after_last_request();
   void linger();
+  void reset();
+  bool earlier_responses_delivered() const;
   void expire_waiting(TimePoint now, Duration idle_timeout, Duration head_timeout);
   void expire_lingering(TimePoint now);
   void discard(std::size_t bytes);
@@ -156,8 +164,9 @@
   std::size_t discarded_bytes_ = 0;
   TimePoint last_discard_{};  ///< Also when lingering began.
   TimePoint lingering_since_{};
-  std::size_t undelivered_ = 0;  ///< At the last check of the delivery.
-  TimePoint delivered_at_{};     ///< When the caller was last seen to take response bytes.
+  std::uint64_t response_begins_at_ = 0;  ///< Offset among all bytes of the connection.
+  std::size_t undelivered_ = 0;           ///< At the last check of the delivery.
+  TimePoint delivered_at_{};              ///< When the caller was last seen to take response bytes.
   std::size_t expected_body_bytes_ = 0;
   ConnectionRemains remains_;
 };
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -27,7 +27,7 @@
 /// The size that the system returns for `request`; 0 where it does not support it.
 std::size_t buffer_size(int descriptor, unsigned long request) {
   int bytes = 0;
-  if (descriptor < 0 || ioctl(descriptor, request, &bytes) != 0 || bytes < 0) return 0;
+  if (ioctl(descriptor, request, &bytes) != 0 || bytes < 0) return 0;
   return static_cast<std::size_t>(bytes);
 }
 
@@ -81,6 +81,8 @@
 
 void TcpStream::fail(StreamEnd end) {
   if (descriptor_ < 0) return;
+  undelivered_at_failure_ = undelivered_bytes();
+  unread_at_failure_ = unread_bytes();
   drop_descriptor();
   const bool refused = end == StreamEnd::connect_refused;
   observer_.on_stream_end(connected_ || refused ? end : StreamEnd::connect_failed);
@@ -108,10 +110,13 @@
 }
 
 std::size_t TcpStream::undelivered_bytes() const {
+  if (descriptor_ < 0) return undelivered_at_failure_;
   return queued_bytes_ + buffer_size(descriptor_, SIOCOUTQ);
 }
 
-std::size_t TcpStream::unread_bytes() const { return buffer_size(descriptor_, SIOCINQ); }
+std::size_t TcpStream::unread_bytes() const {
+  return descriptor_ < 0 ? unread_at_failure_ : buffer_size(descriptor_, SIOCINQ);
+}
 
 void TcpStream::set_reading(bool reading) {
   if (reading == reading_ || input_ended_) return;
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -82,7 +82,7 @@
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   std::size_t queued_bytes() const { return queued_bytes_; }
   /// Sent bytes that the peer's system has not acknowledged, and queued ones. They are lost if the
-  /// connection is reset.
+  /// connection is reset. After a failure, what was left then.
   std::size_t undelivered_bytes() const;
   /// Bytes that the system has received and that were not read. Closing the connection with such
   /// bytes resets it.
@@ -111,6 +111,8 @@
   std::size_t outgoing_offset_ = 0;  ///< Bytes of the first piece that have been written.
   std::size_t queued_bytes_ = 0;
   std::uint64_t bytes_sent_ = 0;
+  std::size_t undelivered_at_failure_ = 0;
+  std::size_t unread_at_failure_ = 0;
   bool connected_ = false;
   bool reading_ = true;
   bool input_ended_ = false;
--- a/tests/http1/caller_delivery_test.cpp
+++ b/tests/http1/caller_delivery_test.cpp
@@ -1,4 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -30,6 +31,8 @@
     caller = socket(AF_INET, SOCK_STREAM, 0);
     setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes, sizeof(kSmallBufferBytes));
     CPPUNIT_ASSERT_EQUAL(0, connect(caller, reinterpret_cast<sockaddr*>(&address), length));
+    const int on = 1;
+    setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     gateway = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
     ::close(listener);
   }
@@ -47,14 +50,15 @@
   void on_caller_request(CallerConnection& connection, ReceivedRequest request) override {
     ++requests;
     targets += to_view(request.head.target());
-    if (hold) return;
+    if (hold || requests == hold_request) return;
     connection.respond(200, {}, std::string(response_bytes, 'r'));
   }
   void on_caller_disconnected(CallerConnection&) override { disconnected = true; }
   void on_caller_connection_closed(CallerConnection&) override { closed = true; }
 
   std::size_t response_bytes = kLargeResponseBytes;
-  bool hold = false;  ///< Leaves requests unanswered.
+  bool hold = false;     ///< Leaves requests unanswered.
+  int hold_request = 0;  ///< Leaves this request unanswered; the first one is 1.
   int requests = 0;
   std::string targets;
   bool disconnected = false;
@@ -75,7 +79,10 @@
   CPPUNIT_TEST(pipelined_requests_are_answered_while_the_gateway_stops);
   CPPUNIT_TEST(a_pipelined_request_waits_until_the_response_before_it_is_written);
   CPPUNIT_TEST(a_stop_after_the_head_of_a_response_keeps_the_connection_for_the_next_request);
+  CPPUNIT_TEST(a_response_before_one_that_breaks_off_arrives_whole);
+  CPPUNIT_TEST(a_half_closed_caller_gets_the_responses_to_all_its_requests);
   CPPUNIT_TEST(a_caller_that_stops_reading_for_good_is_closed);
+  CPPUNIT_TEST(a_connection_with_unread_input_is_not_idle);
   CPPUNIT_TEST(a_caller_that_never_closes_is_closed_after_its_last_response);
   CPPUNIT_TEST_SUITE_END();
 
@@ -187,6 +194,49 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_of("Connection: close"));
   }
 
+  void a_response_before_one_that_breaks_off_arrives_whole() {
+    observer_.response_bytes = kSmallBufferBytes * 2;
+    send_text("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    observer_.hold_request = 2;
+    run_until([&] { return observer_.requests == 2; });
+    CPPUNIT_ASSERT(connection_.undelivered_bytes() > 0);
+    connection_.begin_response(200, "OK", {}, ResponseFraming::chunked);
+    connection_.write_body("event");
+    connection_.abort_response();
+    run_until([&] {
+      if (connection_.is_open()) expire_after(milliseconds(1));
+      return !read_some();
+    });
+    CPPUNIT_ASSERT(received_.find(std::string(observer_.response_bytes, 'r')) != std::string::npos);
+    CPPUNIT_ASSERT(!ended_in_order_);
+  }
+
+  void a_half_closed_caller_gets_the_responses_to_all_its_requests() {
+    send_text("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    run_until([&] { return observer_.requests == 1; });
+    shutdown(sockets_.caller, SHUT_WR);
+    read_while_time_passes(2 * kLargeResponseBytes);
+    CPPUNIT_ASSERT_EQUAL(2 * kLargeResponseBytes, body_bytes());
+    CPPUNIT_ASSERT_EQUAL(std::string("/1/2"), observer_.targets);
+  }
+
+  // Guards against timers that fire after a stall of the process before its sockets are read.
+  void a_connection_with_unread_input_is_not_idle() {
+    send_text("GET /1 HTTP/1.1\r\n\r\n");
+    expire_after(2 * kIdleTimeout);
+    CPPUNIT_ASSERT(!observer_.closed);
+    observer_.response_bytes = 10;
+    run_until([&] { return observer_.requests == 1; });
+    read_while_time_passes(10);
+    send_text("GET /2 HTTP/1.1\r\n");
+    for (int round = 0; round < 100; ++round) g_main_context_iteration(nullptr, FALSE);
+    send_text("\r\n");
+    expire_after(2 * kHeadTimeout);
+    run_until([&] { return observer_.requests == 2; });
+    read_while_time_passes(20);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_of("HTTP/1.1 200"));
+  }
+
   void a_caller_that_stops_reading_for_good_is_closed() {
     send_text("GET /1 HTTP/1.1\r\n\r\n");
     run_until([&] { return observer_.requests == 1; });
@@ -242,11 +292,15 @@
 
   void read_until_end() {
     run_until([&] {
+      if (connection_.is_open()) expire_after(milliseconds(1));
       const bool more = read_some();
       if (!more) ::shutdown(sockets_.caller, SHUT_RDWR);
       return !more;
     });
-    run_until([&] { return observer_.closed; });
+    run_until([&] {
+      if (connection_.is_open()) expire_after(milliseconds(1));
+      return observer_.closed;
+    });
   }
 
   std::size_t count_of(const std::string& text) const {
