Keep the grace period with which a stop began, and time the exit by its responses

After a stall near the end of the grace period, requests got their final responses and the process exited in the same pass. And with a grace period under 3.3 s, new requests were still sent to back ends in its last moments.

A stop keeps the grace period that was in force when it began; the process exits 150 ms after the final responses; new requests are refused from then on, at the latest; a connection with unread input holds an exit like one that awaits the rest of a request.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -22,9 +22,9 @@
 constexpr Duration kStopAcceptPeriod = milliseconds(3000);
 /// Remaining requests get a final response this long before the grace period ends.
 constexpr Duration kFinalResponseMargin = milliseconds(300);
-/// The process exits this long before the grace period ends, whatever is left: its platform would
-/// kill it then.
-constexpr Duration kExitMargin = milliseconds(150);
+/// The process exits this long after these responses, whatever is left: at the end of the grace
+/// period its platform would kill it.
+constexpr Duration kFinalDeliveryTime = milliseconds(150);
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 
@@ -97,6 +97,8 @@
 void GatewayDaemon::terminate() {
   step("stop");
   stop_requested_ = loop_now();
+  // A later change of the settings does not shorten a stop that has begun.
+  promised_grace_ = settings_.stop_grace;
   for (const auto& [key, connection] : callers_) connection->set_closing();
 }
 
@@ -124,15 +126,15 @@
 void GatewayDaemon::check_stopped(TimePoint now) {
   if (state_ != "STOPPING") return;
   const Duration since = now - stop_requested_;
-  if (since >= kStopAcceptPeriod) forwarder_.set_stopping();
-  const bool grace_ending = since >= settings_.stop_grace - kFinalResponseMargin;
+  const bool grace_ending = since >= promised_grace_ - kFinalResponseMargin;
+  if (since >= kStopAcceptPeriod || grace_ending) forwarder_.set_stopping();
   if (grace_ending) end_requests(now);
   const bool nothing_left = forwarder_.active() == 0 && !delivers_any_response();
   if (!grace_ending && (since < kStopAcceptPeriod || !nothing_left)) return;
   if (!refusing_connections_) refuse_connections(now);
   // Connections in the listen queue may carry requests; exiting now would reset them.
   const bool idle = now - last_caller_activity_ >= kIdleBeforeExit && !awaits_any_request();
-  const bool grace_over = since >= settings_.stop_grace - kExitMargin;
+  const bool grace_over = requests_ended_at_ && now - *requests_ended_at_ >= kFinalDeliveryTime;
   if (!grace_over && (!idle || !nothing_left)) return;
   step("finished");
   std::size_t undelivered_bytes = 0;
@@ -147,8 +149,9 @@
 }
 
 bool GatewayDaemon::awaits_any_request() const {
-  return std::any_of(callers_.begin(), callers_.end(),
-                     [](const auto& entry) { return entry.first->awaits_request(); });
+  return std::any_of(callers_.begin(), callers_.end(), [](const auto& entry) {
+    return entry.first->awaits_request() || entry.first->has_unread_input();
+  });
 }
 
 bool GatewayDaemon::delivers_any_response() const {
@@ -157,6 +160,7 @@
 }
 
 void GatewayDaemon::end_requests(TimePoint now) {
+  if (!requests_ended_at_) requests_ended_at_ = now;
   if (forwarder_.active() == 0) return;
   ForwarderActions actions;
   forwarder_.end_all(now, actions);
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -160,7 +160,9 @@
   bool executing_actions_ = false;
   DeferredDeleter deleter_;
   TimePoint stop_requested_{};
-  TimePoint last_caller_activity_{};  ///< Last new connection or request.
+  Duration promised_grace_{};  ///< From the stop signal to the exit of the process.
+  std::optional<TimePoint> requests_ended_at_;  ///< When the last requests of a stop were ended.
+  TimePoint last_caller_activity_{};            ///< Last new connection or request.
   bool refusing_connections_ = false;
   Timer tick_timer_;
   Timer sweep_timer_;
--- a/tests/processes/planned_stop_test.py
+++ b/tests/processes/planned_stop_test.py
@@ -24,6 +24,8 @@
 STOP_GRACE_MS = 8000
 DEADLINE_MS = 50_000
 SLOW_READERS = 4
+#: More than the sockets that are read in one pass of the event loop.
+STALLED_CALLERS = 160
 EXCESSIVE_WORK_S = 30
 
 
@@ -192,6 +194,58 @@
             self.assertEqual((200, True), (response.status, response.complete))
         await self.wait_for_exit()
 
+    async def test_an_interrupt_sent_twice_cuts_off_nothing(self):
+        call = asyncio.create_task(self.platform.call("POST", "/write/late/1"))
+        await asyncio.sleep(0.1)
+        for _ in range(2):
+            self.platform.gateway.send_signal(signal.SIGINT)
+            await asyncio.sleep(0.02)
+        response = await call
+        self.assertEqual((200, True), (response.status, response.complete))
+        await self.wait_for_exit()
+
+    async def test_a_reload_does_not_shorten_a_stop_that_has_begun(self):
+        answers = self.start_slow_readers()
+        await asyncio.sleep(0.4)
+        self.stop_gateway()
+        path = self.platform.folder / "gateway.ini"
+        path.write_text(path.read_text().replace(f"stop_grace_ms={STOP_GRACE_MS}",
+                                                 "stop_grace_ms=1000"))
+        self.platform.gateway.send_signal(signal.SIGHUP)
+        self.assert_whole(await answers)
+        await self.wait_for_exit()
+
+    async def test_signals_during_the_start_end_no_process_that_listens(self):
+        for number in range(12):
+            self.platform.gateway.kill()
+            self.platform.gateway.wait()
+            self.platform.gateway = self.platform.run_gateway()
+            await self.platform.wait(self.listens)
+            self.platform.gateway.send_signal(signal.SIGHUP if number % 2 else signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            self.assertIsNone(self.platform.gateway.poll())
+
+    def listens(self):
+        with socket.socket() as connection:
+            return connection.connect_ex(("127.0.0.1", self.platform.callers)) == 0
+
+    async def test_requests_that_arrive_during_a_stall_are_answered(self):
+        self.platform.configure(2, idleTimeoutMs=2000)
+        await asyncio.sleep(1)
+        kept = [await self.platform.open_caller() for _ in range(STALLED_CALLERS)]
+        for number, (reader, writer) in enumerate(kept):
+            writer.write(encode_request("/read/1", f"kept-{number}"))
+            await self.platform.read_response(reader, None)
+        self.platform.gateway.send_signal(signal.SIGSTOP)
+        for number, (_, writer) in enumerate(kept):
+            writer.write(encode_request("/read/1", f"again-{number}"))
+        await asyncio.sleep(2.4)
+        self.platform.gateway.send_signal(signal.SIGCONT)
+        for number, (reader, writer) in enumerate(kept):
+            response = await self.platform.read_response(reader, None)
+            self.assertTrue(response.complete)
+            writer.close()
+
     async def test_a_repeated_stop_signal_does_not_extend_the_grace_period(self):
         reader, writer = await self.platform.open_caller()
         writer.write(encode_request("/write/long/1", "long", "POST"))
