Read each entry of the store by itself, with a bound on its depth

One entry of another writer hid the list of back ends from every gateway (an unpaired surrogate, an escape that does not exist, 1e400), or ended all of them with SIGSEGV (lists nested 60,000 deep): nothing new was learned, requests on open connections were lost.

Cause: lists and watch answers were parsed as one document, and trees of any depth were built, which copying and writing walk recursively. Replacing bytes that JSON forbids did not help, since such entries are plain ASCII.

A scanner that follows strings and brackets without recursion now takes a refused document apart; each value of each entry is parsed by itself. All JSON of the platform is parsed under a bound of 64 levels. Reports, manifests and configurations are still read as a whole. Numbers out of a field's range are not converted (undefined before), names of entries are encoded in requests, cut in logs, and must be printable to name a runner; entries of a watch answer without a name are left out, as in lists.

--- a/tests/platform/store_list_test.cpp
+++ b/tests/platform/store_list_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST_SUITE(StoreListTest);
   CPPUNIT_TEST(a_nameless_item_at_the_end_of_a_page_is_skipped);
   CPPUNIT_TEST(a_page_without_names_ends_the_listing);
+  CPPUNIT_TEST(a_name_with_reserved_characters_is_encoded);
+  CPPUNIT_TEST(an_unreadable_item_ends_no_listing);
   CPPUNIT_TEST_SUITE_END();
 
   ScriptedServer server_;
@@ -62,6 +64,35 @@
     // The list is not requested from the beginning again.
     CPPUNIT_ASSERT(!server_.try_read_request("\r\n\r\n"));
   }
+
+  /// Guards against a list that can't be read any more because a page ends with such a name.
+  void a_name_with_reserved_characters_is_encoded() {
+    read();
+    run_until([&] { return server_.try_accept(); });
+    next_target();
+    answer(R"({"items":[{"metadata":{"name":"a b&c\r\n%"}}],"more":true,"at":9})");
+    CPPUNIT_ASSERT_EQUAL(std::string("/objects/servers?afterRev=a%20b%26c%0D%0A%25"),
+                         next_target());
+    answer(R"({"items":[],"more":false,"at":9})");
+    run_until([&] { return answered_; });
+    CPPUNIT_ASSERT(listing_.has_value());
+  }
+
+  /// Guards against a list that stays unread while one entry in it can't be parsed.
+  void an_unreadable_item_ends_no_listing() {
+    read();
+    run_until([&] { return server_.try_accept(); });
+    next_target();
+    answer(R"({"items":[{"metadata":{"name":"a"},"spec":{"zone":"\ud83d"}},)"
+           R"({"metadata":{"name":"\ud83d"},"spec":{}}],"more":true,"at":9})");
+    CPPUNIT_ASSERT_EQUAL(std::string("/objects/servers?afterRev=a"), next_target());
+    answer(R"({"items":[{"metadata":{"name":"b"},"spec":{}}],"more":false,"at":9})");
+    run_until([&] { return answered_; });
+    CPPUNIT_ASSERT(listing_.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, listing_->objects.size());
+    CPPUNIT_ASSERT(listing_->objects[0].spec.is_null());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, listing_->revision.number);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreListTest);
--- a/tests/processes/platform_test.py
+++ b/tests/processes/platform_test.py
@@ -53,6 +53,7 @@
     """The stand-ins and the processes under test."""
 
     slots = 4  # Per back end.
+    store_class = Store
 
     def __init__(self, folder):
         self.folder = Path(folder)
@@ -71,7 +72,7 @@
         self.plain_fields = {}  # Of the plain service.
 
     async def start(self):
-        self.store, self.origin = Store(), Origin()
+        self.store, self.origin = self.store_class(), Origin()
         self.plain = [Backend("p1"), Backend("p2")]
         self.engines = [Backend("e1", ENGINES[0], "m", 1), Backend("e2", ENGINES[1], "m", 1)]
         for server in [self.store, self.origin, *self.plain, *self.engines]:
