Bound the framing of HTTP messages

A back end that sent chunk sizes, chunk extensions, trailers or interim responses without end was read until the request's deadline, by the one loop that serves everybody. The head of a response was bounded, but not what is neither head nor body.

The readers now refuse an unfinished chunk size, extension or trailer section of more than 8 KB, more than 64 KB of framing beyond 16 bytes per byte of content, more than 16 interim responses, and more than 64 KB of them. The message is malformed, so the attempt fails and the connection is reset. A bound on all framing was ruled out: a stream with one token a chunk has thousands of chunks. The status line and the fields were bounded already.

Callers got 504 at their deadline before, and get 502 at once now, or 503 if their request was not sent because the back end had just failed.

With the checks taken out of the readers, the seven tests of FramingLimitsTest for interim responses, chunks and trailers of responses and the one for requests fail; with them, all pass. Those of the status line and the fields pass either way: the parser's limit on heads holds for them.

--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -22,6 +22,7 @@
   parser_->header_limit(std::numeric_limits<std::uint32_t>::max());
   parser_->body_limit(limits_.maximum_body_bytes);
   head_bytes_ = 0;
+  framing_ = {};
   started_ = false;
 }
 
@@ -36,11 +37,14 @@
   while (offset < pending_.size()) {
     boost::system::error_code error;
     const bool in_head = !parser_->is_header_done();
+    const std::size_t body_before = parser_->get().body().size();
     const std::size_t used = parser_->put(
         boost::asio::const_buffer(pending_.data() + offset, pending_.size() - offset), error);
     offset += used;
     started_ = started_ || used > 0;
     if (in_head) head_bytes_ += used;
+    const std::size_t content = parser_->get().body().size() - body_before;
+    if (!in_head && parser_->chunked()) framing_.add(used - content, content);
     const std::size_t unread_head = parser_->is_header_done() ? 0 : pending_.size() - offset;
     if (in_head && head_bytes_ + unread_head > limits_.maximum_head_bytes) {
       status = RequestStatus::head_too_large;
@@ -62,6 +66,10 @@
   }
   pending_.erase(0, offset);
   if (pending_.empty() && pending_.capacity() > kKeptBytes) pending_.shrink_to_fit();
+  const bool in_body = status == RequestStatus::need_more && parser_->is_header_done();
+  if (in_body && (pending_.size() > kMaximumFramingLineBytes || framing_.exceeded())) {
+    return RequestStatus::malformed;
+  }
   return status;
 }
 
--- a/src/http1/request_reader.h
+++ b/src/http1/request_reader.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "common/request_limits.h"
+#include "http1/framing_limits.h"
 #include "http1/http_message.h"
 
 namespace pumicemast {
@@ -56,6 +57,7 @@
   RequestLimits limits_;
   std::optional<Parser> parser_;
   std::string pending_;
+  FramingCounter framing_;
   std::size_t head_bytes_ = 0;  ///< Bytes of the current head parsed so far.
   bool started_ = false;
 };
--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -1,14 +1,12 @@
 #include "http1/response_reader.h"
 
 #include <boost/asio/buffer.hpp>
-#include <limits>
 
 namespace pumicemast {
 namespace {
 
 namespace http = boost::beast::http;
 
-constexpr std::uint32_t kMaximumHeadBytes = 64U * 1024U;
 constexpr unsigned kContinueClass = 100;
 constexpr unsigned kSuccessClass = 200;
 /// A larger buffer is released when it is empty: a gateway has thousands of connections.
@@ -18,13 +16,20 @@
 
 void ResponseReader::begin(bool to_head_request) {
   to_head_request_ = to_head_request;
+  interim_responses_ = 0;
+  interim_bytes_ = 0;
+  begin_message();
+}
+
+void ResponseReader::begin_message() {
   head_complete_ = false;
   ends_with_connection_ = false;
+  framing_ = {};
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(kMaximumHeadBytes);
+  parser_->header_limit(kMaximumResponseHeadBytes);
   parser_->body_limit(boost::none);
-  parser_->skip(to_head_request);
+  parser_->skip(to_head_request_);
 }
 
 bool ResponseReader::is_interim() const {
@@ -43,22 +48,42 @@
   return parse();
 }
 
+bool ResponseReader::admit_interim(std::size_t bytes) {
+  ++interim_responses_;
+  interim_bytes_ += bytes;
+  return interim_responses_ <= kMaximumInterimResponses &&
+         interim_bytes_ <= kMaximumResponseHeadBytes;
+}
+
+bool ResponseReader::exceeds_limits() const {
+  if (!parser_->is_header_done()) return pending_.size() > kMaximumResponseHeadBytes;
+  return pending_.size() > kMaximumFramingLineBytes || framing_.exceeded();
+}
+
 ReadStatus ResponseReader::parse() {
   std::size_t offset = 0;
   ReadStatus status = ReadStatus::need_more;
   while (offset < pending_.size()) {
     boost::system::error_code error;
+    const bool in_body = parser_->is_header_done();
+    const std::size_t body_before = parser_->get().body().size();
     const std::size_t used = parser_->put(
         boost::asio::const_buffer(pending_.data() + offset, pending_.size() - offset), error);
     offset += used;
+    const std::size_t content = parser_->get().body().size() - body_before;
+    if (in_body && parser_->chunked()) framing_.add(used - content, content);
     if (error && error != http::error::need_more) {
       status = ReadStatus::malformed;
       break;
     }
     if (parser_->is_done()) {
       if (is_interim()) {
-        begin(to_head_request_);
-        continue;
+        if (admit_interim(used)) {
+          begin_message();
+          continue;
+        }
+        status = ReadStatus::malformed;
+        break;
       }
       status = ReadStatus::complete;
       break;
@@ -68,6 +93,7 @@
   note_head();
   pending_.erase(0, offset);
   if (pending_.empty() && pending_.capacity() > kKeptBytes) pending_.shrink_to_fit();
+  if (status == ReadStatus::need_more && exceeds_limits()) status = ReadStatus::malformed;
   return status;
 }
 
--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "http1/framing_limits.h"
 #include "http1/http_message.h"
 
 namespace pumicemast {
@@ -17,7 +18,7 @@
 enum class ReadStatus {
   need_more,
   complete,
-  malformed,  ///< The bytes are not a valid HTTP message.
+  malformed,  ///< The bytes are not a valid HTTP message, or exceed the limits of its framing.
 };
 
 /// How the end of a response was recognized.
@@ -54,11 +55,21 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
   ReadStatus parse();
+  /// Expects the final head after an interim response, or the first head.
+  void begin_message();
   void note_head();
   bool is_interim() const;
+  /// Counts an interim response of `bytes`.
+  /// @return false if there are too many, or too large ones.
+  bool admit_interim(std::size_t bytes);
+  /// Whether the received bytes that cannot be parsed yet are too many for what they begin.
+  bool exceeds_limits() const;
 
   std::optional<Parser> parser_;
   std::string pending_;
+  FramingCounter framing_;
+  std::size_t interim_responses_ = 0;
+  std::size_t interim_bytes_ = 0;
   bool to_head_request_ = false;
   bool head_complete_ = false;
   bool ends_with_connection_ = false;
