Take memory for a response's body only as it arrives

One response with a Content-Length of 100 TB ended the gateway process: the string body of Boost.Beast reserves the stated length, and the failed allocation was not caught. All requests in progress were lost, and a safe request would have been repeated at the next back end.

The response reader uses a body that grows with the bytes that arrive. Bodies of requests are limited before anything is reserved, so that their reader is left as it is.

--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -5,12 +5,12 @@
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "http1/framing_limits.h"
+#include "http1/growing_body.h"
 #include "http1/http_message.h"
 
 namespace pumicemast {
@@ -53,7 +53,7 @@
   bool has_surplus() const { return !pending_.empty(); }
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<GrowingBody>;
   ReadStatus parse();
   /// Expects the final head after an interim response, or the first head.
   void begin_message();
--- a/tests/http1/framing_limits_test.cpp
+++ b/tests/http1/framing_limits_test.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(chunks_with_large_extensions_are_refused);
   CPPUNIT_TEST(a_trailer_without_end_is_refused);
   CPPUNIT_TEST(trailers_without_end_are_refused);
+  CPPUNIT_TEST(a_stated_length_takes_no_memory);
   CPPUNIT_TEST(framing_of_requests_without_end_is_refused);
   CPPUNIT_TEST(small_chunks_interim_responses_and_trailers_are_accepted);
   CPPUNIT_TEST_SUITE_END();
@@ -99,6 +100,15 @@
     CPPUNIT_ASSERT(response_bytes(kChunkedResponse + "0\r\n", "X-Trailer: value\r\n") <= 10'000);
   }
 
+  void a_stated_length_takes_no_memory() {
+    ResponseReader reader;
+    reader.begin(false);
+    CPPUNIT_ASSERT(
+        reader.consume("HTTP/1.1 200 OK\r\nContent-Length: 100000000000000\r\n\r\nabc") ==
+        ReadStatus::need_more);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), reader.take_body());
+  }
+
   void framing_of_requests_without_end_is_refused() {
     CPPUNIT_ASSERT(request_bytes(kChunkedRequest, std::string(1000, '0')) <= 10'000);
     CPPUNIT_ASSERT(request_bytes(kChunkedRequest + "5;x=", std::string(1000, 'y')) <= 10'000);
