Bound events, and response bytes that nobody gets

An event that never ended was kept without a bound on a resumable route, and its line was searched from its beginning for each piece that arrived: one request cost the loop 2.65 s of processor time in its 3 s, for 12 MB. The body of a refusal, and a plain response to the resumption of a stream, were read and discarded until the deadline.

An event of more than 1 MB fails the attempt as malformed. More than 64 KB of a refusal end the attempt as the refusal that it is; more than 64 KB of a plain response in the middle of a stream fail the attempt. A stream with larger events was ruled out as traffic to keep: without a memory budget a caller is cut off at 2 MB unread.

The process test endless_response sends each kind of bytes from a process of its own and requires 502 within a second, one run of unsafe requests, and little processor time.

With the checks taken out of the relay, all four tests of OversizedResponseTest fail; with them, they pass.

--- a/src/gateway/requests/forwarder_options.h
+++ b/src/gateway/requests/forwarder_options.h
@@ -41,6 +41,11 @@
   Duration late_start_margin = milliseconds(300);
   /// Plain responses up to this size are relayed only when complete.
   std::size_t max_buffered_response_bytes = 1U << 20U;
+  /// An attempt fails when one event of its stream is larger: it is kept until it is complete.
+  std::size_t max_event_bytes = 1U << 20U;
+  /// An attempt ends when more bytes than this of a response have arrived that nobody gets: of one
+  /// that says that the request has not run, or of a plain response in the middle of a stream.
+  std::size_t max_unused_response_bytes = 64U << 10U;
 };
 
 }  // namespace pumicemast
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -81,6 +81,7 @@
   session.event_stream = false;
   session.streaming = false;
   session.buffered.clear();
+  session.unused_response_bytes = 0;
   session.slot_released = false;
   session.end_held_until.reset();
   session.backend_ended = false;
@@ -199,6 +200,17 @@
   const bool had_first_token = session.first_token_seen;
   response_relay_.on_body(number, session, bytes, now, actions);
   if (!had_first_token && session.first_token_seen) record_first_token(session, now);
+  if (response_relay_.exceeds_limits(session)) end_oversized(number, session, now, actions);
+}
+
+void RequestForwarder::end_oversized(RequestNumber number, RequestSession& session, TimePoint now,
+                                     ForwarderActions& actions) {
+  actions.emplace_back(CancelAttempt{number});
+  if (session.response.not_run) {
+    evaluate_response(number, session, now, actions);
+  } else {
+    on_attempt_failed(number, AttemptFailure::malformed, now, actions);
+  }
 }
 
 void RequestForwarder::record_first_token(RequestSession& session, TimePoint now) {
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -242,6 +242,9 @@
                                   ForwarderActions& actions);
   void check_attempt(RequestNumber number, RequestSession& session, TimePoint now,
                      ForwarderActions& actions);
+  /// Ends an attempt whose response exceeds the limits on what is kept or discarded of it.
+  void end_oversized(RequestNumber number, RequestSession& session, TimePoint now,
+                     ForwarderActions& actions);
   void record_inferred_end(const RequestSession& session);
   void record_verdict(const RequestSession& session, bool complete, EndEvidence evidence,
                       TimePoint now);
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -131,6 +131,7 @@
   bool streaming = false;       ///< The same, on a route for streams: it is relayed as it arrives.
   ResponseMetadata response;
   std::string buffered;
+  std::size_t unused_response_bytes = 0;  ///< Body bytes that nobody gets.
   EventSplitter splitter;
   // Over all attempts.
   std::set<std::string> tried_backends;
--- a/src/gateway/requests/response_relay.cpp
+++ b/src/gateway/requests/response_relay.cpp
@@ -25,20 +25,27 @@
   session.last_progress = now;
   if (session.event_stream) session.splitter.take_complete_events(bytes);
   // A stream was started: a plain response to its resumption is not part of it.
-  if (session.stream_started) return;
+  if (session.stream_started || session.response.not_run) {
+    session.unused_response_bytes += bytes.size();
+    return;
+  }
   if (session.response_started) {
     actions.emplace_back(RelayBody{number, std::string(bytes)});
     return;
   }
   session.buffered.append(bytes);
-  if (session.buffered.size() <= options_.max_buffered_response_bytes || session.response.not_run)
-    return;
+  if (session.buffered.size() <= options_.max_buffered_response_bytes) return;
   session.response_started = true;
   actions.emplace_back(BeginResponse{number, std::nullopt});
   actions.emplace_back(RelayBody{number, std::move(session.buffered)});
   session.buffered.clear();
 }
 
+bool ResponseRelay::exceeds_limits(const RequestSession& session) const {
+  return session.splitter.partial_bytes() > options_.max_event_bytes ||
+         session.unused_response_bytes > options_.max_unused_response_bytes;
+}
+
 void ResponseRelay::on_events(RequestNumber number, RequestSession& session, std::string_view bytes,
                               TimePoint now, ForwarderActions& actions) {
   std::string complete_events = session.splitter.take_complete_events(bytes);
--- a/src/gateway/requests/response_relay.h
+++ b/src/gateway/requests/response_relay.h
@@ -22,6 +22,9 @@
   /// Handles body bytes received by the session's current attempt.
   void on_body(RequestNumber number, RequestSession& session, std::string_view bytes, TimePoint now,
                ForwarderActions& actions);
+  /// Whether the response has an event, or bytes that nobody gets, beyond the limits of the
+  /// options.
+  bool exceeds_limits(const RequestSession& session) const;
   /// The response is complete: relays whatever is still buffered and ends the response.
   void finish(RequestNumber number, RequestSession& session, TimePoint now,
               ForwarderActions& actions);
