Confirm manifests of the origin before they are used

Callers were served from chunks of version 1 under the name of a version that nobody had named, and never got the next named one, after a single bit of the version in the origin's first manifest had been flipped. With one flipped digit of a digest no engine received the named version, and after the changeover no stream was served.

An agent believed whatever manifest the origin sent, passed it on to six others, took its version for a named one and never asked again. Other agents and the store were ruled out: the only corrupt bytes were those of one answer of the origin.

A manifest now counts only when two answers of the origin agree, the second of them to a request that states the version. An answer that states another version than the requested one, another model, or numbers out of bounds is refused. Agents pass on confirmed manifests only, so a higher version that nobody named no longer blocks a named one. The number of layers must be that of the engine's profile, where one is configured.

The check of a manifest that comes from another agent has no test of its own.

--- a/src/host/download/swarm_manifest_fetcher.cpp
+++ b/src/host/download/swarm_manifest_fetcher.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "common/event_loop.h"
 #include "common/hash.h"
+#include "common/log.h"
 
 namespace pumicemast {
 namespace {
@@ -25,6 +27,7 @@
   ++generation_;
   fetching_ = true;
   origin_schedule_.begin(now);
+  confirmation_.begin(model_, version);
   next_peer_request_ = now;
 }
 
@@ -64,14 +67,31 @@
   const std::weak_ptr<bool> alive = alive_;
   const auto on_answer = [this, alive,
                           generation = generation_](std::optional<WeightManifest> manifest) {
-    if (alive.expired() || generation != generation_) return;
-    if (!manifest) {
-      origin_schedule_.on_failed(loop_now());
-    } else if (fetching_) {
-      on_found_(std::move(*manifest), "origin");
-    }
+    if (alive.expired() || generation != generation_ || !fetching_) return;
+    on_origin_answer(std::move(manifest));
   };
-  origin_.fetch_manifest(model_, version_, on_answer);
+  origin_.fetch_manifest(model_, confirmation_.next_version(), on_answer);
+}
+
+void SwarmManifestFetcher::on_origin_answer(std::optional<WeightManifest> manifest) {
+  if (!manifest) {
+    confirmation_.on_failed();
+    origin_schedule_.on_failed(loop_now());
+    return;
+  }
+  switch (confirmation_.on_answer(*manifest)) {
+    case ManifestConfirmation::Verdict::confirmed:
+      on_found_(std::move(*manifest), "origin");
+      return;
+    case ManifestConfirmation::Verdict::unconfirmed:
+      request_from_origin();
+      return;
+    case ManifestConfirmation::Verdict::contradicted:
+      LOG(WARNING) << "manifest model=" << model_ << " version=" << version_
+                   << " state=CONTRADICTED source=origin";
+      origin_schedule_.on_failed(loop_now());
+      return;
+  }
 }
 
 }  // namespace pumicemast
--- a/src/host/download/swarm_manifest_fetcher.h
+++ b/src/host/download/swarm_manifest_fetcher.h
@@ -1,7 +1,8 @@
 /// Fetches the manifest of a version of a model from other agents or from the origin.
 ///
 /// Other agents are preferred, so that the origin sends few copies over its narrow link
-/// (host/download/origin_request_schedule.h decides when an agent calls the origin).
+/// (host/download/origin_request_schedule.h decides when an agent calls the origin). What the
+/// origin sends is confirmed by a second request before it is used or reaches other agents.
 #pragma once
 
 #include <functional>
@@ -9,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "host/download/manifest_confirmation.h"
 #include "host/download/origin_request_schedule.h"
 #include "host/engine_control.h"
 #include "transport/peer_links.h"
@@ -17,7 +19,7 @@
 
 class SwarmManifestFetcher {
  public:
-  /// Called for each manifest that was fetched; it may be of a newer version than requested.
+  /// Called for each manifest that was fetched and confirmed.
   using OnFound = std::function<void(WeightManifest, const char* source)>;
 
   SwarmManifestFetcher(std::string model, PeerId self, WeightOrigin& origin, PeerLinks& links,
@@ -33,6 +35,7 @@
  private:
   void request_from_peers(TimePoint now);
   void request_from_origin();
+  void on_origin_answer(std::optional<WeightManifest> manifest);
   /// Number of agents that call the origin before this one.
   std::uint32_t rank() const;
 
@@ -46,6 +49,7 @@
   std::uint64_t generation_ = 0;  ///< Responses to earlier requests are ignored.
   bool fetching_ = false;
   OriginRequestSchedule origin_schedule_;
+  ManifestConfirmation confirmation_;
   TimePoint next_peer_request_{};
   /// Expires with this object, so that later responses of the origin are ignored.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/host/download/version_download.cpp
+++ b/src/host/download/version_download.cpp
@@ -67,7 +67,7 @@
 
 void VersionDownload::accept_manifest(WeightManifest manifest, const char* source) {
   const bool wanted = version_ == 0 || manifest.version == version_;
-  if (manifest_ || manifest.hashes.empty() || !wanted) return;
+  if (manifest_ || !wanted || !plausible_manifest(manifest, model_)) return;
   version_ = manifest.version;
   manifest_ = std::move(manifest);
   manifest_received_at_ = loop_now();
--- a/src/host/engine_control.h
+++ b/src/host/engine_control.h
@@ -24,6 +24,7 @@
   std::uint32_t chunk_bytes = 0;
   std::uint32_t layers = 1;
   std::vector<Sha256> hashes;  ///< One per chunk.
+  bool operator==(const WeightManifest&) const = default;
 };
 
 /// Orders an engine to activate all layers of the staged version after its running requests.
@@ -66,6 +67,9 @@
 class WeightOrigin {
  public:
   virtual ~WeightOrigin() = default;
+  /// Number of layers that a manifest must state.
+  virtual void set_layer_count(std::uint32_t layers) = 0;
+  /// The manifest is unconfirmed (host/download/manifest_confirmation.h).
   /// @param version  0 for the newest.
   virtual void fetch_manifest(const std::string& model, std::uint64_t version,
                               std::function<void(std::optional<WeightManifest>)> callback) = 0;
--- a/src/host/staging/model_stager.cpp
+++ b/src/host/staging/model_stager.cpp
@@ -359,12 +359,12 @@
 }
 
 void ModelStager::on_manifest_document(const wire::ManifestDocument& document) {
-  if (document.model()->string_view() != model_) return;
-  if (current_->version() != 0) on_version_named(document.version());
-  for_each_download([&](VersionDownload& download) {
-    download.accept_manifest(decode_manifest(document), "peer");
-  });
-  on_earlier_manifest(decode_manifest(document));
+  const WeightManifest manifest = decode_manifest(document);
+  if (!plausible_manifest(manifest, model_)) return;
+  // Agents pass on only confirmed manifests, so this version was named.
+  if (current_->version() != 0) on_version_named(manifest.version);
+  for_each_download([&](VersionDownload& download) { download.accept_manifest(manifest, "peer"); });
+  on_earlier_manifest(manifest);
 }
 
 void ModelStager::on_frame(PeerId peer, const wire::Frame& frame) {
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -170,21 +170,28 @@
   void forget_manifests_before(std::uint64_t version) { oldest_manifest_ = version; }
   /// Refuses this chunk and all later ones from now on.
   void withhold_chunks_from(ChunkIndex chunk) { available_chunks_ = chunk; }
+  /// Changes manifests before they are sent. `number` counts the manifests from 0.
+  using Corruption = std::function<void(std::size_t number, WeightManifest&)>;
+  void corrupt_manifests(Corruption corrupt) { corrupt_ = std::move(corrupt); }
+  std::size_t manifest_requests() const { return manifest_requests_; }
   void deliver() { answers_.deliver(); }
   /// The agent that made the calls is gone.
   void drop_answers() { answers_.drop(); }
 
   // WeightOrigin
+  void set_layer_count(std::uint32_t) override {}
   void fetch_manifest(const std::string& model, std::uint64_t version,
                       std::function<void(std::optional<WeightManifest>)> callback) override {
+    const std::size_t number = manifest_requests_++;
     WeightManifest manifest{model, version == 0 ? newest_ : version, 0, 1, {}};
-    if (manifest.version < oldest_manifest_) {
+    if (manifest.version < oldest_manifest_ || manifest.version > newest_) {
       answers_.add([callback] { callback(std::nullopt); });
       return;
     }
     for (ChunkIndex chunk = 0; chunk < chunk_count_; ++chunk) {
       manifest.hashes.push_back(sha256(chunk_of(manifest.version, chunk)));
     }
+    if (corrupt_) corrupt_(number, manifest);
     answers_.add([callback, manifest] { callback(manifest); });
   }
   void fetch_chunk(const std::string&, std::uint64_t version, ChunkIndex chunk,
@@ -202,6 +209,8 @@
   ChunkIndex available_chunks_;
   std::uint64_t newest_ = 1;
   std::uint64_t oldest_manifest_ = 0;
+  std::size_t manifest_requests_ = 0;
+  Corruption corrupt_;
   PendingAnswers answers_;
 };
 
