Take no exit, silence or early probe for the end of a plain response

Callers got a plain response without framing that its back end had cut off as a complete success, in four ways: - the back end was leaving (draining, removed or announced) and crashed: the exit counted as its planned end; - its process was still being torn down: the system closes its sockets one after the other, and a probe was accepted by the listening socket before that was closed. This concerns back ends that do not leave as well; - the probe had begun before the close; - no probe was answered, which counted as life.

An unknown end is now a value of its own for plain responses too: the request is repeated if it may be, else answered with 502, or its started response is broken off. It is no crash for quarantine. A response counts as whole after a connection that was begun after the close, is accepted and stays open for 20 ms; a probe that is asked for during another one follows it, and one whose connection ends early is repeated once. A service that leaves and no longer listens has one more witness: another response of the same process, requested before the close, whose bytes arrive 300 ms and two ticks after it, within its first 8 KiB. While such a response is in progress the end is held back for up to 1 s.

The two new process tests fail on the code before ((200, b'fr', True) for a repeatable request, 200 in place of 502).

The three decisions and the probe share on_backend_listening() and the state of a held back end, and are one commit for that reason.

--- a/src/gateway/backends/backend_probe.cpp
+++ b/src/gateway/backends/backend_probe.cpp
@@ -9,45 +9,79 @@
 /// well before a restarted process could listen again.
 constexpr Duration kProbeTimeout = milliseconds(500);
 
+/// The system closes the sockets of a process that exits one after the other, the listening one at
+/// times last, and resets what that one had accepted.
+constexpr Duration kOutlivesExit = milliseconds(20);
+
 }  // namespace
 
 class BackendProbes::Probe : private StreamObserver {
  public:
-  Probe(BackendProbes& owner, std::string backend, const Address& address)
-      : owner_(owner), backend_(std::move(backend)), stream_(address, kProbeTimeout, *this) {
+  Probe(BackendProbes& owner, std::string backend, const Address& address, bool follows_up)
+      : owner_(owner),
+        backend_(std::move(backend)),
+        address_(address),
+        follows_up_(follows_up),
+        stream_(address, kProbeTimeout, *this) {
     timeout_.start_once(kProbeTimeout, [this] { owner_.finish(backend_, std::nullopt); });
   }
 
+  const Address& address() const { return address_; }
+  TimePoint started() const { return started_; }
+  void request_another() { another_requested_ = true; }
+  bool another_requested() const { return another_requested_; }
+  bool connected() const { return connected_; }
+
  private:
   void on_stream_data(std::string_view) override {}
-  void on_stream_connected() override { owner_.finish(backend_, true); }
+  void on_stream_connected() override {
+    connected_ = true;
+    timeout_.start_once(kOutlivesExit, [this] { owner_.finish(backend_, true); });
+  }
   void on_stream_end(StreamEnd end) override {
+    // Another probe tells a process that has exited since from one that closes such connections.
+    if (connected_ && !follows_up_) another_requested_ = true;
     const bool refused = end == StreamEnd::connect_refused;
     owner_.finish(backend_, refused ? std::optional(false) : std::nullopt);
   }
 
   BackendProbes& owner_;
   std::string backend_;
+  Address address_;
+  TimePoint started_ = loop_now();
+  bool another_requested_ = false;
+  bool connected_ = false;
+  bool follows_up_;
   TcpStream stream_;
   Timer timeout_;
 };
 
-BackendProbes::BackendProbes(
-    std::function<void(const std::string& backend, bool listening)> on_result)
-    : on_result_(std::move(on_result)) {}
+BackendProbes::BackendProbes(ResultHandler on_result) : on_result_(std::move(on_result)) {}
 
 BackendProbes::~BackendProbes() = default;
 
 void BackendProbes::start(const std::string& backend, const Address& address) {
-  if (probes_.contains(backend)) return;
-  probes_[backend] = std::make_unique<Probe>(*this, backend, address);
+  const auto under_way = probes_.find(backend);
+  if (under_way != probes_.end()) {
+    under_way->second->request_another();
+  } else {
+    probes_[backend] = std::make_unique<Probe>(*this, backend, address, false);
+  }
 }
 
 void BackendProbes::finish(const std::string& backend, std::optional<bool> listening) {
   auto node = probes_.extract(backend);
   if (node.empty()) return;
+  const Probe& probe = *node.mapped();
+  const bool refused = listening && !*listening;
+  if (probe.another_requested() && !refused) {
+    const bool follows_up = !listening && probe.connected();
+    probes_[backend] = std::make_unique<Probe>(*this, backend, probe.address(), follows_up);
+  }
+  const TimePoint started = probe.started();
+  const std::string probed = node.key();
   deleter_.defer(std::move(node.mapped()));
-  if (listening) on_result_(node.key(), *listening);
+  if (listening) on_result_(probed, *listening, started);
 }
 
 }  // namespace pumicemast
--- a/src/gateway/backends/backend_probe.h
+++ b/src/gateway/backends/backend_probe.h
@@ -15,13 +15,18 @@
 
 class BackendProbes {
  public:
-  /// @param on_result  called when a probe ends. `listening` is false if the machine refused the
-  ///                   connection: no process listens at the back end's address.
-  explicit BackendProbes(std::function<void(const std::string& backend, bool listening)> on_result);
+  /// Called when a probe that began at `started` ends. `listening` is false if the machine refused
+  /// the connection: no process listens at the back end's address.
+  using ResultHandler =
+      std::function<void(const std::string& backend, bool listening, TimePoint started)>;
+
+  explicit BackendProbes(ResultHandler on_result);
   ~BackendProbes();
 
-  /// Opens a connection and closes it again, one at a time to each back end. An attempt that times
-  /// out, for example behind a network partition, has no result.
+  /// Opens a connection and closes it again, one at a time to each back end. It has found a process
+  /// if the connection stays open for longer than the exit of a process takes. One that is
+  /// requested while another is under way follows it, unless that one is refused. An attempt that
+  /// times out, for example behind a network partition, has no result.
   void start(const std::string& backend, const Address& address);
 
  private:
@@ -29,7 +34,7 @@
   /// @param listening  empty if the probe found out nothing.
   void finish(const std::string& backend, std::optional<bool> listening);
 
-  std::function<void(const std::string& backend, bool listening)> on_result_;
+  ResultHandler on_result_;
   std::map<std::string, std::unique_ptr<Probe>> probes_;
   DeferredDeleter deleter_;
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -59,8 +59,8 @@
       forwarder_(fleet_.pool(), fleet_.targets(), fleet_.quarantine(),
                  forwarder_options(settings_)),
       backends_(*this),
-      probes_([this](const std::string& backend, bool listening) {
-        on_backend_probed(backend, listening);
+      probes_([this](const std::string& backend, bool listening, TimePoint started) {
+        on_backend_probed(backend, listening, started);
       }),
       status_server_([this](const std::string& path) { return status(path); }),
       metrics_server_([this](const std::string& path) { return status(path); }) {
@@ -306,13 +306,14 @@
   forwarder_.on_backend_ended(backend, loop_now());
 }
 
-void GatewayDaemon::on_backend_probed(const std::string& backend, bool listening) {
+void GatewayDaemon::on_backend_probed(const std::string& backend, bool listening,
+                                      TimePoint started) {
   if (!listening) {
     on_backend_ended(backend, "probe");
     return;
   }
   ForwarderActions actions;
-  forwarder_.on_backend_listening(backend, loop_now(), actions);
+  forwarder_.on_backend_listening(backend, started, loop_now(), actions);
   execute_actions(actions);
 }
 
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -78,7 +78,7 @@
   void on_backend_ended(const std::string& backend, const char* evidence);
 
   /// @param listening  whether a process listens at the back end's address.
-  void on_backend_probed(const std::string& backend, bool listening);
+  void on_backend_probed(const std::string& backend, bool listening, TimePoint started);
 
   CallerLimits limits() const;
   void execute_actions(ForwarderActions& actions);
--- a/src/gateway/requests/request_forwarder.cpp
+++ b/src/gateway/requests/request_forwarder.cpp
@@ -85,6 +85,8 @@
   session.end_held_until.reset();
   session.backend_ended = false;
   session.end_probed = false;
+  session.later_response = false;
+  session.ticks_after_close = 0;
   if (session.splitter.event_count() > session.events_before || session.splitter.inside_event())
     session.may_be_whole = session.closed_at.has_value() && !session.splitter.inside_event();
   session.closed_at.reset();
@@ -182,6 +184,7 @@
   if (found == sessions_.end() || found->second.backend.empty()) return;
   RequestSession& session = found->second;
   session.head_received = true;
+  on_later_bytes(session);
   session.response = response;
   session.last_progress = now;
   pool_.limits().on_response(session.backend, response.rate_limit, response.success,
@@ -197,6 +200,7 @@
   if (found == sessions_.end() || found->second.backend.empty()) return;
   RequestSession& session = found->second;
   const bool had_first_token = session.first_token_seen;
+  on_later_bytes(session);
   response_relay_.on_body(number, session, bytes, now, actions);
   if (!had_first_token && session.first_token_seen) record_first_token(session, now);
 }
--- a/src/gateway/requests/request_forwarder.h
+++ b/src/gateway/requests/request_forwarder.h
@@ -95,7 +95,9 @@
   /// The process of a back end has ended, for any reason.
   void on_backend_ended(const std::string& backend, TimePoint now);
   /// A probe has found that a process listens at the back end's address.
-  void on_backend_listening(const std::string& backend, TimePoint now, ForwarderActions& actions);
+  /// @param probed_at  when the probe began; it tells nothing about responses that ended later.
+  void on_backend_listening(const std::string& backend, TimePoint probed_at, TimePoint now,
+                            ForwarderActions& actions);
   void on_caller_gone(RequestNumber number, TimePoint now, ForwarderActions& actions);
   /// The response of the current attempt is held back, or no longer. An attempt that is held back
   /// does not count as stalled.
@@ -263,6 +265,12 @@
   /// The back end's process has exited while the end was held back.
   void decide_after_exit(RequestNumber number, RequestSession& session, TimePoint now,
                          ForwarderActions& actions);
+  /// Whether bytes that `other` receives would show that the process outlived the end of `session`.
+  static bool shows_life_after(const RequestSession& other, const RequestSession& session);
+  /// Whether another response of the same process may still show that it outlived the end.
+  bool awaits_later_response(const RequestSession& session, TimePoint now) const;
+  /// A response goes on: its process outlived the ends that were held back long enough.
+  void on_later_bytes(const RequestSession& sender);
   /// No exit was reported while the end was held back.
   void decide_without_exit(RequestNumber number, RequestSession& session, TimePoint now,
                            ForwarderActions& actions);
@@ -293,6 +301,8 @@
   OverloadDetector overload_;
   RetryBudgets retries_;
   CrashCorrelator crash_correlator_;
+  /// Held back ends for which bytes of another response would be evidence.
+  std::set<RequestNumber> uncertain_ends_;
   std::vector<RequestSummary> summaries_;
   std::vector<InferredEnd> inferred_ends_;
   std::vector<InferredEndVerdict> inferred_end_verdicts_;
--- a/src/gateway/requests/request_forwarder_ends.cpp
+++ b/src/gateway/requests/request_forwarder_ends.cpp
@@ -5,6 +5,18 @@
 #include "gateway/requests/request_forwarder.h"
 
 namespace pumicemast {
+namespace {
+
+/// Bytes that were under way at a close have arrived by then, also after one retransmission.
+constexpr Duration kLongestInFlight = milliseconds(300);
+/// Bytes that were received before a delay of this process are read within so many ticks.
+constexpr int kTicksToReadReceived = 2;
+/// Longest wait for a later response of a process that does not listen.
+constexpr Duration kLaterResponseWait = seconds(1);
+/// More may stay in the send buffer of a process that has exited, and arrive long after.
+constexpr std::size_t kMaximumUnpacedBytes = 8U << 10U;
+
+}  // namespace
 
 void RequestForwarder::fail_truncated(RequestNumber number, RequestSession& session, TimePoint now,
                                       ForwarderActions& actions) {
@@ -45,11 +57,12 @@
   actions.emplace_back(ProbeBackend{session.backend, session.backend_address});
 }
 
-void RequestForwarder::on_backend_listening(const std::string& backend, TimePoint now,
-                                            ForwarderActions& actions) {
+void RequestForwarder::on_backend_listening(const std::string& backend, TimePoint probed_at,
+                                            TimePoint now, ForwarderActions& actions) {
   std::vector<RequestNumber> numbers;
   for (const auto& [number, session] : sessions_) {
-    if (session.end_held_until && session.backend == backend) numbers.push_back(number);
+    const bool held = session.end_held_until && session.backend == backend;
+    if (held && *session.closed_at <= probed_at) numbers.push_back(number);
   }
   for (const RequestNumber number : numbers) {
     accept_inferred_end(number, sessions_.at(number), EndEvidence::listening, now, actions);
@@ -66,6 +79,14 @@
 
 void RequestForwarder::decide_inferred_end(RequestNumber number, RequestSession& session,
                                            TimePoint now, ForwarderActions& actions) {
+  if (session.later_response) {
+    accept_inferred_end(number, session, EndEvidence::later_response, now, actions);
+    return;
+  }
+  if (now - *session.closed_at >= kLongestInFlight &&
+      ++session.ticks_after_close == kTicksToReadReceived) {
+    uncertain_ends_.insert(number);
+  }
   if (session.backend_ended) {
     decide_after_exit(number, session, now, actions);
   } else if (now >= *session.end_held_until) {
@@ -78,21 +99,41 @@
   if (!pool_.leaving(session.backend)) {
     record_verdict(session, false, EndEvidence::exit, now);
     fail_truncated(number, session, now, actions);
-  } else if (session.event_stream) {
+  } else if (!awaits_later_response(session, now)) {
     continue_uncertain_response(number, session, EndEvidence::leaving_exit, now, actions);
-  } else {
-    accept_inferred_end(number, session, EndEvidence::leaving_exit, now, actions);
   }
 }
 
+bool RequestForwarder::shows_life_after(const RequestSession& other,
+                                        const RequestSession& session) {
+  // A request that was sent after the close may run in another process at the same address.
+  return !other.end_held_until && !other.slot_released && !other.backend.empty() &&
+         other.backend_incarnation == session.backend_incarnation &&
+         other.sent_at <= *session.closed_at;
+}
+
+bool RequestForwarder::awaits_later_response(const RequestSession& session, TimePoint now) const {
+  if (session.event_stream || now >= session.deadline) return false;
+  if (now - *session.closed_at >= kLaterResponseWait) return false;
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [&](const auto& entry) { return shows_life_after(entry.second, session); });
+}
+
+void RequestForwarder::on_later_bytes(const RequestSession& sender) {
+  if (sender.response_started || sender.buffered.size() > kMaximumUnpacedBytes) return;
+  std::erase_if(uncertain_ends_, [&](RequestNumber number) {
+    const auto found = sessions_.find(number);
+    if (found == sessions_.end() || !found->second.end_held_until) return true;
+    if (shows_life_after(sender, found->second)) found->second.later_response = true;
+    return false;
+  });
+}
+
 void RequestForwarder::decide_without_exit(RequestNumber number, RequestSession& session,
                                            TimePoint now, ForwarderActions& actions) {
   // The agent's state of the engine may be as old as its polling interval.
   const TimePoint sampled_after_close = *session.closed_at + options_.inferred_end_wait / 2;
-  if (!session.service->engine) {
-    // A machine without a process at this address would have refused the probe.
-    accept_inferred_end(number, session, EndEvidence::silence, now, actions);
-  } else if (pool_.reported_alive_since(session.backend, sampled_after_close)) {
+  if (pool_.reported_alive_since(session.backend, sampled_after_close)) {
     accept_inferred_end(number, session, EndEvidence::report, now, actions);
   } else if (now >= session.deadline) {
     record_verdict(session, false, EndEvidence::deadline, now);
@@ -100,7 +141,7 @@
   } else if (!session.end_probed) {
     probe_for_end(session, actions);
     session.end_held_until = std::min(now + options_.inferred_end_wait, session.deadline);
-  } else {
+  } else if (!awaits_later_response(session, now)) {
     continue_uncertain_response(number, session, EndEvidence::silence, now, actions);
   }
 }
--- a/src/gateway/requests/request_session.cpp
+++ b/src/gateway/requests/request_session.cpp
@@ -10,6 +10,8 @@
       return "exit";
     case EndEvidence::leaving_exit:
       return "leaving_exit";
+    case EndEvidence::later_response:
+      return "later_response";
     case EndEvidence::listening:
       return "listening";
     case EndEvidence::report:
--- a/src/gateway/requests/request_session.h
+++ b/src/gateway/requests/request_session.h
@@ -63,13 +63,14 @@
 
 /// What an inferred end was judged by.
 enum class EndEvidence {
-  content,       ///< The stream ends inside an event, or has none.
-  exit,          ///< The back end's process was reported to have exited.
-  leaving_exit,  ///< The same of a back end that leaves: it may exit after its last response.
-  listening,     ///< A probe found the back end listening after the close.
-  report,        ///< The engine's agent reported it alive after the close.
-  silence,       ///< Neither an exit nor a living process was reported.
-  deadline,      ///< The caller's deadline came before any evidence.
+  content,         ///< The stream ends inside an event, or has none.
+  exit,            ///< The back end's process was reported to have exited.
+  leaving_exit,    ///< The same of a back end that leaves: it may exit after its last response.
+  later_response,  ///< Another response of the same process went on well after the close.
+  listening,       ///< A probe found the back end listening after the close.
+  report,          ///< The engine's agent reported it alive after the close.
+  silence,         ///< Neither an exit nor a living process was reported.
+  deadline,        ///< The caller's deadline came before any evidence.
 };
 const char* to_string(EndEvidence evidence);
 
@@ -118,8 +119,10 @@
   std::optional<TimePoint> closed_at;
   /// The end of the response is held back until then, in case an exit of its back end is reported.
   std::optional<TimePoint> end_held_until;
-  bool backend_ended = false;  ///< The exit has been reported.
-  bool end_probed = false;     ///< A probe of the back end was requested for its end.
+  bool backend_ended = false;   ///< The exit has been reported.
+  bool end_probed = false;      ///< A probe of the back end was requested for its end.
+  bool later_response = false;  ///< Its process went on with another response after the close.
+  int ticks_after_close = 0;    ///< Since bytes under way at the close have arrived.
   /// The stream was closed in an orderly way after the last complete event, which may be its last.
   bool may_be_whole = false;
   bool slot_released = false;  ///< The attempt no longer counts as running.
--- a/tests/processes/unframed_response_test.py
+++ b/tests/processes/unframed_response_test.py
@@ -144,6 +144,19 @@
         response = await self.call_until_exit("GET", "/write/1", second)
         self.assertEqual(502, response.status)
 
+    async def test_a_part_of_a_plain_response_whose_leaving_service_exits_is_not_relayed(self):
+        first = self.platform.plain[0]
+        first.on_request_started = lambda headers: setattr(first, "leaving", True)
+        response = await self.call_until_exit("GET", "/read/1", first)
+        self.assertEqual((200, b"from p2", True),
+                         (response.status, response.body, response.complete))
+
+    async def test_a_part_of_a_plain_response_of_a_leaving_service_is_no_success(self):
+        second = self.platform.plain[1]
+        second.on_request_started = lambda headers: setattr(second, "leaving", True)
+        response = await self.call_until_exit("GET", "/write/1", second)
+        self.assertEqual(502, response.status)
+
     async def test_a_request_id_leads_to_a_truncated_response(self):
         self.break_all_engines()
         await self.platform.call("POST", "/once/1", {"X-Pumicemast-Request-Id": "cut-1"})
--- a/tests/support/gateway_harness.h
+++ b/tests/support/gateway_harness.h
@@ -123,10 +123,11 @@
     actions.clear();
     forwarder.on_response_complete(request, end, now, actions);
   }
-  /// A process listens at the back end's address.
-  void find_listening(const std::string& backend) {
+  /// A process listens at the back end's address, as a probe finds that began now.
+  void find_listening(const std::string& backend) { find_listening(backend, now); }
+  void find_listening(const std::string& backend, TimePoint probed_at) {
     actions.clear();
-    forwarder.on_backend_listening(backend, now, actions);
+    forwarder.on_backend_listening(backend, probed_at, now, actions);
   }
   void fail_attempt(RequestNumber request, AttemptFailure failure) {
     actions.clear();
