Let the soak read slowly beside planned work in overlapping series

Callers lost responses at planned stops, reloads and lower idle timeouts, and the soak never saw it: its callers read small responses at once, and it avoided a second SIGTERM.

LOST then also holds for each request that was read whole: a back end started it, its response began, or its connection ended without a reset.

--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -3,8 +3,8 @@
 One seed determines all random choices. During a run the system's guarantees are checked from the
 requests and responses at callers and back ends; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
-       [--limits] [--notices] [--restores] [--priorities] [--unframed] [--regressions]
-       [--keep FOLDER]
+       [--limits] [--notices] [--restores] [--priorities] [--unframed]
+       [--slow-readers [KIND[,...]]] [--regressions] [--keep FOLDER]
 """
 
 import argparse
@@ -30,6 +30,7 @@
 from soak_notices import Notices  # noqa: E402
 from soak_priorities import Priorities  # noqa: E402
 from soak_restores import Restores  # noqa: E402
+from soak_slow_readers import SLOW_KINDS, SlowReaders  # noqa: E402
 
 PLANNED_WORK_S = 10.0  # Seconds of planned work after the faults, without any; all bounds apply.
 HEARTBEAT_INTERVAL_S = 0.05
@@ -49,10 +50,12 @@
     restores: bool = False  # The store comes back from older copies.
     priorities: bool = False  # Routes of different priorities and tenants compete for slots.
     unframed: bool = False  # Back ends answer without a length or chunks, and cut streams off.
+    slow_readers: tuple = ()  # Kinds of slow callers, beside planned work in series.
 
     def __str__(self):
         fault_list = " of " + ",".join(self.faults) if self.faults else ""
-        extras = [name for name in ("limits", "notices", "restores", "priorities", "unframed")
+        extras = [name for name in ("limits", "notices", "restores", "priorities", "unframed",
+                                      "slow_readers")
                   if getattr(self, name)]
         return f"seed {self.seed}{fault_list}" + "".join(f" with {name}" for name in extras)
 
@@ -82,6 +85,8 @@
         self.priorities_enabled = False
         self.framing = Framing(self.platform, self.checks, random.Random(f"framing {seed}"))
         self.unframed_enabled = False
+        self.slow_readers = SlowReaders(self.platform, self.checks, self.load, self.faults,
+                                        random.Random(f"slow readers {seed}"))
         self.simulates_suspend = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
@@ -89,6 +94,8 @@
             self.platform.suspend_when_frozen()
         if self.priorities_enabled:
             self.priorities.configure()
+        if self.slow_readers.kinds:
+            self.slow_readers.configure()
         await self.platform.start()
         self.checks.started_at = time.monotonic()
         self.end = self.checks.started_at + self.seconds
@@ -97,6 +104,8 @@
         callers = self.load.start()
         if self.priorities_enabled:
             callers += self.priorities.start()
+        if self.slow_readers.kinds:
+            callers += self.slow_readers.start()
         limits = asyncio.create_task(self.limits.run()) if self.limits_enabled else None
         notices = asyncio.create_task(self.notices.run()) if self.notices_enabled else None
         framing = asyncio.create_task(self.framing.run(self.end)) \
@@ -179,6 +188,7 @@
     soak.notices_enabled, soak.restores_enabled = plan.notices, plan.restores
     soak.priorities_enabled = plan.priorities
     soak.unframed_enabled = plan.unframed
+    soak.slow_readers.kinds = list(plan.slow_readers)
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (frozen processes see a suspended machine)" if soak.simulates_suspend else ""
@@ -191,7 +201,10 @@
           + (f", unframed {soak.framing.unframed}, cut {soak.framing.cut}"
              if plan.unframed else "")
           + (", requests by priority: " + format_counts(soak.priorities.outcomes)
-             if plan.priorities else ""), flush=True)
+             if plan.priorities else "")
+          + (f"\n  planned for slow readers: {format_counts(soak.slow_readers.planned)}; their "
+             f"responses: {format_counts(soak.slow_readers.outcomes)}"
+             if plan.slow_readers else ""), flush=True)
     for violation in checks.violations:
         print("  " + violation, flush=True)
     if checks.violations and keep:
@@ -247,6 +260,9 @@
                         help="routes of different priorities and tenants compete for slots")
     parser.add_argument("--unframed", action="store_true",
                         help="back ends also answer without a length or chunks, and cut streams off")
+    parser.add_argument("--slow-readers", nargs="?", const=",".join(SLOW_KINDS), default="",
+                        help="callers also read and send slowly beside planned work in series; "
+                             "kinds of callers, separated by commas, or all")
     parser.add_argument("--regressions", action="store_true", help="also run the regression seeds")
     parser.add_argument("--keep", help="folder in which to keep the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -257,7 +273,8 @@
     platform_test.BUILD = arguments.build.resolve()
     only = arguments.only.split(",") if arguments.only else []
     plans = [Plan(seed, arguments.seconds, only, arguments.limits, arguments.notices,
-                  arguments.restores, arguments.priorities, arguments.unframed)
+                  arguments.restores, arguments.priorities, arguments.unframed,
+                  tuple(filter(None, arguments.slow_readers.split(","))))
              for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -104,6 +104,7 @@
         self.limits = {}  # By identity of the back end: its current limit.
         self.gateway_of = {}  # By request id: the gateway and the number of its start.
         self.sent_at = {}  # By request id.
+        self.bodies = {}  # By request id: the body that back ends send, if not the id.
         self.pauses = {}  # By (back end, gateway): the last pause.
         self.violations = []
         self.outcomes = {}
@@ -144,6 +145,11 @@
         return self.undisturbed() \
             and time.monotonic() > self.engines_disturbed_until + UNDISTURBED_S
 
+    def all_undisturbed_since(self, moment):
+        """Whether nothing had a fault for UNDISTURBED_S, nor since `moment`."""
+        return self.all_undisturbed() \
+            and max(self.disturbed_until, self.engines_disturbed_until) < moment
+
     # ---- observations of back ends ----
 
     def on_arrival(self, service, identity):
@@ -328,6 +334,32 @@
         elif response.status in (401, 404):
             self.report_violation("DENIED", f"{identity} was answered {response.status}")
 
+    def has_started(self, identity):
+        """Whether a back end has started the request, so that its gateway had read it whole."""
+        return bool(self.start_counts.get(identity))
+
+    def check_large_response(self, identity, response, limit_s, read_whole=False):
+        """A request that was read whole has a whole response; `response` is None without a head.
+
+        `read_whole` says that the gateway has read the request although no back end started it.
+        """
+        expected = self.bodies.pop(identity)
+        if response is not None and response.complete:
+            if response.status == 200 and response.body != expected:
+                self.report_violation("MIXED", f"{identity} got {len(response.body)} bytes, its "
+                                               f"back end sent {len(expected)}")
+            return
+        sent_at = self.sent_at[identity]
+        was_read = response is not None or read_whole or self.has_started(identity)
+        if not was_read or time.monotonic() - sent_at > limit_s:
+            return
+        if self.all_undisturbed_since(sent_at):
+            received = "no response" if response is None \
+                else f"{len(response.body)} of {len(expected)} bytes"
+            self.report_violation("LOST", f"{identity} got {received} from "
+                                          f"{self.gateway_of[identity][0]} without a fault, "
+                                          f"{time.monotonic() - sent_at:.2f} s after it was sent")
+
     def check_retry_time(self, identity, response):
         """A refusal says when to return, unless the request is not to return at all."""
         if response.body != b"quarantined" and not float(response.headers.get("retry-after", 0)) > 0:
--- a/tests/soak/soak_engine.py
+++ b/tests/soak/soak_engine.py
@@ -60,7 +60,8 @@
         self.checks.on_request_started(self, headers.get("x-pumicemast-request-id", ""))
 
     def plain_body(self, headers):
-        return headers.get("x-pumicemast-request-id", "").encode()
+        identity = headers.get("x-pumicemast-request-id", "")
+        return self.checks.bodies.get(identity, identity.encode())
 
     def event(self, headers, number):
         identity = headers.get("x-pumicemast-request-id", "")
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -263,7 +263,7 @@
     async def stop_process(self, process, start_process, signal_number, duration):
         already_stopping = signal_number == signal.SIGTERM and process in self.stopping
         if process.poll() is not None or already_stopping:
-            return  # A second SIGTERM would request an immediate exit.
+            return  # It is started again by the stop in progress.
         if signal_number == signal.SIGTERM:
             self.stopping.add(process)
         process.send_signal(signal_number)
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -27,6 +27,7 @@
         self.routes = []
         self.priority_routes = []  # In every configuration.
         self.gateways = {}
+        self.gateway_started_at = {}
         self.hosts = {}
 
     def suspend_when_frozen(self):
@@ -70,7 +71,7 @@
     def register(self, backend, service, state="ready"):
         self.store.put("servers", backend.identity, {
             "service": service, "address": f"{backend.host}:{self.proxies[backend].port}",
-            "zone": "z1", "slots": 4, "state": state, "models": [], "layers": None})
+            "zone": "z1", "slots": self.slots, "state": state, "models": [], "layers": None})
 
     def unregister(self, identity):
         if identity in self.store.objects["servers"]:
@@ -91,7 +92,7 @@
 name=gateway-{host}
 zone=z1
 charts={platform_test.ROOT}/charts
-stop_grace_ms=6000
+stop_grace_ms={self.stop_grace_ms}
 [listen]
 callers={host}:{callers}
 ready={host}:{ready}
@@ -108,7 +109,8 @@
 decisions=failures
 [platform]
 store=127.0.0.1:{self.store_proxy.port}
-""")
+{self.memory_settings()}""")
+        self.gateway_started_at[host] = time.monotonic()
         self.checks.incarnations[host] = self.checks.incarnations.get(host, 0) + 1
 
     def launch(self, name, program, settings, stdout=None):
--- /dev/null
+++ b/tests/soak/soak_option_checks_test.py
@@ -0,0 +1,66 @@
+"""Tests of the checks that the soak's options add: each must report a history that breaks its rule."""
+
+import sys
+import time
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+from soak_checks_test import GATEWAY, HistoryTest  # noqa: E402
+from soak_checks import DEADLINE_S, UNDISTURBED_S  # noqa: E402
+
+
+class SlowReadersChecksTest(HistoryTest):
+    def receive_large(self, response, started=True, read_whole=False, sent_ago=1.0,
+                      identity="large-1"):
+        """A caller's request whose back end sends 1,000 bytes, and what the caller got."""
+        self.checks.bodies[identity] = b"x" * 1000
+        self.checks.on_sent("large", identity, (GATEWAY, 1))
+        self.checks.sent_at[identity] = time.monotonic() - sent_ago
+        if started:
+            self.checks.on_request_started(self.backend(model=None), identity)
+        self.checks.check_large_response(identity, response, DEADLINE_S, read_whole)
+        return self.violated_rules()
+
+    @staticmethod
+    def large(size, complete=True, status=200):
+        return SimpleNamespace(status=status, body=b"x" * size, complete=complete, headers={})
+
+    def test_a_large_response_that_is_cut_off(self):
+        self.assertEqual(["LOST"], self.receive_large(self.large(999, complete=False)))
+
+    def test_a_large_response_cut_off_before_a_back_end_is_known_to_have_started(self):
+        self.assertEqual(["LOST"], self.receive_large(self.large(0, complete=False), started=False))
+
+    def test_no_response_to_a_request_that_a_back_end_started(self):
+        self.assertEqual(["LOST"], self.receive_large(None))
+
+    def test_no_response_to_a_request_that_was_read_whole_and_not_started(self):
+        self.assertEqual(["LOST"], self.receive_large(None, started=False, read_whole=True))
+
+    def test_no_response_to_a_request_that_the_gateway_may_not_have_read(self):
+        self.assertEqual([], self.receive_large(None, started=False))
+
+    def test_whole_large_responses_and_whole_refusals(self):
+        self.receive_large(self.large(1000))
+        self.assertEqual([], self.receive_large(self.large(9, status=503), identity="large-2"))
+
+    def test_a_whole_large_response_with_another_body(self):
+        self.assertEqual(["MIXED"], self.receive_large(self.large(999)))
+
+    def test_a_large_response_that_is_cut_off_at_its_deadline(self):
+        self.checks.disturbed_until = self.checks.engines_disturbed_until = 0.0
+        self.assertEqual([], self.receive_large(None, sent_ago=DEADLINE_S + 0.1))
+
+    def test_a_large_response_that_is_cut_off_beside_a_fault(self):
+        self.checks.disturb_engines(0)
+        self.assertEqual([], self.receive_large(self.large(9, complete=False)))
+
+    def test_a_large_response_that_is_cut_off_some_time_after_a_fault_that_it_met(self):
+        self.checks.disturbed_until = time.monotonic() - UNDISTURBED_S - 0.1
+        self.assertEqual([], self.receive_large(None, sent_ago=UNDISTURBED_S + 0.5))
+
+
+if __name__ == "__main__":
+    unittest.main()
