Leave odd entries in the list of back ends during the soak

One entry that a reader refuses hid the whole list from all gateways, and one that is nested deep ended them. The soak wrote sound entries alone and saw neither.

Beside them plain back ends appear and leave. New checks: JOIN (every gateway that has run since sends requests to a new back end within 4 s) and, with and without the option, FAULT for a process that was told to stop and ends with a failure. DRAIN covers those that leave. The draws have a generator of their own.

Each of five conditions of the checks, taken out, fails a test in soak_option_checks_test.py.

--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -4,7 +4,7 @@
 requests and responses at callers and back ends; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
        [--limits] [--notices] [--restores] [--priorities] [--unframed]
-       [--slow-readers [KIND[,...]]] [--regressions] [--keep FOLDER]
+       [--slow-readers [KIND[,...]]] [--odd-entries] [--regressions] [--keep FOLDER]
 """
 
 import argparse
@@ -28,6 +28,7 @@
 from soak_limits import Limits  # noqa: E402
 from soak_load import Load  # noqa: E402
 from soak_notices import Notices  # noqa: E402
+from soak_odd_entries import OddEntries  # noqa: E402
 from soak_priorities import Priorities  # noqa: E402
 from soak_restores import Restores  # noqa: E402
 from soak_slow_readers import SLOW_KINDS, SlowReaders  # noqa: E402
@@ -51,11 +52,12 @@
     priorities: bool = False  # Routes of different priorities and tenants compete for slots.
     unframed: bool = False  # Back ends answer without a length or chunks, and cut streams off.
     slow_readers: tuple = ()  # Kinds of slow callers, beside planned work in series.
+    odd_entries: bool = False  # Another writer leaves odd entries in the list of back ends.
 
     def __str__(self):
         fault_list = " of " + ",".join(self.faults) if self.faults else ""
         extras = [name for name in ("limits", "notices", "restores", "priorities", "unframed",
-                                      "slow_readers")
+                                      "slow_readers", "odd_entries")
                   if getattr(self, name)]
         return f"seed {self.seed}{fault_list}" + "".join(f" with {name}" for name in extras)
 
@@ -87,6 +89,9 @@
         self.unframed_enabled = False
         self.slow_readers = SlowReaders(self.platform, self.checks, self.load, self.faults,
                                         random.Random(f"slow readers {seed}"))
+        self.odd_entries = OddEntries(self.platform, self.checks, self.faults,
+                                      random.Random(f"odd entries {seed}"))
+        self.odd_entries_enabled = False
         self.simulates_suspend = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
@@ -96,6 +101,8 @@
             self.priorities.configure()
         if self.slow_readers.kinds:
             self.slow_readers.configure()
+        if self.odd_entries_enabled:
+            self.odd_entries.configure()
         await self.platform.start()
         self.checks.started_at = time.monotonic()
         self.end = self.checks.started_at + self.seconds
@@ -106,6 +113,8 @@
             callers += self.priorities.start()
         if self.slow_readers.kinds:
             callers += self.slow_readers.start()
+        if self.odd_entries_enabled:
+            callers.append(asyncio.create_task(self.odd_entries.run(self.load)))
         limits = asyncio.create_task(self.limits.run()) if self.limits_enabled else None
         notices = asyncio.create_task(self.notices.run()) if self.notices_enabled else None
         framing = asyncio.create_task(self.framing.run(self.end)) \
@@ -189,6 +198,7 @@
     soak.priorities_enabled = plan.priorities
     soak.unframed_enabled = plan.unframed
     soak.slow_readers.kinds = list(plan.slow_readers)
+    soak.odd_entries_enabled = plan.odd_entries
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (frozen processes see a suspended machine)" if soak.simulates_suspend else ""
@@ -204,7 +214,9 @@
              if plan.priorities else "")
           + (f"\n  planned for slow readers: {format_counts(soak.slow_readers.planned)}; their "
              f"responses: {format_counts(soak.slow_readers.outcomes)}"
-             if plan.slow_readers else ""), flush=True)
+             if plan.slow_readers else "")
+          + (f"\n  odd entries: {format_counts(soak.odd_entries.left)}; back ends that came and "
+             f"went {soak.odd_entries.joined}" if plan.odd_entries else ""), flush=True)
     for violation in checks.violations:
         print("  " + violation, flush=True)
     if checks.violations and keep:
@@ -263,6 +275,8 @@
     parser.add_argument("--slow-readers", nargs="?", const=",".join(SLOW_KINDS), default="",
                         help="callers also read and send slowly beside planned work in series; "
                              "kinds of callers, separated by commas, or all")
+    parser.add_argument("--odd-entries", action="store_true",
+                        help="another writer also leaves odd entries in the list of back ends")
     parser.add_argument("--regressions", action="store_true", help="also run the regression seeds")
     parser.add_argument("--keep", help="folder in which to keep the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -274,7 +288,8 @@
     only = arguments.only.split(",") if arguments.only else []
     plans = [Plan(seed, arguments.seconds, only, arguments.limits, arguments.notices,
                   arguments.restores, arguments.priorities, arguments.unframed,
-                  tuple(filter(None, arguments.slow_readers.split(","))))
+                  tuple(filter(None, arguments.slow_readers.split(","))),
+                  arguments.odd_entries)
              for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -1,5 +1,6 @@
 """Records what callers and back ends observe and checks it against the system's guarantees."""
 
+import signal
 import time
 from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
@@ -27,6 +28,7 @@
 DISTURBED_RATIO, DISTURBED_EXTRA = 1.5, 5  # Looser bound while gateways come and go.
 #: A stall of this process that counts as a fault: it runs the store and all back ends.
 HARNESS_STALL_S = 1.0
+JOIN_LIMIT_S = 4.0  # Within it every gateway uses a back end that appears.
 REPORTED_TIMELINE_EVENTS = 40  # The latest events; the kept logs have the complete timeline.
 
 
@@ -104,6 +106,7 @@
         self.limits = {}  # By identity of the back end: its current limit.
         self.gateway_of = {}  # By request id: the gateway and the number of its start.
         self.sent_at = {}  # By request id.
+        self.joined = {}  # By identity of a new back end: when it appeared, and its gateways.
         self.bodies = {}  # By request id: the body that back ends send, if not the id.
         self.pauses = {}  # By (back end, gateway): the last pause.
         self.violations = []
@@ -225,8 +228,27 @@
         return "".join(f"\n      {at - self.started_at:8.3f} s {text}"
                        for at, text in sorted(events))
 
+    def on_stopped(self, name, code):
+        """A process that was told to stop has ended: by itself, or killed by another fault."""
+        if code not in (0, -signal.SIGKILL, -signal.SIGTERM):
+            self.report_violation("FAULT", f"{name} was told to stop and ended with {code}")
+
+    def on_joined(self, backend, now):
+        """The back end appears in the list from now on."""
+        self.joined[backend.identity] = (now, set())
+
+    def check_joined(self, backend, gateways):
+        """`gateways` have run since the back end appeared, and must all use it."""
+        joined_at, users = self.joined.pop(backend.identity)
+        unaware = sorted({host for host, start in gateways if (host, start) not in users})
+        if unaware and self.all_undisturbed_since(joined_at):
+            self.report_violation("JOIN", f"{backend.identity} got no request from "
+                                          f"{', '.join(unaware)} in {JOIN_LIMIT_S} s")
+
     def on_request_started(self, backend, identity):
         self.start_counts[identity] = self.start_counts.get(identity, 0) + 1
+        if backend.identity in self.joined:
+            self.joined[backend.identity][1].add(self.gateway_of.get(identity))
         now = time.monotonic()
         if identity.startswith("write") and self.start_counts[identity] > 1:
             self.report_violation("TWICE", f"{identity} ran {self.start_counts[identity]} times")
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -269,6 +269,8 @@
         process.send_signal(signal_number)
         while process.poll() is None:
             await asyncio.sleep(0.05)
+        if signal_number == signal.SIGTERM:
+            self.checks.on_stopped(process.args[-1].stem, process.returncode)
         await asyncio.sleep(duration / 4)
         start_process()
 
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -20,6 +20,8 @@
 class SoakPlatform(platform_test.Platform):
     """The processes of the system, with stand-ins for the store, the origin and the back ends."""
 
+    store_class = Store
+
     def __init__(self, folder, checks, random):
         super().__init__(folder)
         self.checks, self.random = checks, random
@@ -38,7 +40,7 @@
         self.environment = {**os.environ, "LD_PRELOAD": str(library)}
 
     async def start(self):
-        self.store, self.origin = Store(), Origin()
+        self.store, self.origin = self.store_class(), Origin()
         self.plain = [SoakBackend(self.checks, "plain", f"p{n}") for n in (1, 2)]
         self.engines = [SoakEngine(self.checks, self.random, f"e{n}", host, "m", 1)
                         for n, host in enumerate(ENGINES, 1)]
--- a/tests/soak/soak_option_checks_test.py
+++ b/tests/soak/soak_option_checks_test.py
@@ -1,5 +1,6 @@
-"""Tests of the checks that the soak's options add: each must report a history that breaks its rule."""
+"""Tests of the checks of the soak's options: each must report a history that breaks its rule."""
 
+import signal
 import sys
 import time
 import unittest
@@ -62,5 +63,40 @@
         self.assertEqual([], self.receive_large(None, sent_ago=UNDISTURBED_S + 0.5))
 
 
+class OddEntriesChecksTest(HistoryTest):
+    def join(self, users, gateways, joined_ago=1.0):
+        """A back end appears; the gateways in `users` send it requests, those in `gateways` run."""
+        backend = self.backend(model=None)
+        self.checks.on_joined(backend, time.monotonic() - joined_ago)
+        for number, gateway in enumerate(users):
+            self.checks.gateway_of[f"read-{number}"] = gateway
+            self.checks.on_request_started(backend, f"read-{number}")
+        self.checks.check_joined(backend, gateways)
+        return self.violated_rules()
+
+    def test_a_back_end_that_a_gateway_does_not_use(self):
+        self.assertEqual(["JOIN"], self.join([("g1", 1)], [("g1", 1), ("g2", 1)]))
+
+    def test_a_back_end_that_only_an_earlier_life_of_the_gateway_used(self):
+        self.assertEqual(["JOIN"], self.join([("g1", 1)], [("g1", 2)]))
+
+    def test_a_back_end_that_all_gateways_use(self):
+        self.assertEqual([], self.join([("g1", 1), ("g2", 3)], [("g1", 1), ("g2", 3)]))
+
+    def test_a_back_end_that_appears_beside_a_fault(self):
+        self.checks.disturbed_until = time.monotonic() - UNDISTURBED_S - 0.1
+        self.assertEqual([], self.join([], [("g1", 1)], joined_ago=UNDISTURBED_S + 0.5))
+
+    def test_a_process_that_crashes_while_it_stops(self):
+        self.checks.on_stopped("gateway-1", -signal.SIGSEGV)
+        self.checks.on_stopped("gateway-1", 1)
+        self.assertEqual(["FAULT", "FAULT"], self.violated_rules())
+
+    def test_a_process_that_stops_or_is_killed_meanwhile(self):
+        for code in (0, -signal.SIGKILL, -signal.SIGTERM):
+            self.checks.on_stopped("gateway-1", code)
+        self.assertEqual([], self.violated_rules())
+
+
 if __name__ == "__main__":
     unittest.main()
