Follow the events of streams that are not resumed without keeping them

The splitter remembers how far it has searched; for streams that are not resumed it keeps the beginning of the unfinished line only, and no bound applies.

--- a/src/gateway/requests/response_relay.cpp
+++ b/src/gateway/requests/response_relay.cpp
@@ -23,7 +23,7 @@
     return;
   }
   session.last_progress = now;
-  if (session.event_stream) session.splitter.take_complete_events(bytes);
+  if (session.event_stream) follow_events(session, bytes);
   // A stream was started: a plain response to its resumption is not part of it.
   if (session.stream_started || session.response.not_run) {
     session.unused_response_bytes += bytes.size();
@@ -41,15 +41,26 @@
   session.buffered.clear();
 }
 
+void ResponseRelay::follow_events(RequestSession& session, std::string_view bytes) {
+  session.splitter.take_complete_events(bytes);
+  session.splitter.shorten_partial_event();
+}
+
 bool ResponseRelay::exceeds_limits(const RequestSession& session) const {
-  return session.splitter.partial_bytes() > options_.max_event_bytes ||
+  const bool keeps_events = session.streaming && session.route->resumable;
+  return (keeps_events && session.splitter.partial_bytes() > options_.max_event_bytes) ||
          session.unused_response_bytes > options_.max_unused_response_bytes;
 }
 
 void ResponseRelay::on_events(RequestNumber number, RequestSession& session, std::string_view bytes,
                               TimePoint now, ForwarderActions& actions) {
-  std::string complete_events = session.splitter.take_complete_events(bytes);
-  std::string ready = session.route->resumable ? std::move(complete_events) : std::string(bytes);
+  std::string ready;
+  if (session.route->resumable) {
+    ready = session.splitter.take_complete_events(bytes);
+  } else {
+    follow_events(session, bytes);
+    ready = bytes;
+  }
   if (ready.empty()) return;
   record_progress(session, now);
   if (!session.response_started) {
--- a/src/gateway/requests/response_relay.h
+++ b/src/gateway/requests/response_relay.h
@@ -32,6 +32,8 @@
  private:
   void on_events(RequestNumber number, RequestSession& session, std::string_view bytes,
                  TimePoint now, ForwarderActions& actions);
+  /// Follows the events of a response whose bytes are not kept for them.
+  static void follow_events(RequestSession& session, std::string_view bytes);
   void record_progress(RequestSession& session, TimePoint now);
 
   BackendPool& pool_;
--- a/src/http1/event_splitter.cpp
+++ b/src/http1/event_splitter.cpp
@@ -1,10 +1,14 @@
 #include "http1/event_splitter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pumicemast {
 namespace {
 
+/// Longer than the name of any field.
+constexpr std::size_t kKeptLineBytes = 64;
+
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
 std::string_view trimmed(std::string_view text) {
@@ -24,8 +28,11 @@
 }
 
 std::optional<EventSplitter::Line> EventSplitter::next_line() {
-  const std::size_t at = partial_.find_first_of("\r\n", line_start_);
-  if (at == std::string::npos) return std::nullopt;
+  const std::size_t at = partial_.find_first_of("\r\n", std::max(line_start_, searched_));
+  if (at == std::string::npos) {
+    searched_ = partial_.size();
+    return std::nullopt;
+  }
   std::size_t end = at + 1;
   if (partial_[at] == '\r') {
     // The last byte may be the first half of a CR LF.
@@ -61,6 +68,7 @@
       content.remove_prefix(kByteOrderMark.size());
     }
     line_start_ = line->end;
+    searched_ = 0;
     if (!content.empty()) {
       add_line(content);
       continue;
@@ -71,6 +79,7 @@
   std::string complete_events = partial_.substr(0, consumed);
   partial_.erase(0, consumed);
   line_start_ -= consumed;
+  searched_ -= std::min(searched_, consumed);
   return complete_events;
 }
 
@@ -87,9 +96,21 @@
   return rest;
 }
 
+void EventSplitter::shorten_partial_event() {
+  const bool ends_with_cr = partial_.ends_with('\r');
+  const std::size_t end = partial_.size() - (ends_with_cr ? 1 : 0);
+  // The beginning of the line tells which field it is.
+  const std::size_t kept = std::min(end, line_start_ + kKeptLineBytes);
+  partial_.erase(kept, end - kept);
+  partial_.erase(0, line_start_);
+  line_start_ = 0;
+  searched_ = 0;
+}
+
 void EventSplitter::discard_partial_event() {
   partial_.clear();
   line_start_ = 0;
+  searched_ = 0;
   at_stream_start_ = true;
   lines_end_with_cr_ = false;
   block_has_event_field_ = false;
--- a/src/http1/event_splitter.h
+++ b/src/http1/event_splitter.h
@@ -29,6 +29,9 @@
   std::string take_partial_event();
   std::size_t partial_bytes() const { return partial_.size(); }
   void discard_partial_event();
+  /// Drops the bytes of the event that is not complete, except what tells where it ends. For
+  /// streams whose bytes are relayed as they arrive.
+  void shorten_partial_event();
   /// Whether a stream that ends here lacks a part of its last event. Complete lines of comments
   /// and retry times after the last event belong to none.
   bool inside_event() const { return block_has_event_field_ || line_start_ < partial_.size(); }
@@ -48,6 +51,7 @@
 
   std::string partial_;
   std::size_t line_start_ = 0;  ///< Of the line in `partial_` that is not complete yet.
+  std::size_t searched_ = 0;    ///< Bytes of `partial_` known to hold no end of that line.
   bool at_stream_start_ = true;
   bool lines_end_with_cr_ = false;
   bool block_has_event_field_ =
