Wait longer for the teardown of a process before a probe counts as an answer

A connection that a service accepts proves that it lives only if it outlasts the teardown of a process that has just exited. On a busy machine a process that exits may be preempted between two of its sockets.

The probe now has to stay open for 80 ms. Two in a row still fit into the 250 ms for which an end is held back. An unframed plain response waits 60 ms longer for its end. BackendProbeTest, InferredEndEvidenceTest and TruncatedResponseTest pass.

--- a/src/gateway/backends/backend_probe.cpp
+++ b/src/gateway/backends/backend_probe.cpp
@@ -11,7 +11,7 @@
 
 /// The system closes the sockets of a process that exits one after the other, the listening one at
 /// times last, and resets what that one had accepted.
-constexpr Duration kOutlivesExit = milliseconds(20);
+constexpr Duration kOutlivesExit = milliseconds(80);
 
 }  // namespace
 
