Let no event of an ended probe end the next one to the same back end

A probe of an earlier response was reset by the crash and followed by the next one; its timer was due in the same pass of the event loop, and ended the new probe, which had just begun, as one whose connection had lasted.

A probe that has ended drops its timer and its connection.

--- a/src/gateway/backends/backend_probe.cpp
+++ b/src/gateway/backends/backend_probe.cpp
@@ -31,6 +31,11 @@
   void request_another() { another_requested_ = true; }
   bool another_requested() const { return another_requested_; }
   bool connected() const { return connected_; }
+  /// No event of this probe may end the next one to the same back end.
+  void stop() {
+    timeout_.cancel();
+    stream_.close();
+  }
 
  private:
   void on_stream_data(std::string_view) override {}
@@ -72,7 +77,8 @@
 void BackendProbes::finish(const std::string& backend, std::optional<bool> listening) {
   auto node = probes_.extract(backend);
   if (node.empty()) return;
-  const Probe& probe = *node.mapped();
+  Probe& probe = *node.mapped();
+  probe.stop();
   const bool refused = listening && !*listening;
   if (probe.another_requested() && !refused) {
     const bool follows_up = !listening && probe.connected();
