--- a/src/host/host_daemon.cpp
+++ b/src/host/host_daemon.cpp
@@ -132,7 +132,7 @@
   capacity_.prefill_chunk_tokens = profile.prefill_chunk_tokens;
   capacity_.usual_prompt_tokens = profile.usual_prompt_tokens;
   engine_->set_layer_count(profile.layers);
-  origin_->set_layer_count(profile.layers);
+  if (origin_) origin_->set_layer_count(profile.layers);
   for (const ModelProfile& model : profile.models) {
     if (stagers_.contains(model.name)) continue;
     log_line("profile", "profile service=" + settings_.service + " model=" + model.name +
