--- a/tests/processes/platform_standin.py
+++ b/tests/processes/platform_standin.py
@@ -18,6 +18,7 @@
 CHUNKS = 8
 CHUNK_BYTES = 4096
 LAYERS = 4
+MAXIMUM_LINE_BYTES = 1 << 20  # Of a request that a server reads.
 
 
 SO_ATTACH_FILTER = 26  # From the Linux headers; Python does not define it.
@@ -69,7 +70,8 @@
         self.silenced = set()  # Open connections that drop what they receive.
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.server = await asyncio.start_server(self.serve, self.host, self.port,
+                                                 limit=MAXIMUM_LINE_BYTES)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self):
