Keep incomplete requests, heads and unparsed input within the memory budget

What callers did: 1,000 connections with heads, bodies or trailers that never end, or with requests ahead of their responses.

Cause: the budget counted bodies and responses. Heads of requests and responses, unfinished heads, unparsed input and input that waits in the socket while reading pauses were nobody's, and their number grows with the connections.

Ruled out: a limit per message alone (4,100 connections of 64 KB are 260 MB); a shorter time limit of heads (a crowd sends faster); refusing the newest (it may be an ordinary caller's).

Change: each owner states the memory it has allocated (RequestReader, ResponseReader, heads kept for retries); what is received is accounted at once, not at the next tick. Input without an admitted request may hold 0.375 of the budget; beyond it the one that has waited longest is refused with 503 and Retry-After, or, behind a request in progress, dropped, and the connection closes after the response. Complete requests of more than 4 KB are refused while the budget is exceeded. InputBuffer gives memory back as input is consumed and consumes the front without moving the rest, which was quadratic in the requests sent ahead.

On the way a loop without end was found by these tests (a cleared string kept its memory and was selected again), hence cut_off() in the loop.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -199,7 +199,9 @@
   exchange.request_id = metadata.id;
   metadata.content =
       fingerprint_content(request.head.method, metadata.host, metadata.target, request.body);
-  metadata.body_refused = request.body_refused;
+  metadata.body_refused = request.body_refused || !admits_request(request);
+  exchange.metadata_bytes = metadata.id.size() + metadata.host.size() + metadata.target.size() +
+                            metadata.api_key.size() + metadata.model.size();
   exchange.request = std::move(request);
   account_memory(connection);
   ForwarderActions actions;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -50,6 +50,7 @@
     std::string request_id;
     std::string response_head;  ///< Header lines of the response to be relayed.
     std::string response_reason;
+    std::size_t metadata_bytes = 0;  ///< Of what was read from the request's head.
     int response_status = 0;
     bool response_started = false;
     bool reading_paused = false;  ///< The response of its attempt is not read for now.
@@ -102,6 +103,12 @@
   void account_memory(CallerConnection& connection);
   void track_memory(CallerConnection& connection);
   CallerMemory measure_memory(const CallerConnection& connection);
+  /// What is held for the request in progress on a connection.
+  void measure_exchange(RequestNumber number, const Exchange& exchange, CallerMemory& memory);
+  /// Whether there is memory for a complete request.
+  bool admits_request(const ReceivedRequest& request) const;
+  /// Drops input without an admitted request that exceeds its share of the budget.
+  void drop_unadmitted_input();
   void set_response_reading(RequestNumber number, Exchange& exchange, bool reading);
   /// Accounts for all requests in progress, cuts off slow readers and logs changes of the level.
   void enforce_memory(TimePoint now);
@@ -158,6 +165,7 @@
   std::deque<ForwarderAction> queued_actions_;
   std::vector<RequestNumber> unflushed_requests_;  ///< Requests with unflushed response bytes.
   bool executing_actions_ = false;
+  bool dropping_input_ = false;
   DeferredDeleter deleter_;
   TimePoint stop_requested_{};
   Duration promised_grace_{};  ///< From the stop signal to the exit of the process.
--- a/src/gateway/gateway_daemon_memory.cpp
+++ b/src/gateway/gateway_daemon_memory.cpp
@@ -16,6 +16,9 @@
 /// round trip of 2 ms.
 constexpr int kSocketBufferBytes = 64 * 1024;
 
+/// For requests that were refused before they were complete.
+constexpr Duration kRetryAfterDroppedInput = seconds(1);
+
 }  // namespace
 
 void GatewayDaemon::start_memory_budget(std::size_t memory_bytes) {
@@ -33,30 +36,50 @@
   return !memory_ || memory_->admits_body(bytes);
 }
 
-void GatewayDaemon::on_caller_progress(CallerConnection& connection) { account_memory(connection); }
+void GatewayDaemon::on_caller_progress(CallerConnection& connection) {
+  account_memory(connection);
+  drop_unadmitted_input();
+}
+
+bool GatewayDaemon::admits_request(const ReceivedRequest& request) const {
+  if (!memory_) return true;
+  return memory_->admits_request(request.head.allocated_bytes() + request.body.size());
+}
 
 CallerMemory GatewayDaemon::measure_memory(const CallerConnection& connection) {
   CallerMemory memory;
   memory.queued_response = connection.queued_bytes();
   memory.response_read = connection.bytes_sent();
   memory.held.unread_response = memory.queued_response;
-  memory.held.request_body = connection.received_bytes();
+  const std::size_t input = connection.input_memory_bytes();
+  memory.held.request_body = std::min(input, connection.received_body_bytes());
+  memory.held.request_head = input - memory.held.request_body;
+  // A body above this size is received only after it was admitted.
+  if (connection.expected_body_bytes() <= MemoryBudget::kSmallBodyBytes) {
+    memory.unadmitted_input = input;
+  }
   // The rest of the body, and the copy that will be sent to a back end.
   const std::size_t expected = 2 * connection.expected_body_bytes();
   memory.promised = expected - std::min(expected, memory.held.request_body);
-  if (!connection.handling()) return memory;
-  const Exchange* exchange = find_exchange(connection.request_number);
-  if (exchange == nullptr) return memory;
-  const std::size_t body = exchange->request.body.size();
+  const Exchange* exchange =
+      connection.handling() ? find_exchange(connection.request_number) : nullptr;
+  if (exchange != nullptr) measure_exchange(connection.request_number, *exchange, memory);
+  return memory;
+}
+
+void GatewayDaemon::measure_exchange(RequestNumber number, const Exchange& exchange,
+                                     CallerMemory& memory) {
+  const std::size_t body = exchange.request.body.size();
+  memory.held.request_head += exchange.request.head.allocated_bytes() + exchange.metadata_bytes;
   memory.held.request_body += body;
-  memory.held.unread_response += forwarder_.buffered_bytes(connection.request_number);
-  const auto unsent = backends_.unsent_bytes(connection.request_number);
+  memory.held.unread_response += forwarder_.buffered_bytes(number) + exchange.response_head.size() +
+                                 backends_.input_bytes(number);
+  const auto unsent = backends_.unsent_bytes(number);
   if (unsent) {
     memory.held.unsent_request = *unsent;
   } else {
     memory.promised += body;
   }
-  return memory;
 }
 
 void GatewayDaemon::account_memory(CallerConnection& connection) {
@@ -82,6 +105,7 @@
   if (!memory_) return;
   // Back ends read requests without an event here, and responses of attempts are buffered.
   for (const auto& [number, exchange] : exchanges_) account_memory(*exchange.connection);
+  drop_unadmitted_input();
   while (const auto slowest = memory_->next_to_cut_off(now)) {
     CallerConnection& connection = *callers_by_number_.at(*slowest);
     log_.log_line("memory", "memory event=cut_off caller=" + std::to_string(*slowest) +
@@ -92,6 +116,28 @@
   if (memory_->level() != logged_memory_level_) on_memory_level(logged_memory_level_);
 }
 
+void GatewayDaemon::drop_unadmitted_input() {
+  // Refusing a request reports progress of its connection.
+  if (!memory_ || dropping_input_) return;
+  dropping_input_ = true;
+  while (const auto caller = memory_->next_to_drop_input()) {
+    CallerConnection& connection = *callers_by_number_.at(*caller);
+    log_.log_line("memory_input", "memory event=drop_input caller=" + std::to_string(*caller) +
+                                      " bytes=" + std::to_string(connection.input_memory_bytes()));
+    metrics_.on_input_dropped();
+    if (connection.has_unfinished_request()) {
+      connection.refuse_unfinished(kStatusUnavailable,
+                                   protocol_->refusal_headers({}, kRetryAfterDroppedInput));
+    } else {
+      connection.discard_pipelined();
+    }
+    account_memory(connection);
+    // Input that arrived meanwhile and could not be dropped would be selected again and again.
+    if (memory_->next_to_drop_input() == caller) cut_off(connection);
+  }
+  dropping_input_ = false;
+}
+
 void GatewayDaemon::on_memory_level(MemoryLevel previous) {
   const MemoryLevel level = memory_->level();
   logged_memory_level_ = level;
@@ -102,6 +148,7 @@
                               to_string(level) + " held_bytes=" + std::to_string(held.total()) +
                               " promised_bytes=" + std::to_string(memory_->promised()) +
                               " budget_bytes=" + std::to_string(memory_->budget()) +
+                              " request_head=" + std::to_string(held.request_head) +
                               " request_body=" + std::to_string(held.request_body) +
                               " unread_response=" + std::to_string(held.unread_response) +
                               " unsent_request=" + std::to_string(held.unsent_request));
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -113,6 +113,7 @@
   const auto set = [this](const char* kind, std::size_t bytes) {
     metrics_.gauge("pumicemast_gateway_held_bytes", {{"kind", kind}}, static_cast<double>(bytes));
   };
+  set("request_head", held.request_head);
   set("request_body", held.request_body);
   set("unread_response", held.unread_response);
   set("unsent_request", held.unsent_request);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -40,6 +40,7 @@
   void update(const SlotReservationCounters& slots);
   /// @param reads_paused  responses that are held back now.
   void update(const HeldBytes& held, std::size_t reads_paused);
+  void on_input_dropped() { metrics_.count("pumicemast_gateway_dropped_inputs_total"); }
   void on_memory_refusal() { metrics_.count("pumicemast_gateway_memory_refusals_total"); }
   void on_undelivered(const ConnectionRemains& remains) {
     metrics_.count("pumicemast_gateway_undelivered_responses_total",
--- a/src/gateway/memory/memory_budget.cpp
+++ b/src/gateway/memory/memory_budget.cpp
@@ -12,6 +12,9 @@
 constexpr double kFullFraction = 0.75;
 /// The level falls to normal below this fraction, so that it does not alternate at the threshold.
 constexpr double kNormalFraction = 0.65;
+/// Share of the budget for input without an admitted request. The rest stays for callers whose
+/// requests are complete.
+constexpr double kUnadmittedFraction = 0.375;
 /// The body is kept for retries, and a copy of it waits until the back end has read it.
 constexpr std::size_t kCopiesOfBody = 2;
 
@@ -34,17 +37,21 @@
 }
 
 void MemoryBudget::add(const CallerMemory& memory) {
+  held_.request_head += memory.held.request_head;
   held_.request_body += memory.held.request_body;
   held_.unread_response += memory.held.unread_response;
   held_.unsent_request += memory.held.unsent_request;
   promised_ += memory.promised;
+  unadmitted_input_ += memory.unadmitted_input;
 }
 
 void MemoryBudget::subtract(const CallerMemory& memory) {
+  held_.request_head -= memory.held.request_head;
   held_.request_body -= memory.held.request_body;
   held_.unread_response -= memory.held.unread_response;
   held_.unsent_request -= memory.held.unsent_request;
   promised_ -= memory.promised;
+  unadmitted_input_ -= memory.unadmitted_input;
 }
 
 void MemoryBudget::update(CallerNumber number, const CallerMemory& memory, TimePoint now) {
@@ -57,6 +64,7 @@
   caller.memory = memory;
   add(memory);
   update_mark(caller, now);
+  update_unadmitted(number, caller, now);
   update_level();
   const std::size_t limit = unread_limit();
   if (memory.queued_response > limit) caller.held_back = true;
@@ -73,10 +81,23 @@
   }
 }
 
+void MemoryBudget::update_unadmitted(CallerNumber number, Caller& caller, TimePoint now) {
+  const bool has_input = caller.memory.unadmitted_input > 0;
+  if (has_input == caller.unadmitted_since.has_value()) return;
+  if (has_input) {
+    caller.unadmitted_since = now;
+    unadmitted_.emplace(now, number);
+  } else {
+    unadmitted_.erase({*caller.unadmitted_since, number});
+    caller.unadmitted_since.reset();
+  }
+}
+
 void MemoryBudget::remove(CallerNumber number) {
   const auto found = callers_.find(number);
   if (found == callers_.end()) return;
   subtract(found->second.memory);
+  if (found->second.unadmitted_since) unadmitted_.erase({*found->second.unadmitted_since, number});
   callers_.erase(found);
   update_level();
 }
@@ -109,6 +130,18 @@
   return held_.total() + promised_ + kCopiesOfBody * bytes <= budget_;
 }
 
+bool MemoryBudget::admits_request(std::size_t bytes) const {
+  if (bytes <= kSmallRequestBytes) return true;
+  return level_ != MemoryLevel::exceeded && admits_body(bytes);
+}
+
+std::optional<CallerNumber> MemoryBudget::next_to_drop_input() const {
+  if (unadmitted_.empty()) return std::nullopt;
+  const bool over_share = unadmitted_input_ > fraction_of(budget_, kUnadmittedFraction);
+  if (!over_share && level_ != MemoryLevel::exceeded) return std::nullopt;
+  return unadmitted_.begin()->second;
+}
+
 bool MemoryBudget::holds_back(CallerNumber number) const {
   const auto found = callers_.find(number);
   return found != callers_.end() && found->second.held_back;
--- a/src/gateway/memory/memory_budget.h
+++ b/src/gateway/memory/memory_budget.h
@@ -1,13 +1,16 @@
 /// Decides how a gateway keeps what it holds for callers and back ends within one budget.
 ///
-/// A decision core: no I/O. One rule, in this order: connections whose callers read slowly are held
-/// back, requests with bodies are refused, and the slowest callers are cut off.
+/// A decision core: no I/O. One rule, in this order: input that is no complete request is dropped
+/// beyond a share of the budget, connections whose callers read slowly are held back, large
+/// requests are refused, and the slowest callers are cut off.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 #include "common/time.h"
 
@@ -18,11 +21,14 @@
 
 /// Bytes by what they are held for.
 struct HeldBytes {
+  std::size_t request_head = 0;     ///< Being received, or kept for retries; also unparsed input.
   std::size_t request_body = 0;     ///< Being received, or kept for retries.
   std::size_t unread_response = 0;  ///< Not read by the caller yet, or not passed on to it yet.
   std::size_t unsent_request = 0;   ///< Not read by the back end yet.
 
-  std::size_t total() const { return request_body + unread_response + unsent_request; }
+  std::size_t total() const {
+    return request_head + request_body + unread_response + unsent_request;
+  }
 };
 
 /// What is held for one caller's connection.
@@ -32,6 +38,9 @@
   std::size_t promised = 0;
   std::size_t queued_response = 0;  ///< The part of `held.unread_response` that it could read.
   std::uint64_t response_read = 0;  ///< Bytes read on this connection since it was opened.
+  /// The part of `held` that is input without an admitted request: of an incomplete head or small
+  /// body, or sent ahead of the response to an earlier request.
+  std::size_t unadmitted_input = 0;
 };
 
 enum class MemoryLevel {
@@ -48,6 +57,8 @@
   static constexpr Duration kReadsInTime = seconds(1);
   /// Bodies up to this size are never refused.
   static constexpr std::size_t kSmallBodyBytes = 16U * 1024U;
+  /// Requests up to this size, head and body, are never refused.
+  static constexpr std::size_t kSmallRequestBytes = 4U * 1024U;
 
   /// @param budget_bytes  most that may be held.
   explicit MemoryBudget(std::size_t budget_bytes) : budget_(budget_bytes) {}
@@ -57,6 +68,11 @@
 
   /// Whether a body of `bytes` may be received now.
   bool admits_body(std::size_t bytes) const;
+  /// Whether a complete request whose head and body take `bytes` may be handled now.
+  bool admits_request(std::size_t bytes) const;
+  /// The caller whose unadmitted input is to be dropped now, if any: of those whose input exceeds
+  /// its share of the budget, the one that has waited longest for the rest.
+  std::optional<CallerNumber> next_to_drop_input() const;
   /// Whether to stop reading the response that is being relayed to this caller.
   bool holds_back(CallerNumber caller) const;
   /// Whether the caller has left responses unread for longer than kReadsInTime.
@@ -79,6 +95,7 @@
     /// is unread since then at the latest.
     std::uint64_t mark = 0;
     TimePoint unread_since{};
+    std::optional<TimePoint> unadmitted_since;
     bool held_back = false;
   };
 
@@ -86,12 +103,16 @@
   void subtract(const CallerMemory& memory);
   void update_level();
   static void update_mark(Caller& caller, TimePoint now);
+  void update_unadmitted(CallerNumber number, Caller& caller, TimePoint now);
   std::size_t unread_limit() const;
 
   std::size_t budget_;
   std::map<CallerNumber, Caller> callers_;
   HeldBytes held_;
   std::size_t promised_ = 0;
+  std::size_t unadmitted_input_ = 0;
+  /// Callers with unadmitted input, the longest waiting first.
+  std::set<std::pair<TimePoint, CallerNumber>> unadmitted_;
   MemoryLevel level_ = MemoryLevel::normal;
 };
 
--- a/src/gateway/requests/backend_connections.cpp
+++ b/src/gateway/requests/backend_connections.cpp
@@ -150,6 +150,11 @@
   return found->second->connection().unsent_bytes();
 }
 
+std::size_t BackendConnections::input_bytes(RequestNumber number) const {
+  const auto found = attempts_.find(number);
+  return found == attempts_.end() ? 0 : found->second->connection().input_bytes();
+}
+
 void BackendConnections::cancel(RequestNumber number) { finish(number, false); }
 
 void BackendConnections::on_idle_connection_ended(ClientConnection& connection) {
--- a/src/gateway/requests/backend_connections.h
+++ b/src/gateway/requests/backend_connections.h
@@ -42,6 +42,8 @@
   void set_reading(RequestNumber number, bool reading);
   /// Bytes of the attempt's request that its back end has not read yet; empty without an attempt.
   std::optional<std::size_t> unsent_bytes(RequestNumber number) const;
+  /// Memory for what has been received of the attempt's response; 0 without an attempt.
+  std::size_t input_bytes(RequestNumber number) const;
   /// Closes connections that have been idle for too long.
   void expire_idle(TimePoint now);
 
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -62,7 +62,7 @@
 void CallerConnection::on_stream_data(std::string_view bytes) {
   if (state_ == State::closed) return;
   if (state_ == State::draining || state_ == State::lingering || state_ == State::aborting ||
-      body_refused_) {
+      discarding_input_) {
     discard(bytes.size());
     return;
   }
@@ -70,6 +70,7 @@
     // Pipelined bytes are kept until the current response has been written.
     reader_.append_pending(bytes);
     if (reader_.pending_bytes() > kMaximumPipelinedBytes) stream_.set_reading(false);
+    observer_.on_caller_progress(*this);
     return;
   }
   if (!reader_.has_partial()) waiting_since_ = loop_now();
@@ -80,7 +81,7 @@
   switch (status) {
     case RequestStatus::need_more:
       if (!admit_body()) {
-        body_refused_ = true;
+        discarding_input_ = true;
         report_request(reader_.take_head());
         return;
       }
@@ -88,7 +89,7 @@
         continue_sent_ = true;
         stream_.send("HTTP/1.1 100 Continue\r\n\r\n");
       }
-      if (expected_body_bytes_ > 0) observer_.on_caller_progress(*this);
+      observer_.on_caller_progress(*this);
       return;
     case RequestStatus::malformed:
       refuse(kStatusBadRequest);
@@ -126,16 +127,38 @@
   state_ = State::handling;
   received_request_ = true;
   continue_sent_ = false;
-  keep_alive_ = request.keep_alive && !body_refused_;
+  keep_alive_ = request.keep_alive && !discarding_input_;
   http_1_0_ = request.head.version < kHttp11;
   head_request_ = request.head.is("HEAD");
   observer_.on_caller_request(*this, std::move(request));
 }
 
-void CallerConnection::refuse(int status) {
+void CallerConnection::refuse(int status, std::string_view fields) {
   keep_alive_ = false;
+  expected_body_bytes_ = 0;
+  reader_.discard();
   state_ = State::handling;
-  respond(status, {}, {});
+  respond(status, fields, {});
+  if (state_ != State::closed) observer_.on_caller_progress(*this);
+}
+
+void CallerConnection::refuse_unfinished(int status, std::string_view fields) {
+  if (has_unfinished_request()) refuse(status, fields);
+}
+
+void CallerConnection::discard_pipelined() {
+  if (state_ != State::handling && state_ != State::waiting) return;
+  discard(reader_.pending_bytes());
+  reader_.discard();
+  discarding_input_ = true;
+  keep_alive_ = false;
+  stream_.set_reading(true);
+  if (state_ == State::waiting) begin_closing();
+}
+
+std::size_t CallerConnection::input_memory_bytes() const {
+  const std::size_t unread = stream_.is_reading() ? 0 : stream_.unread_bytes();
+  return reader_.allocated_bytes() + unread;
 }
 
 void CallerConnection::begin_response(int status, std::string_view reason, std::string_view fields,
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -19,7 +19,8 @@
   /// grown to the last value.
   /// @return false if the request is to be refused; it is then reported with `body_refused`.
   virtual bool admits_body(CallerConnection&, std::size_t /*bytes*/) { return true; }
-  /// A part of a request's body has arrived, or the caller has read queued response bytes.
+  /// What is held for the caller has changed: a part of a request has arrived or was dropped, or
+  /// the caller has read queued response bytes. May refuse the request or drop further input.
   virtual void on_caller_progress(CallerConnection&) {}
   /// A complete request was received; the observer must send exactly one response.
   virtual void on_caller_request(CallerConnection& connection, ReceivedRequest request) = 0;
@@ -66,6 +67,10 @@
   void end_response();
   /// Sends a response with a body of known length.
   void respond(int status, std::string_view fields, std::string_view body);
+  /// Refuses a request of which only a part has arrived, and closes the connection.
+  void refuse_unfinished(int status, std::string_view fields);
+  /// Drops input after the request in progress, and closes the connection after its response.
+  void discard_pipelined();
   /// Resets the connection, so that the caller sees that the response is incomplete; if it still
   /// receives earlier responses, only after these.
   void abort_response();
@@ -89,6 +94,12 @@
   bool awaits_request() const {
     return state_ == State::waiting && (!received_request_ || reader_.has_partial());
   }
+  /// Whether a part of a request has arrived, and the connection waits for the rest.
+  bool has_unfinished_request() const {
+    return state_ == State::waiting && reader_.has_partial() && stream_.queued_bytes() == 0;
+  }
+  /// Whether bytes of a further request wait until the current response is written.
+  bool has_pipelined() const { return state_ != State::closed && reader_.pending_bytes() > 0; }
   /// Whether input has arrived that was not read yet: after a stall, timers may fire before it is.
   bool has_unread_input() const { return stream_.unread_bytes() > 0; }
   /// Whether the caller has not received its last response whole, as far as can be known.
@@ -97,8 +108,11 @@
   std::size_t queued_bytes() const { return stream_.queued_bytes(); }
   /// Response bytes passed to the caller's system since the connection was opened.
   std::uint64_t bytes_sent() const { return stream_.bytes_sent(); }
-  /// Bytes of an incomplete request, and of further ones.
-  std::size_t received_bytes() const { return reader_.body_bytes() + reader_.pending_bytes(); }
+  /// Bytes of the body of an incomplete request.
+  std::size_t received_body_bytes() const { return reader_.body_bytes(); }
+  /// Memory for input: heads, bodies and bytes that are not parsed, or not even read while reading
+  /// pauses.
+  std::size_t input_memory_bytes() const;
   /// Response bytes that the caller's system has not received yet.
   std::size_t undelivered_bytes() const { return stream_.undelivered_bytes(); }
   /// Of a closed connection.
@@ -127,11 +141,9 @@
   /// Whether the body received so far, or stated by the head, is or becomes admitted.
   bool admit_body();
   void report_request(ReceivedRequest request);
-  void refuse(int status);
+  void refuse(int status, std::string_view fields = {});
   /// Handles requests that the caller sent before it had the response to an earlier one.
   void resume_pipelined();
-  /// Whether bytes of a further request wait until the current response is written.
-  bool has_pipelined() const { return reader_.pending_bytes() > 0; }
   void begin_closing();
   /// Begins to close if the caller has closed its direction and no request of it is left.
   void close_after_last_request();
@@ -160,7 +172,7 @@
   bool closing_ = false;
   bool continue_sent_ = false;
   bool resuming_ = false;
-  bool body_refused_ = false;  ///< The rest of the request's body is discarded.
+  bool discarding_input_ = false;  ///< The rest of a body, or further requests.
   std::size_t discarded_bytes_ = 0;
   TimePoint last_discard_{};  ///< Also when lingering began.
   TimePoint lingering_since_{};
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -56,6 +56,9 @@
   /// Bytes of the request that the peer's system has not accepted yet.
   std::size_t unsent_bytes() const { return stream_.queued_bytes(); }
 
+  /// Memory for what has been received of the response.
+  std::size_t input_bytes() const { return reader_.allocated_bytes(); }
+
   /// Turns keepalive probes on or off; they are on when the connection is opened.
   void set_tcp_keepalive(bool probing) { stream_.set_tcp_keepalive(probing); }
 
--- a/src/http1/http_fields.cpp
+++ b/src/http1/http_fields.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 
+#include "http1/input_buffer.h"
+
 namespace pumicemast {
 
 bool equal_names(std::string_view left, std::string_view right) {
@@ -23,6 +25,8 @@
   field_.value = rest_.substr(colon + 1, rest_.find('\n', colon) - colon - 1);
 }
 
+std::size_t HttpFields::allocated_bytes() const { return pumicemast::allocated_bytes(text_); }
+
 void HttpFields::append(std::string_view name, std::string_view value) {
   text_.append(name);
   text_.push_back(':');
--- a/src/http1/http_fields.h
+++ b/src/http1/http_fields.h
@@ -55,7 +55,7 @@
   bool contains(std::string_view name) const { return find(name) != end(); }
 
   /// Bytes of memory that the fields take besides this object.
-  std::size_t allocated_bytes() const { return text_.capacity(); }
+  std::size_t allocated_bytes() const;
   /// Releases memory that is reserved for further fields.
   void shrink_to_fit() { text_.shrink_to_fit(); }
 
--- a/src/http1/http_message.cpp
+++ b/src/http1/http_message.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <ostream>  // Required by the string view of Boost.Beast.
 
+#include "http1/input_buffer.h"
+
 namespace pumicemast {
 namespace {
 
@@ -23,6 +25,15 @@
 
 }  // namespace
 
+std::size_t RequestHead::allocated_bytes() const {
+  return pumicemast::allocated_bytes(method) + pumicemast::allocated_bytes(target) +
+         fields.allocated_bytes();
+}
+
+std::size_t ResponseHead::allocated_bytes() const {
+  return pumicemast::allocated_bytes(reason) + fields.allocated_bytes();
+}
+
 std::string_view field_value(const HttpFields& fields, std::string_view name) {
   const auto found = fields.find(name);
   return found == fields.end() ? std::string_view{} : found->value;
--- a/src/http1/http_message.h
+++ b/src/http1/http_message.h
@@ -17,9 +17,7 @@
 
   bool is(std::string_view wanted_method) const { return method == wanted_method; }
   /// Bytes of memory that the head takes besides this object.
-  std::size_t allocated_bytes() const {
-    return method.capacity() + target.capacity() + fields.allocated_bytes();
-  }
+  std::size_t allocated_bytes() const;
 };
 
 /// Status line and fields of a response.
@@ -28,6 +26,9 @@
   std::string reason;
   int version = 11;  ///< 11 for HTTP/1.1, 10 for HTTP/1.0.
   HttpFields fields;
+
+  /// Bytes of memory that the head takes besides this object.
+  std::size_t allocated_bytes() const;
 };
 
 /// A complete request as received from a caller.
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -9,6 +9,7 @@
 #include <type_traits>
 
 #include "http1/http_message.h"
+#include "http1/input_buffer.h"
 
 namespace pumicemast {
 
@@ -23,6 +24,10 @@
   Head take_head() { return std::move(head_); }
   std::string& body() { return body_; }
   const std::string& body() const { return body_; }
+  /// Bytes of memory that the message takes besides this object.
+  std::size_t allocated_bytes() const {
+    return head_.allocated_bytes() + pumicemast::allocated_bytes(body_);
+  }
 
  private:
   // The names and parameters of these functions are those that the parser calls.
--- a/src/http1/request_reader.cpp
+++ b/src/http1/request_reader.cpp
@@ -9,9 +9,6 @@
 
 namespace http = boost::beast::http;
 
-/// A larger buffer is released when it is empty: a gateway has thousands of connections.
-constexpr std::size_t kKeptBytes = 4U * 1024U;
-
 }  // namespace
 
 void RequestReader::begin() {
@@ -32,20 +29,21 @@
 }
 
 RequestStatus RequestReader::parse() {
+  const std::string_view input = pending_.view();
   std::size_t offset = 0;
   RequestStatus status = RequestStatus::need_more;
-  while (offset < pending_.size()) {
+  while (offset < input.size()) {
     boost::system::error_code error;
     const bool in_head = !parser_->is_header_done();
     const std::size_t body_before = parser_->body().size();
     const std::size_t used = parser_->put(
-        boost::asio::const_buffer(pending_.data() + offset, pending_.size() - offset), error);
+        boost::asio::const_buffer(input.data() + offset, input.size() - offset), error);
     offset += used;
     started_ = started_ || used > 0;
     if (in_head) head_bytes_ += used;
     const std::size_t content = parser_->body().size() - body_before;
     if (!in_head && parser_->chunked()) framing_.add(used - content, content);
-    const std::size_t unread_head = parser_->is_header_done() ? 0 : pending_.size() - offset;
+    const std::size_t unread_head = parser_->is_header_done() ? 0 : input.size() - offset;
     if (in_head && head_bytes_ + unread_head > limits_.maximum_head_bytes) {
       status = RequestStatus::head_too_large;
       break;
@@ -64,8 +62,7 @@
     }
     if (error || used == 0) break;
   }
-  pending_.erase(0, offset);
-  if (pending_.empty() && pending_.capacity() > kKeptBytes) pending_.shrink_to_fit();
+  pending_.consume(offset);
   const bool in_body = status == RequestStatus::need_more && parser_->is_header_done();
   if (in_body && (pending_.size() > kMaximumFramingLineBytes || framing_.exceeded())) {
     return RequestStatus::malformed;
@@ -88,9 +85,13 @@
   ReceivedRequest request;
   request.body_refused = true;
   request.head = parser_->take_head();
+  discard();
+  return request;
+}
+
+void RequestReader::discard() {
   begin();
   pending_.clear();
-  return request;
 }
 
 ReceivedRequest RequestReader::take_request() {
--- a/src/http1/request_reader.h
+++ b/src/http1/request_reader.h
@@ -40,6 +40,12 @@
   /// Whether part of a request, or bytes after the current request, have been received.
   bool has_partial() const { return !pending_.empty() || started_; }
   std::size_t pending_bytes() const { return pending_.size(); }
+  /// Bytes of memory that the current request and further input take.
+  std::size_t allocated_bytes() const {
+    return parser_->allocated_bytes() + pending_.allocated_bytes();
+  }
+  /// Drops all input. The rest of the connection cannot be parsed any more.
+  void discard();
   /// Bytes of the current body received so far, and the length that its head states, if any.
   std::size_t body_bytes() const { return parser_->body().size(); }
   std::size_t stated_body_bytes() const;
@@ -53,7 +59,7 @@
 
   RequestLimits limits_;
   std::optional<MessageParser<true>> parser_;
-  std::string pending_;
+  InputBuffer pending_;
   FramingCounter framing_;
   std::size_t head_bytes_ = 0;  ///< Bytes of the current head parsed so far.
   bool started_ = false;
--- a/src/http1/response_reader.cpp
+++ b/src/http1/response_reader.cpp
@@ -10,8 +10,6 @@
 
 constexpr int kContinueClass = 100;
 constexpr int kSuccessClass = 200;
-/// A larger buffer is released when it is empty: a gateway has thousands of connections.
-constexpr std::size_t kKeptBytes = 4U * 1024U;
 
 }  // namespace
 
@@ -62,14 +60,15 @@
 }
 
 ReadStatus ResponseReader::parse() {
+  const std::string_view input = pending_.view();
   std::size_t offset = 0;
   ReadStatus status = ReadStatus::need_more;
-  while (offset < pending_.size()) {
+  while (offset < input.size()) {
     boost::system::error_code error;
     const bool in_body = parser_->is_header_done();
     const std::size_t body_before = parser_->body().size();
     const std::size_t used = parser_->put(
-        boost::asio::const_buffer(pending_.data() + offset, pending_.size() - offset), error);
+        boost::asio::const_buffer(input.data() + offset, input.size() - offset), error);
     offset += used;
     const std::size_t content = parser_->body().size() - body_before;
     if (in_body && parser_->chunked()) framing_.add(used - content, content);
@@ -92,8 +91,7 @@
     if (error || used == 0) break;
   }
   note_head();
-  pending_.erase(0, offset);
-  if (pending_.empty() && pending_.capacity() > kKeptBytes) pending_.shrink_to_fit();
+  pending_.consume(offset);
   if (status == ReadStatus::need_more && exceeds_limits()) status = ReadStatus::malformed;
   return status;
 }
--- a/src/http1/response_reader.h
+++ b/src/http1/response_reader.h
@@ -49,6 +49,10 @@
   bool keep_alive() const { return parser_->keep_alive() && !ends_with_connection_; }
   /// Whether bytes have been received that are not part of the response.
   bool has_surplus() const { return !pending_.empty(); }
+  /// Bytes of memory that the response and unparsed input take.
+  std::size_t allocated_bytes() const {
+    return pending_.allocated_bytes() + (parser_ ? parser_->allocated_bytes() : 0);
+  }
 
  private:
   ReadStatus parse();
@@ -63,7 +67,7 @@
   bool exceeds_limits() const;
 
   std::optional<MessageParser<false>> parser_;
-  std::string pending_;
+  InputBuffer pending_;
   FramingCounter framing_;
   std::size_t interim_responses_ = 0;
   std::size_t interim_bytes_ = 0;
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -67,6 +67,7 @@
   void shutdown_sending();
   /// Pauses or resumes reading; while paused, TCP flow control holds the sender back.
   void set_reading(bool reading);
+  bool is_reading() const { return reading_; }
   /// Turns keepalive probes on or off for a connection opened by this process.
   void set_tcp_keepalive(bool probing);
 
--- a/tests/gateway/memory/memory_budget_test.cpp
+++ b/tests/gateway/memory/memory_budget_test.cpp
@@ -24,6 +24,13 @@
   return memory;
 }
 
+CallerMemory unadmitted(std::size_t bytes) {
+  CallerMemory memory;
+  memory.held.request_head = bytes;
+  memory.unadmitted_input = bytes;
+  return memory;
+}
+
 }  // namespace
 
 class MemoryBudgetTest : public CppUnit::TestFixture {
@@ -36,6 +43,9 @@
   CPPUNIT_TEST(never_cuts_off_a_caller_that_reads_in_time);
   CPPUNIT_TEST(keeps_the_level_until_clearly_below_the_threshold);
   CPPUNIT_TEST(forgets_callers_without_held_bytes);
+  CPPUNIT_TEST(drops_the_oldest_unadmitted_input_beyond_its_share);
+  CPPUNIT_TEST(drops_unadmitted_input_first_when_the_budget_is_exceeded);
+  CPPUNIT_TEST(refuses_large_requests_when_full_and_others_only_when_exceeded);
   CPPUNIT_TEST_SUITE_END();
 
   MemoryBudget budget{10 * kMegabyte};
@@ -126,6 +136,40 @@
     CPPUNIT_ASSERT(budget.level() == MemoryLevel::normal);
     budget.remove(1);
   }
+
+  // A crowd of incomplete requests would otherwise take the memory of complete ones.
+  void drops_the_oldest_unadmitted_input_beyond_its_share() {
+    budget.update(7, unadmitted(kMegabyte), now);
+    budget.update(3, unadmitted(2 * kMegabyte), now + seconds(1));
+    CPPUNIT_ASSERT(!budget.next_to_drop_input());
+    budget.update(3, unadmitted(3 * kMegabyte), now + seconds(2));
+    CPPUNIT_ASSERT(budget.next_to_drop_input() == CallerNumber{7});
+    budget.update(7, unadmitted(0), now + seconds(2));
+    CPPUNIT_ASSERT(!budget.next_to_drop_input());
+    budget.update(7, unadmitted(2 * kMegabyte), now + seconds(3));
+    CPPUNIT_ASSERT(budget.next_to_drop_input() == CallerNumber{3});
+    budget.remove(3);
+    CPPUNIT_ASSERT(!budget.next_to_drop_input());
+  }
+
+  void drops_unadmitted_input_first_when_the_budget_is_exceeded() {
+    budget.update(1, unadmitted(1), now);
+    budget.update(2, unread(10 * kMegabyte + 1), now);
+    CPPUNIT_ASSERT(budget.level() == MemoryLevel::exceeded);
+    CPPUNIT_ASSERT(budget.next_to_drop_input() == CallerNumber{1});
+  }
+
+  void refuses_large_requests_when_full_and_others_only_when_exceeded() {
+    constexpr std::size_t kMedium = MemoryBudget::kSmallRequestBytes + 1;
+    constexpr std::size_t kLarge = MemoryBudget::kSmallBodyBytes + 1;
+    CPPUNIT_ASSERT(budget.admits_request(kLarge));
+    budget.update(1, with_body(8 * kMegabyte, 0), now);
+    CPPUNIT_ASSERT(budget.admits_request(kMedium));
+    CPPUNIT_ASSERT(!budget.admits_request(kLarge));
+    budget.update(1, with_body(11 * kMegabyte, 0), now);
+    CPPUNIT_ASSERT(!budget.admits_request(kMedium));
+    CPPUNIT_ASSERT(budget.admits_request(MemoryBudget::kSmallRequestBytes));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MemoryBudgetTest);
--- a/tests/http1/caller_delivery_test.cpp
+++ b/tests/http1/caller_delivery_test.cpp
@@ -156,7 +156,7 @@
     observer_.hold = true;
     observer_.response_bytes = 10;
     send_text("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
-    run_until([&] { return observer_.requests == 1 && connection_.received_bytes() > 0; });
+    run_until([&] { return observer_.requests == 1 && connection_.has_pipelined(); });
     connection_.set_closing();
     observer_.hold = false;
     connection_.respond(200, {}, "first");
