Treat a response whose status HTTP does not define as malformed

What callers saw: a runner in trouble answered with status 000, and they got it as an answer, with the body; likewise 001, 099, 600 and 999, on safe, unsafe and stream routes, after interim responses, on kept connections.

Cause: the parsers check the shape of a status, three digits, and no reader its meaning. The same holds for libsoup, which the clients of the object API, the weight store and the engines use: it refuses less than 100 and accepts 600 to 999.

Ruled out: passing 600 to 999 on as the back end's own. HTTP defines 100 to 599 (RFC 9110, section 15); a client must treat any other as a failure of the server.

Change: is_valid_status() is the one place, used by MessageParser for all readers of http1 (attempts, resumptions, streams of the agent, the platform's store, the origin, reports of engines) and by HttpClient::fetch(). The attempt fails as malformed: 502, repeated where the route allows, and an unsafe request ran once.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,9 +1,10 @@
 #include "http/http_client.h"
 
-#include "http/stream_call.h"
-
 #include <algorithm>
 
+#include "http/stream_call.h"
+#include "http1/response_validity.h"
+
 namespace pumicemast {
 
 void HttpCall::cancel() {
@@ -48,6 +49,14 @@
   return response;
 }
 
+/// @return why the response is not valid HTTP, or empty. libsoup accepts more than HTTP defines.
+std::string find_invalid(const HttpResponse& response) {
+  if (!is_valid_status(static_cast<int>(response.status))) {
+    return "status " + std::to_string(response.status) + " is not valid";
+  }
+  return {};
+}
+
 HttpResponse failed_response(GError* error) {
   HttpResponse response;
   response.failure = error->message;
@@ -75,10 +84,15 @@
       return;
     }
     HttpResponse response = response_head(self->message.get());
+    const std::string invalid = find_invalid(response);
     gsize size = 0;
     const auto* data_bytes = static_cast<const char*>(g_bytes_get_data(bytes, &size));
     if (size > 0) response.body.assign(data_bytes, size);
     g_bytes_unref(bytes);
+    if (!invalid.empty()) {
+      response = {};
+      response.failure = invalid;
+    }
     if (!cancelled) self->on_done(response);
   }
 };
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/optional.hpp>
 #include <cstdint>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "http1/http_message.h"
 #include "http1/input_buffer.h"
+#include "http1/response_validity.h"
 
 namespace pumicemast {
 
@@ -48,6 +50,7 @@
 
   void on_response_impl(int status, Text reason, int version, Error& error) override {
     error = {};
+    if (!is_valid_status(status)) error = boost::beast::http::error::bad_status;
     if constexpr (!kRequest) {
       head_.status = status;
       head_.reason = view(reason);
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(completes_responses_without_framing);
   CPPUNIT_TEST(reports_never_sent_when_nothing_listens);
   CPPUNIT_TEST(runs_no_callback_after_cancellation);
+  CPPUNIT_TEST(reports_no_response_with_a_status_without_a_class);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr char kChunkedHead[] =
@@ -88,7 +89,34 @@
     CPPUNIT_ASSERT(!ended_.has_value());
   }
 
+  void reports_no_response_with_a_status_without_a_class() {
+    for (const char* status : {"000", "001", "099", "600", "999"}) {
+      check_not_reported(std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: 3\r\n\r\nabc");
+    }
+  }
+
  private:
+  /// Both kinds of calls fail.
+  void check_not_reported(const std::string& response) {
+    ended_.reset();
+    status_ = 0;
+    CPPUNIT_ASSERT_MESSAGE(response, !complete(response));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 0U, status_);
+    std::optional<HttpResponse> fetched;
+    HttpRequest request;
+    request.url = "http://" + server_.address().to_string() + "/x";
+    request.send_once = true;
+    call_ = client_.fetch(request, [&](const HttpResponse& result) { fetched = result; });
+    tests::run_until([&] { return server_.try_accept(); });
+    tests::run_until([&] { return server_.try_read_request("\r\n\r\n"); });
+    server_.take_request_target();
+    server_.send_text(response);
+    server_.close_connection();
+    tests::run_until([&] { return fetched.has_value(); });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 0U, fetched->status);
+    CPPUNIT_ASSERT_MESSAGE(response, !fetched->failure.empty() && !fetched->never_sent);
+  }
+
   void begin(const Address& address) {
     HttpRequest request;
     request.method = "POST";
--- a/tests/http1/http_readers_test.cpp
+++ b/tests/http1/http_readers_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(rejects_a_response_with_conflicting_framing);
   CPPUNIT_TEST(detects_bytes_after_a_response);
   CPPUNIT_TEST(reports_invalid_bytes_as_malformed);
+  CPPUNIT_TEST(reports_a_status_without_a_class_as_malformed);
   CPPUNIT_TEST(skips_interim_responses);
   CPPUNIT_TEST(reads_pipelined_requests);
   CPPUNIT_TEST(enforces_limits_and_rejects_malformed_requests);
@@ -133,6 +134,18 @@
     CPPUNIT_ASSERT(reader.consume("garbage garbage\r\n\r\n") == ReadStatus::malformed);
   }
 
+  void reports_a_status_without_a_class_as_malformed() {
+    for (const char* status : {"000", "001", "099", "600", "999"}) {
+      const std::string head = std::string("HTTP/1.1 ") + status + " OK\r\n\r\n";
+      for (const std::string& text : {head, "HTTP/1.1 100 Continue\r\n\r\n" + head}) {
+        ResponseReader reader;
+        reader.begin(false);
+        CPPUNIT_ASSERT_MESSAGE(text, reader.consume(text) == ReadStatus::malformed);
+        CPPUNIT_ASSERT(!reader.head_complete());
+      }
+    }
+  }
+
   void skips_interim_responses() {
     ResponseReader reader;
     reader.begin(false);
