Close connections without a request for new ones when descriptors are used up

What callers saw: beside 800 connections that were held open, by callers that sent nothing, half a head, or nothing after a request, an ordinary caller of a gateway with 400 descriptors got no answer for as long as the time limits allowed.

Cause: a gateway accepted connections until the system refused descriptors, and then none were left for back ends, peers and the store either; the listening socket stayed readable, so that the loop was busy with it all the time.

Ruled out: closing the newest connection (an ordinary caller's as likely as any); closing the oldest at once (a caller then has no time to send its request: with 5,000 new connections a second ordinary ones were closed before they sent theirs, 2 of 3 tests failed); a limit by address (one balancer sends all callers).

Change: callers may have three quarters of the descriptors ([limits] descriptors, by default those that the system grants). Beyond that, connections without a request in progress are closed for new ones: those that wait for their caller's close, those without a complete request, idle ones, the longest waiting first, none before it had 250 ms to send. While there are none, new connections wait in the system's queue. A listener that lacks descriptors pauses.

The test now lets the gateway inherit its limit of descriptors, since the gateway reads it at its start; crowd and bounds are the same.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -25,6 +25,8 @@
 /// The process exits this long after these responses, whatever is left: at the end of the grace
 /// period its platform would kill it.
 constexpr Duration kFinalDeliveryTime = milliseconds(150);
+/// One of this many connections is closed at a time when there are too many.
+constexpr std::size_t kEvictedFraction = 16;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 
@@ -175,6 +177,12 @@
 
 // ---- callers ----
 
+bool GatewayDaemon::ready_to_accept() {
+  const std::size_t limit = settings_.caller_connections;
+  if (callers_.size() >= limit) evict(callers_, limit / kEvictedFraction, loop_now());
+  return callers_.size() < limit;
+}
+
 void GatewayDaemon::on_accepted(int descriptor) {
   last_caller_activity_ = loop_now();
   auto connection = std::make_unique<CallerConnection>(descriptor, limits().request, *this);
@@ -221,6 +229,7 @@
 void GatewayDaemon::on_caller_connection_closed(CallerConnection& connection) {
   callers_by_number_.erase(connection.caller_number);
   if (memory_) memory_->remove(connection.caller_number);
+  if (connection.remains().reason == CloseReason::evicted) metrics_.on_connection_evicted();
   if (connection.remains().undelivered_bytes > 0) {
     metrics_.on_undelivered(connection.remains());
     log_.log_undelivered(connection.remains(), state_);
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -22,6 +22,7 @@
 #include "gateway/requests/backend_connections.h"
 #include "gateway/requests/request_forwarder.h"
 #include "http1/caller_connection.h"
+#include "http1/connection_eviction.h"
 #include "http1/status_server.h"
 #include "http1/tcp_listener.h"
 
@@ -57,6 +58,7 @@
   };
 
   // TcpListener::Acceptor
+  bool ready_to_accept() override;
   void on_accepted(int descriptor) override;
   // CallerConnectionObserver
   bool admits_body(CallerConnection& connection, std::size_t bytes) override;
@@ -153,7 +155,7 @@
   StatusServer status_server_;
   StatusServer metrics_server_;
   std::unique_ptr<TcpListener> listener_;
-  std::map<const CallerConnection*, std::unique_ptr<CallerConnection>> callers_;
+  CallerConnections callers_;
   std::map<RequestNumber, Exchange> exchanges_;
   std::optional<MemoryBudget> memory_;  ///< Unset without a limit of the memory.
   MemoryLevel logged_memory_level_ = MemoryLevel::normal;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -40,6 +40,7 @@
   void update(const SlotReservationCounters& slots);
   /// @param reads_paused  responses that are held back now.
   void update(const HeldBytes& held, std::size_t reads_paused);
+  void on_connection_evicted() { metrics_.count("pumicemast_gateway_connections_evicted_total"); }
   void on_input_dropped() { metrics_.count("pumicemast_gateway_dropped_inputs_total"); }
   void on_memory_refusal() { metrics_.count("pumicemast_gateway_memory_refusals_total"); }
   void on_undelivered(const ConnectionRemains& remains) {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_settings.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <set>
 #include <sstream>
@@ -45,6 +47,19 @@
   return static_cast<std::size_t>(megabytes) * kMegabyte;
 }
 
+/// Three quarters of the descriptors, by default those that the system grants to the process.
+std::size_t read_caller_connections(Settings& settings) {
+  constexpr std::int64_t kMinimumDescriptors = 128;
+  constexpr std::int64_t kMaximumDescriptors = 1 << 20;
+  rlimit granted{};
+  getrlimit(RLIMIT_NOFILE, &granted);
+  const auto available = static_cast<std::int64_t>(
+      std::clamp<rlim_t>(granted.rlim_cur, kMinimumDescriptors, kMaximumDescriptors));
+  const std::int64_t descriptors = settings.integer_or("limits", "descriptors", available,
+                                                       {kMinimumDescriptors, kMaximumDescriptors});
+  return static_cast<std::size_t>(std::min(descriptors, available)) / 4 * 3;
+}
+
 }  // namespace
 
 GatewaySettings GatewaySettings::read(Settings& settings) {
@@ -78,6 +93,7 @@
   result.quarantine_hold = settings.milliseconds_or("quarantine", "hold_ms", 600000, kDurationMs);
   result.pardoned = read_pardoned(settings);
   result.memory_bytes = read_memory_bytes(settings);
+  result.caller_connections = read_caller_connections(settings);
   result.decision_log = settings.choice("log", "decisions", {"failures", "all", "none"});
   return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -48,6 +48,9 @@
   /// Memory of the process in bytes; what is held for callers and back ends is kept within half of
   /// it. Unset: not bounded.
   std::optional<std::size_t> memory_bytes;
+  /// Most connections of callers. The rest of the descriptors is for back ends, other processes of
+  /// the system, the store and the status pages.
+  std::size_t caller_connections = 768;
   std::string decision_log;  ///< "none", "failures" or "all".
 
   /// Reads and validates all settings; errors are added to the findings of `settings`.
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -46,6 +46,8 @@
       return "unread";
     case CloseReason::aborted:
       return "aborted";
+    case CloseReason::evicted:
+      return "evicted";
     case CloseReason::by_caller:
       return "by_caller";
   }
@@ -282,6 +284,15 @@
   if (discarded_bytes_ > kMaximumDiscardedBytes) stream_.set_reading(false);
 }
 
+std::optional<Evictable> CallerConnection::evictable() const {
+  if (state_ != State::waiting && state_ != State::lingering) return std::nullopt;
+  if (stream_.undelivered_bytes() > 0) return std::nullopt;
+  if (state_ == State::lingering) return Evictable{Evictable::Kind::lingering, lingering_since_};
+  if (awaits_request()) return Evictable{Evictable::Kind::incomplete, waiting_since_};
+  if (has_unread_input()) return std::nullopt;
+  return Evictable{Evictable::Kind::idle, waiting_since_};
+}
+
 bool CallerConnection::is_delivering() const {
   if (state_ == State::draining || state_ == State::lingering || state_ == State::aborting)
     return true;
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,7 @@
   idle,       ///< No request for the idle timeout, or for a short time while closing.
   unread,     ///< The caller took nothing of its response for a long time.
   aborted,    ///< Its response could not be completed.
+  evicted,    ///< For another one, as the process has as many as it may have.
   by_caller,  ///< By the caller, or by a failure of the network.
 };
 const char* to_string(CloseReason reason);
@@ -48,6 +50,19 @@
   std::size_t unread_bytes = 0;       ///< Bytes of the caller that had not been read.
 };
 
+/// How readily a connection is closed for another one; lower values first.
+struct Evictable {
+  enum class Kind {
+    lingering,   ///< Its last response is delivered; it waits until the caller closes.
+    incomplete,  ///< It waits for a first request, or for the rest of one.
+    idle,        ///< It waits for another request.
+  };
+  Kind kind;
+  TimePoint since;  ///< When it began to wait.
+
+  auto operator<=>(const Evictable&) const = default;
+};
+
 /// How the body of a response is delimited.
 enum class ResponseFraming { length, chunked };
 
@@ -100,6 +115,8 @@
   }
   /// Whether bytes of a further request wait until the current response is written.
   bool has_pipelined() const { return state_ != State::closed && reader_.pending_bytes() > 0; }
+  /// Empty while a request is in progress, or a response that is not delivered.
+  std::optional<Evictable> evictable() const;
   /// Whether input has arrived that was not read yet: after a stall, timers may fire before it is.
   bool has_unread_input() const { return stream_.unread_bytes() > 0; }
   /// Whether the caller has not received its last response whole, as far as can be known.
--- a/src/http1/tcp_listener.cpp
+++ b/src/http1/tcp_listener.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include "http1/socket_address.h"
 
 namespace pumicemast {
@@ -10,6 +12,13 @@
 
 constexpr int kAcceptsPerIteration = 32;
 constexpr int kListenBacklog = 512;
+/// Without a pause the loop would be busy with connections that it cannot accept.
+constexpr Duration kAcceptPause = milliseconds(50);
+
+/// Whether accepting failed for want of descriptors or memory.
+bool lacks_resources(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
 
 }  // namespace
 
@@ -39,10 +48,23 @@
 
 void TcpListener::on_readable() {
   for (int iteration = 0; iteration < kAcceptsPerIteration; ++iteration) {
+    if (!acceptor_.ready_to_accept()) {
+      pause();
+      return;
+    }
     const int accepted = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) return;
+    if (accepted < 0) {
+      if (lacks_resources(errno)) pause();
+      return;
+    }
     acceptor_.on_accepted(accepted);
   }
 }
 
+void TcpListener::pause() {
+  SocketPoller::instance().set_interest(registration_, false, false);
+  resume_timer_.start_once(
+      kAcceptPause, [this] { SocketPoller::instance().set_interest(registration_, true, false); });
+}
+
 }  // namespace pumicemast
--- a/src/http1/tcp_listener.h
+++ b/src/http1/tcp_listener.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "common/event_loop.h"
 #include "common/settings.h"
 #include "transport/connection_filter.h"
 #include "transport/socket_poller.h"
@@ -15,6 +16,9 @@
   class Acceptor {
    public:
     virtual ~Acceptor() = default;
+    /// Asked before each connection is accepted. While it returns false, new connections wait in
+    /// the system's queue.
+    virtual bool ready_to_accept() { return true; }
     /// The acceptor takes ownership of the descriptor.
     virtual void on_accepted(int descriptor) = 0;
   };
@@ -34,10 +38,12 @@
   void on_readable() override;
   void on_writable() override {}
   void on_broken() override {}
+  void pause();
 
   int descriptor_;
   Acceptor& acceptor_;
   SocketPoller::Registration registration_;
+  Timer resume_timer_;
 };
 
 }  // namespace pumicemast
--- a/tests/processes/hostile_clients_test.py
+++ b/tests/processes/hostile_clients_test.py
@@ -110,11 +110,14 @@
         await self.wait(self.answers)
 
     def launch(self, name, program, settings, stdout=None):
-        process = super().launch(name, program, settings, stdout)
-        if self.descriptors and name == "gateway":
-            resource.prlimit(process.pid, resource.RLIMIT_NOFILE,
-                             (self.descriptors, self.descriptors))
-        return process
+        if not self.descriptors or name != "gateway":
+            return super().launch(name, program, settings, stdout)
+        before = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, before[1]))
+        try:
+            return super().launch(name, program, settings, stdout)  # Inherits the limit.
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, before)
 
     def peak_resident_mb(self):
         status = Path(f"/proc/{self.gateway.pid}/status").read_text()
