Bound the connections and bodies of the status pages

What happened: 1,000 unfinished requests at the readiness address took 253 MB, 38 with compact heads, and each connection could have sent a body of 4 MB. The status pages are outside the memory budget.

Cause: StatusServer accepted any number of connections, with the limits of callers' requests.

Change: 128 connections, beyond which the same are closed as for callers; bodies up to 1 KB. A probe that opens a connection for each request is served whatever the others hold.

--- a/src/http1/status_server.cpp
+++ b/src/http1/status_server.cpp
@@ -2,11 +2,17 @@
 
 #include <vector>
 
+#include "common/event_loop.h"
+
 namespace pumicemast {
 namespace {
 
 constexpr Duration kIdleTimeout = seconds(60);
 constexpr Duration kHeadTimeout = seconds(3);
+constexpr std::size_t kMaximumConnections = 128;
+constexpr std::size_t kEvictedConnections = 16;
+/// The requests that are answered have no body.
+constexpr RequestLimits kLimits{16U * 1024U, 1024};
 constexpr int kStatusMethodNotAllowed = 405;
 
 }  // namespace
@@ -16,8 +22,15 @@
   return listener_ != nullptr;
 }
 
+bool StatusServer::ready_to_accept() {
+  if (connections_.size() >= kMaximumConnections) {
+    evict(connections_, kEvictedConnections, loop_now());
+  }
+  return connections_.size() < kMaximumConnections;
+}
+
 void StatusServer::on_accepted(int descriptor) {
-  auto connection = std::make_unique<CallerConnection>(descriptor, RequestLimits{}, *this);
+  auto connection = std::make_unique<CallerConnection>(descriptor, kLimits, *this);
   const CallerConnection* key = connection.get();
   connections_[key] = std::move(connection);
 }
--- a/src/http1/status_server.h
+++ b/src/http1/status_server.h
@@ -2,11 +2,10 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
-#include "http1/caller_connection.h"
+#include "http1/connection_eviction.h"
 #include "http1/deferred_deleter.h"
 #include "http1/tcp_listener.h"
 
@@ -30,6 +29,7 @@
   void expire(TimePoint now);
 
  private:
+  bool ready_to_accept() override;
   void on_accepted(int descriptor) override;
   void on_caller_request(CallerConnection& connection, ReceivedRequest request) override;
   void on_caller_disconnected(CallerConnection&) override {}
@@ -37,7 +37,7 @@
 
   Responder responder_;
   std::unique_ptr<TcpListener> listener_;
-  std::map<const CallerConnection*, std::unique_ptr<CallerConnection>> connections_;
+  CallerConnections connections_;
   DeferredDeleter deleter_;
 };
 
