Destroy closed connections while sockets are always ready

What happens: under constant load no idle source of lower priority has a turn, so that connections, attempts and their buffers that were closed stay in memory until the load ends, outside every budget.

Cause: DeferredDeleter used g_idle_add(), whose priority is below that of the sockets' poller and of timers.

Change: the same priority. Objects still outlive the callback that releases them.

Evidence: DeferredDeleterTest failed before. In the crowds of hostile_clients_test.py no growth from this was seen; found by reading.

--- a/src/http1/deferred_deleter.h
+++ b/src/http1/deferred_deleter.h
@@ -22,7 +22,10 @@
   template <class Object>
   void defer(std::unique_ptr<Object> object) {
     objects_.emplace_back(std::shared_ptr<void>(std::move(object)));
-    if (source_ == 0) source_ = g_idle_add(&DeferredDeleter::clear, this);
+    // The priority of sockets and timers: a lower one has no turn while sockets are always ready.
+    if (source_ == 0) {
+      source_ = g_idle_add_full(G_PRIORITY_DEFAULT, &DeferredDeleter::clear, this, nullptr);
+    }
   }
 
  private:
