Take no trailer for a field of a request's head

What happens: the fields after the last chunk of a body were added to those of the head and forwarded as such, after every check of the head; a crowd's trailers were kept with the request for its retries.

Cause: Boost.Beast reports trailers through the same event as fields of the head.

Change: MessageParser leaves them out (RFC 9110, section 6.5.1). Trailers of responses were not passed on before either.

Evidence: HttpReadersTest has a test that failed before.

--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -61,6 +61,8 @@
   void on_field_impl(boost::beast::http::field field, Text name, Text value,
                      Error& error) override {
     error = {};
+    // Trailers: only the definition of a field could allow taking it for one of the head.
+    if (this->is_header_done()) return;
     if (field == boost::beast::http::field::transfer_encoding &&
         !is_known_transfer_coding(view(value))) {
       error = boost::beast::http::error::bad_transfer_encoding;
--- a/tests/http1/http_readers_test.cpp
+++ b/tests/http1/http_readers_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(rejects_a_too_large_head_split_anywhere);
   CPPUNIT_TEST(rejects_a_request_with_two_lengths);
   CPPUNIT_TEST(rejects_a_request_with_an_unknown_transfer_coding);
+  CPPUNIT_TEST(takes_no_trailer_for_a_field_of_the_head);
   CPPUNIT_TEST(removes_hop_by_hop_fields);
   CPPUNIT_TEST(removes_what_any_connection_field_names);
   CPPUNIT_TEST(forwarding_takes_time_in_proportion_to_the_head);
@@ -234,6 +235,15 @@
     }
   }
 
+  void takes_no_trailer_for_a_field_of_the_head() {
+    RequestReader reader{RequestLimits{}};
+    CPPUNIT_ASSERT(reader.consume("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "1\r\na\r\n0\r\nX-Late: 1\r\n\r\n") == RequestStatus::complete);
+    const ReceivedRequest request = reader.take_request();
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), request.body);
+    CPPUNIT_ASSERT(!request.head.fields.contains("X-Late"));
+  }
+
   void removes_hop_by_hop_fields() {
     RequestReader reader{RequestLimits{}};
     reader.consume(
