Wait for the log line of a refusal before it is traced

Cause: a gateway writes its log twice a second, and the test read the file at once.

Change: the test waits until the line is there. The checks of its content are the same.

--- a/tests/processes/slow_reader_test.py
+++ b/tests/processes/slow_reader_test.py
@@ -167,6 +167,11 @@
     memory_mb = 64
     test_held_back_responses_arrive_whole_within_the_memory = None
 
+    async def refusal_is_logged(self):
+        """The gateway writes its log twice a second."""
+        log = (self.platform.folder / "gateway.log").read_text()
+        return "request id=refused outcome=refused" in log
+
     async def test_bodies_are_refused_and_slow_readers_cut_off(self):
         # So many that what is read before the first pause exceeds the budget.
         names = [f"slow{number}" for number in range(6 * SLOW_READERS)]
@@ -198,6 +203,7 @@
             return (await self.platform.call("POST", "/write/1", {
                 "X-Pumicemast-Request-Id": "accepted"}, body=body)).status == 200
         await self.platform.wait(accepted)
+        await self.platform.wait(self.refusal_is_logged)
         log = (self.platform.folder / "gateway.log").read_text()
         self.assertRegex(log, r"memory state=NORMAL->(FULL|EXCEEDED) held_bytes=\d+")
         self.assertIn("memory event=cut_off", log)
