Free the memory of relayed events

What was seen: a gateway of a 64 MB machine had a peak of 100 to 106 MB with 600 callers that read slowly, while its budget counted 33.5 MB. The check of slow_reader_test.py had no bound there.

Cause: EventSplitter kept the capacity of its buffer after an event had been relayed: the largest event and a read of 64 KB, for each stream. The budget counted the bytes in use. Resident memory grew with the number of connections at constant held bytes (13 MB to 100 MB with 459 held back).

Ruled out: what a paused connection queues; held bytes stay at the budget.

Change: the splitter frees its memory when less than half of it is used, as the input buffer does, and the budget counts allocated memory.

--- a/src/gateway/requests/request_forwarder_memory.cpp
+++ b/src/gateway/requests/request_forwarder_memory.cpp
@@ -25,7 +25,7 @@
 std::size_t RequestForwarder::buffered_bytes(RequestNumber number) const {
   const auto found = sessions_.find(number);
   if (found == sessions_.end()) return 0;
-  return found->second.buffered.size() + found->second.splitter.partial_bytes();
+  return allocated_bytes(found->second.buffered) + found->second.splitter.allocated_bytes();
 }
 
 }  // namespace pumicemast
--- a/src/http1/event_splitter.cpp
+++ b/src/http1/event_splitter.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http1/input_buffer.h"
+
 namespace pumicemast {
 namespace {
 
@@ -78,6 +80,7 @@
   }
   std::string complete_events = partial_.substr(0, consumed);
   partial_.erase(0, consumed);
+  release_unused(partial_);
   line_start_ -= consumed;
   searched_ -= std::min(searched_, consumed);
   return complete_events;
@@ -103,12 +106,14 @@
   const std::size_t kept = std::min(end, line_start_ + kKeptLineBytes);
   partial_.erase(kept, end - kept);
   partial_.erase(0, line_start_);
+  release_unused(partial_);
   line_start_ = 0;
   searched_ = 0;
 }
 
 void EventSplitter::discard_partial_event() {
   partial_.clear();
+  release_unused(partial_);
   line_start_ = 0;
   searched_ = 0;
   at_stream_start_ = true;
--- a/src/http1/event_splitter.h
+++ b/src/http1/event_splitter.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "http1/input_buffer.h"
 #include "http1/response_reader.h"
 
 namespace pumicemast {
@@ -28,6 +29,8 @@
   /// Removes and returns the bytes that take_complete_events() has not returned.
   std::string take_partial_event();
   std::size_t partial_bytes() const { return partial_.size(); }
+  /// Memory for the event that is not complete.
+  std::size_t allocated_bytes() const { return pumicemast::allocated_bytes(partial_); }
   void discard_partial_event();
   /// Drops the bytes of the event that is not complete, except what tells where it ends. For
   /// streams whose bytes are relayed as they arrive.
--- a/src/http1/input_buffer.cpp
+++ b/src/http1/input_buffer.cpp
@@ -8,6 +8,10 @@
 
 }  // namespace
 
+void release_unused(std::string& text) {
+  if (text.capacity() > kSmallBytes && text.capacity() > 2 * text.size()) text.shrink_to_fit();
+}
+
 void InputBuffer::consume(std::size_t count) {
   consumed_ += count;
   if (consumed_ == bytes_.size()) {
@@ -18,9 +22,7 @@
   if (2 * consumed_ < bytes_.size()) return;
   bytes_.erase(0, consumed_);
   consumed_ = 0;
-  if (bytes_.capacity() > kSmallBytes && bytes_.capacity() > 2 * bytes_.size()) {
-    bytes_.shrink_to_fit();
-  }
+  release_unused(bytes_);
 }
 
 void InputBuffer::clear() {
--- a/src/http1/input_buffer.h
+++ b/src/http1/input_buffer.h
@@ -12,6 +12,9 @@
   return text.capacity() > std::string().capacity() ? text.capacity() : 0;
 }
 
+/// Frees the memory that `text` has allocated, if its content takes less than half of it.
+void release_unused(std::string& text);
+
 /// Appends at the end and consumes at the front, both in constant time per byte. Gives memory back
 /// as bytes are consumed: a process has thousands of connections.
 class InputBuffer {
--- a/tests/gateway/gateway_cores_test.cpp
+++ b/tests/gateway/gateway_cores_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(keys_belong_to_tenants);
   CPPUNIT_TEST(events_are_split_independently_of_read_boundaries);
   CPPUNIT_TEST(incomplete_event_is_held_back);
+  CPPUNIT_TEST(memory_of_relayed_events_is_freed);
   CPPUNIT_TEST(newest_weight_version_never_decreases);
   CPPUNIT_TEST(each_version_has_its_own_changeover);
   CPPUNIT_TEST(version_discovered_late_uses_the_earliest_possible_naming_time);
@@ -71,6 +72,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("id: 7\ndata: x\n"), splitter.take_partial_event());
   }
 
+  void memory_of_relayed_events_is_freed() {
+    constexpr std::size_t kLarge = 512 * 1024;
+    constexpr std::size_t kSmall = 8 * 1024;
+    const std::string large = "data: " + std::string(kLarge, 'x');
+    EventSplitter splitter;
+    splitter.take_complete_events(large);
+    CPPUNIT_ASSERT(splitter.allocated_bytes() >= kLarge);
+    splitter.take_complete_events("\n\ndata: y");
+    CPPUNIT_ASSERT(splitter.allocated_bytes() < kSmall);
+    splitter.take_complete_events(large);
+    splitter.shorten_partial_event();
+    CPPUNIT_ASSERT(splitter.allocated_bytes() < kSmall);
+    splitter.take_complete_events(large);
+    splitter.discard_partial_event();
+    CPPUNIT_ASSERT(splitter.allocated_bytes() < kSmall);
+  }
+
   void newest_weight_version_never_decreases() {
     WeightTargets targets(seconds(7));
     const TimePoint now(seconds(10));
--- a/tests/processes/slow_reader_test.py
+++ b/tests/processes/slow_reader_test.py
@@ -212,6 +212,7 @@
                                 capture_output=True, text=True, check=True)
         self.assertIn("reason=memory status=503", traced.stdout)
         self.assertIn("memory state=", traced.stdout)
+        self.assertLess(self.platform.peak_resident_mb(), self.memory_mb)
 
 
 if __name__ == "__main__":
