--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -17,7 +17,6 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_protocol.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/memory/memory_budget.h"
 #include "gateway/peers/fleet_state.h"
 #include "gateway/requests/backend_connections.h"
 #include "gateway/requests/request_forwarder.h"
@@ -25,6 +24,7 @@
 #include "http1/connection_eviction.h"
 #include "http1/status_server.h"
 #include "http1/tcp_listener.h"
+#include "memory/memory_budget.h"
 
 namespace pumicemast {
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "common/metrics.h"
-#include "gateway/memory/memory_budget.h"
 #include "gateway/requests/request_forwarder.h"
 #include "http1/caller_connection.h"
+#include "memory/memory_budget.h"
 
 namespace pumicemast {
 
--- a/src/gateway/memory/memory_budget.h
+++ b/src/memory/memory_budget.h
@@ -1,4 +1,4 @@
-/// Decides how a gateway keeps what it holds for callers and back ends within one budget.
+/// Decides how a server keeps what it holds for callers and back ends within one budget.
 ///
 /// A decision core: no I/O. One rule, in this order: input that is no complete request is dropped
 /// beyond a share of the budget, connections whose callers read slowly are held back, large
--- a/tests/gateway/memory/memory_budget_test.cpp
+++ b/tests/memory/memory_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/memory/memory_budget.h"
+#include "memory/memory_budget.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
