Drop what is queued for a slow reader of two responses

What callers saw: nothing any more. A gateway on a machine of 64 MB, with 600 callers that read nothing and sent a further request after a small response, hung for good with a busy core once its memory was exceeded.

Cause: a caller that reads too slowly is cut off by a reset, but only once it has the responses before that one. Until then what was queued stayed, and counted; enforce_memory() selected the same caller again, without end. The same happens to a connection whose input is to be dropped while its last responses are delivered.

Evidence: test_slow_readers_of_two_responses_are_cut_off did not see a cut within 30 s, with the gateway at 93 percent of a core.

Ruled out: a reset at once. It would also discard earlier responses, which may arrive whole.

Change: abort_response() drops what is queued, which belongs to the response that breaks off, since a response begins when the one before it has been written; it drops pipelined input as well. A connection that closes after its response frees its input, and its unread bytes, which are dropped as they are read, do not count.

--- a/src/gateway/gateway_daemon_memory.cpp
+++ b/src/gateway/gateway_daemon_memory.cpp
@@ -164,6 +164,8 @@
   // What is left belongs to an earlier response on this connection.
   if (connection.handling()) on_caller_disconnected(connection);
   connection.abort_response();
+  // It stays open while earlier responses are not delivered.
+  account_memory(connection);
 }
 
 bool GatewayDaemon::abort_if_held_back(RequestNumber number) {
--- a/src/http1/caller_connection.cpp
+++ b/src/http1/caller_connection.cpp
@@ -159,7 +159,9 @@
 }
 
 std::size_t CallerConnection::input_memory_bytes() const {
-  const std::size_t unread = stream_.is_reading() ? 0 : stream_.unread_bytes();
+  // In the other states input is dropped as it arrives.
+  const bool keeps_input = state_ == State::waiting || state_ == State::handling;
+  const std::size_t unread = keeps_input && !stream_.is_reading() ? stream_.unread_bytes() : 0;
   return reader_.allocated_bytes() + unread;
 }
 
@@ -243,8 +245,15 @@
   flush();
   if (state_ == State::closed) return;  // The write failed.
   state_ = State::aborting;
-  // A reset would also discard what is left of the responses before this one.
-  if (earlier_responses_delivered()) reset();
+  // A reset would also discard what is left of the responses before this one, which have been
+  // written: a response begins only then.
+  if (earlier_responses_delivered()) {
+    reset();
+  } else {
+    stream_.drop_queued();
+    reader_.discard();
+    stream_.set_reading(true);
+  }
 }
 
 void CallerConnection::reset() {
@@ -262,6 +271,8 @@
 void CallerConnection::begin_closing() {
   if (state_ == State::closed) return;
   state_ = State::draining;
+  discard(reader_.pending_bytes());
+  reader_.discard();
   undelivered_ = 0;
   stream_.set_reading(true);
   if (stream_.queued_bytes() == 0) linger();
--- a/src/http1/caller_connection.h
+++ b/src/http1/caller_connection.h
@@ -87,7 +87,7 @@
   /// Drops input after the request in progress, and closes the connection after its response.
   void discard_pipelined();
   /// Resets the connection, so that the caller sees that the response is incomplete; if it still
-  /// receives earlier responses, only after these.
+  /// receives earlier responses, only after these. What is queued is dropped at once.
   void abort_response();
   /// Sends the buffered output; called once after a group of writes.
   void flush();
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -210,6 +210,14 @@
   }
 }
 
+void TcpStream::drop_queued() {
+  outgoing_.clear();
+  outgoing_offset_ = 0;
+  queued_bytes_ = 0;
+  writing_ = !connected_;
+  update_interest();
+}
+
 bool TcpStream::write_queued() {
   while (!outgoing_.empty()) {
     std::string_view remaining(outgoing_.front());
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -62,6 +62,8 @@
   void close();
   /// Resets the connection, so that the peer sees a failure instead of an orderly close.
   void reset();
+  /// Drops bytes that were not written to the socket. Only for a connection that will be reset.
+  void drop_queued();
   /// Closes this direction in an orderly way once all sent bytes have been delivered. Nothing may
   /// be queued. Bytes of the peer are still received.
   void shutdown_sending();
--- a/tests/http1/caller_delivery_test.cpp
+++ b/tests/http1/caller_delivery_test.cpp
@@ -201,8 +201,13 @@
     run_until([&] { return observer_.requests == 2; });
     CPPUNIT_ASSERT(connection_.undelivered_bytes() > 0);
     connection_.begin_response(200, "OK", {}, ResponseFraming::chunked);
-    connection_.write_body("event");
+    connection_.write_body(std::string(kLargeResponseBytes, 'e'));
+    connection_.flush();
+    CPPUNIT_ASSERT(connection_.queued_bytes() > 0);
+    send_text(std::string(1000, 'x'));
     connection_.abort_response();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connection_.queued_bytes());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connection_.input_memory_bytes());
     run_until([&] {
       if (connection_.is_open()) expire_after(milliseconds(1));
       return !read_some();
--- a/tests/processes/slow_reader_test.py
+++ b/tests/processes/slow_reader_test.py
@@ -24,6 +24,8 @@
 EVENTS = 64
 EVENT_BYTES = 64 * 1024
 PLAIN_BYTES = 900 * 1024
+SMALL_BYTES = 30 * 1024  # Fits into the gateway's socket buffer, and not into the caller's.
+SMALL_RECEIVE_BUFFER = 4 * 1024
 DEADLINE = {"X-Pumicemast-Deadline-Ms": "50000"}
 
 
@@ -51,7 +53,8 @@
 
 
 def plain_content(request):
-    return (request.encode() + b" ") * (PLAIN_BYTES // (len(request) + 1))
+    size = SMALL_BYTES if request.startswith("small") else PLAIN_BYTES
+    return (request.encode() + b" ") * (size // (len(request) + 1))
 
 
 def stream_content(request):
@@ -78,17 +81,21 @@
         self.route_fields = {"timeoutMs": 50000}
         super().configure(version, [feed, *extra], header_timeout_ms)
 
-    async def open_slow_reader(self, target, request):
+    async def open_slow_reader(self, target, request, receive_buffer=64 * 1024):
         """Sends a request with a small receive buffer, and reads nothing yet."""
         connection = socket.socket()
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         connection.setblocking(False)
         await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", self.callers))
         reader, writer = await asyncio.open_connection(sock=connection, limit=64 * 1024)
+        self.request_ahead(writer, target, request)
+        return reader, writer
+
+    @staticmethod
+    def request_ahead(writer, target, request):
         writer.write((f"GET {target} HTTP/1.1\r\nHost: api.example\r\nX-Api-Key: key\r\n"
                       f"X-Pumicemast-Request-Id: {request}\r\nX-Pumicemast-Deadline-Ms: 50000\r\n"
                       "\r\n").encode())
-        return reader, writer
 
     async def value(self, name):
         return await self.metric(name, self.metrics_port)
@@ -214,6 +221,23 @@
         self.assertIn("memory state=", traced.stdout)
         self.assertLess(self.platform.peak_resident_mb(), self.memory_mb)
 
+    async def test_slow_readers_of_two_responses_are_cut_off(self):
+        """The first response is not delivered when the second one is cut off."""
+        slow = []
+        for number in range(6 * SLOW_READERS):
+            slow.append(await self.platform.open_slow_reader("/read/1", f"small{number}",
+                                                             SMALL_RECEIVE_BUFFER))
+            writer = slow[-1][1]
+            writer.transport.pause_reading()
+            self.platform.request_ahead(writer, f"/feed/{number}", f"slow{number}")
+        await self.platform.wait_for_value("pumicemast_gateway_slow_readers_cut_total",
+                                           lambda cut: cut and cut > 0)
+        await asyncio.gather(*[self.read_in_time(f"fast{n}") for n in range(READERS_IN_TIME)])
+        for _, writer in slow:
+            writer.transport.abort()
+        self.assertIsNone(self.platform.gateway.poll())
+        self.assertLess(self.platform.peak_resident_mb(), self.memory_mb)
+
 
 if __name__ == "__main__":
     unittest.main(argv=[sys.argv[0], *sys.argv[2:]])
