Serve the project's own HTTP over http1, within the machine's memory

What was seen: 1,000 callers with legal heads of 64 KB made pumicemast-entry use 73 to 243 MB, on a machine of 64 MB (hostile_entry_test.py; unfinished bodies, whole heads of short lines or many names).

Cause: libsoup's server keeps whatever arrives. It bounds neither what all connections hold together nor their number, and tells nothing about requests that are not complete.

Ruled out: a bound around libsoup. It reports a request when its head is parsed, in its own form of many allocations, and gives no access to unfinished input.

Change: HttpServer uses the connections, the memory budget and the eviction that the gateway uses. Requests that do not fit are refused with 503 and Retry-After before they run, the longest unfinished input goes first, slow readers are cut off by a reset. limits.memory_mb of an entry, 512 by default; 16 and 4 MB for operators and status pages. Requests have 60 s to arrive, connections are closed after 120 s without one. The test states the memory of its machine in the entry's settings, as that of the gateway does; crowd and bound are the same. libsoup is not used any more.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -12,6 +12,8 @@
 /// Delay before the process quits, so that entries receive the final status before the
 /// connections close.
 constexpr Duration kQuitDelay = milliseconds(200);
+/// The requests that are answered have no body.
+constexpr HttpServerLimits kHttpLimits{{16U * 1024U, 1024}, 128, 4U << 20U};
 
 std::string text_of(const flatbuffers::String* text) { return text == nullptr ? "" : text->str(); }
 
@@ -59,8 +61,9 @@
 leaf::result<void> AgentDaemon::start() {
   BOOST_LEAF_CHECK(transfer_->listen());
   BOOST_LEAF_ASSIGN(
-      http_, HttpServer::listen(settings_.http_listen,
-                                [this](HttpExchangePointer exchange) { handle_http(exchange); }));
+      http_, HttpServer::listen(
+                 settings_.http_listen,
+                 [this](HttpExchangePointer exchange) { handle_http(exchange); }, kHttpLimits));
   if (settings_.is_engine) {
     supervisor_->start();  // The entries are connected when the engine is ready.
   } else {
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kForgetLostAfter = seconds(600);
 /// An agent's connection is closed when nothing arrives for this many silence limits.
 constexpr int kSilenceLimitsBeforeDrop = 4;
+constexpr HttpServerLimits kOperatorLimits{{64U * 1024U, 4U << 20U}, 256, 16U << 20U};
 
 std::uint64_t random_incarnation() {
   std::random_device entropy;
@@ -110,14 +111,19 @@
 
 leaf::result<void> EntryDaemon::start() {
   BOOST_LEAF_CHECK(hub_->listen(settings_.agents_listen));
+  HttpServerLimits callers_limits;
+  // The other half is for the process itself, and for what it holds for agents.
+  callers_limits.held_bytes = settings_.memory_bytes / 2;
+  BOOST_LEAF_ASSIGN(callers_,
+                    HttpServer::listen(
+                        settings_.callers_listen,
+                        [this](HttpExchangePointer exchange) { front_end_->on_exchange(exchange); },
+                        callers_limits));
   BOOST_LEAF_ASSIGN(
-      callers_, HttpServer::listen(settings_.callers_listen, [this](HttpExchangePointer exchange) {
-        front_end_->on_exchange(exchange);
-      }));
-  BOOST_LEAF_ASSIGN(operators_, HttpServer::listen(settings_.operators_listen,
-                                                   [this](HttpExchangePointer exchange) {
-                                                     handle_operator(exchange);
-                                                   }));
+      operators_,
+      HttpServer::listen(
+          settings_.operators_listen,
+          [this](HttpExchangePointer exchange) { handle_operator(exchange); }, kOperatorLimits));
   watcher_->start();
   control_->start();
   tick_timer_.start_repeating(kTickInterval, [this] { tick(); });
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -31,6 +31,9 @@
       static_cast<std::uint32_t>(settings.integer_or("limits", "entry_count", 1, {1, 100000}));
   result.queue_limit =
       static_cast<std::uint32_t>(settings.integer_or("limits", "queue_limit", 1024, {0, 1000000}));
+  result.memory_bytes =
+      static_cast<std::size_t>(settings.integer_or("limits", "memory_mb", 512, {32, 1 << 20}))
+      << 20U;
   result.queue_wait = settings.milliseconds_or("limits", "queue_wait_ms", 5000, kDurationMs);
   result.attempts =
       static_cast<std::uint32_t>(settings.integer_or("retry", "attempts", 3, {1, 20}));
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -34,6 +34,7 @@
   Duration silence_limit = seconds(3);
   std::size_t maximum_body_bytes = 16U << 20U;
   Duration drain_limit = seconds(600);
+  std::size_t memory_bytes = 512U << 20U;  ///< Of the machine.
 
   static EntrySettings read(Settings& settings);
   const std::string& process_name() const { return name; }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,9 +1,11 @@
 #include "http/http_server.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "common/log.h"
-#include "transport/connection_filter.h"
 
 namespace pumicemast {
 namespace {
@@ -11,44 +13,65 @@
 /// A draining server waits for this time after the last request, so that handshakes can complete
 /// and requests in transit can arrive.
 constexpr Duration kIdleBeforeDrained = milliseconds(300);
+constexpr Duration kDrainCheckInterval = milliseconds(50);
+constexpr Duration kSweepInterval = milliseconds(250);
+constexpr Duration kIdleTimeout = seconds(120);
+/// Time for a whole request, with its body.
+constexpr Duration kIncompleteTimeout = seconds(60);
+/// Fraction of the connections that are closed at a time when the limit is reached.
+constexpr std::size_t kEvictedFraction = 16;
+constexpr int kStatusUnavailable = 503;
 
-}  // namespace
+struct SplitTarget {
+  std::string_view path;
+  std::string_view query;
+};
 
-HttpExchange::HttpExchange(SoupServerMessage* message, std::shared_ptr<const bool> closing)
-    : message_(GObjectPointer<SoupServerMessage>::share(message)), closing_(std::move(closing)) {
-  g_signal_connect(message, "disconnected", G_CALLBACK(&HttpExchange::handle_disconnect), this);
-  g_signal_connect(message, "finished", G_CALLBACK(&HttpExchange::handle_finished), this);
-  soup_server_message_pause(message);
+/// Splits the target of a request, which proxies send with scheme and authority.
+SplitTarget split_target(std::string_view target) {
+  constexpr std::string_view kAuthority = "://";
+  const std::size_t authority =
+      target.starts_with('/') ? std::string_view::npos : target.find(kAuthority);
+  if (authority != std::string_view::npos) {
+    const std::size_t end = target.find_first_of("/?", authority + kAuthority.size());
+    target.remove_prefix(std::min(end, target.size()));
+  }
+  const std::size_t question = std::min(target.find('?'), target.size());
+  SplitTarget result{target.substr(0, question), target.substr(question)};
+  if (result.path.empty()) result.path = "/";
+  if (!result.query.empty()) result.query.remove_prefix(1);
+  return result;
 }
 
-HttpExchange::~HttpExchange() {
-  g_signal_handlers_disconnect_by_data(message_.get(), this);
-  if (!finished_ && connected_) abort();
+std::string response_fields(const std::string& content_type, const HttpHeaders& headers) {
+  std::string fields;
+  append_field(fields, "Content-Type", content_type);
+  for (const auto& [name, value] : headers) append_field(fields, name, value);
+  return fields;
 }
 
-void HttpExchange::handle_disconnect(SoupServerMessage*, gpointer self) {
-  auto* exchange = static_cast<HttpExchange*>(self);
-  if (!exchange->connected_) return;
-  exchange->connected_ = false;
-  if (exchange->finished_ || !exchange->on_disconnect_) return;
-  const auto callback = std::move(exchange->on_disconnect_);
-  callback();
+std::string retry_after_field() {
+  std::string fields;
+  append_field(fields, "Retry-After", "1");
+  return fields;
 }
 
-void HttpExchange::handle_finished(SoupServerMessage* message, gpointer self) {
-  handle_disconnect(message, self);
-}
+}  // namespace
+
+HttpExchange::HttpExchange(CallerConnection& connection, ReceivedRequest request)
+    : connection_(&connection), request_(std::move(request)) {}
 
-std::string HttpExchange::method() const { return soup_server_message_get_method(message_.get()); }
+HttpExchange::~HttpExchange() { abort(); }
 
 std::string HttpExchange::path() const {
-  return g_uri_get_path(soup_server_message_get_uri(message_.get()));
+  return std::string(split_target(request_.head.target).path);
 }
 
 std::string HttpExchange::query(const std::string& name) const {
-  const char* text = g_uri_get_query(soup_server_message_get_uri(message_.get()));
-  if (text == nullptr) return {};
-  GHashTable* table = soup_form_decode(text);
+  const std::string_view text = split_target(request_.head.target).query;
+  GHashTable* table = g_uri_parse_params(text.data(), static_cast<gssize>(text.size()), "&",
+                                         G_URI_PARAMS_WWW_FORM, nullptr);
+  if (table == nullptr) return {};
   const auto* value = static_cast<const char*>(g_hash_table_lookup(table, name.c_str()));
   std::string found = value == nullptr ? "" : value;
   g_hash_table_unref(table);
@@ -56,143 +79,224 @@
 }
 
 std::string HttpExchange::header(const std::string& name) const {
-  const char* value = soup_message_headers_get_one(
-      soup_server_message_get_request_headers(message_.get()), name.c_str());
-  return value == nullptr ? "" : value;
+  return std::string(field_value(request_.head.fields, name));
 }
 
-std::string HttpExchange::body() const {
-  SoupMessageBody* body = soup_server_message_get_request_body(message_.get());
-  return body->data == nullptr ? std::string()
-                               : std::string(body->data, static_cast<std::size_t>(body->length));
+std::size_t HttpExchange::request_bytes() const {
+  return request_.head.allocated_bytes() + request_.body.capacity();
 }
 
-void HttpExchange::set_response_headers(const HttpHeaders& headers) {
-  SoupMessageHeaders* target = soup_server_message_get_response_headers(message_.get());
-  for (const auto& [name, value] : headers) {
-    soup_message_headers_replace(target, name.c_str(), value.c_str());
-  }
-  if (*closing_) soup_message_headers_replace(target, "Connection", "close");
+CallerConnection* HttpExchange::release_connection() {
+  on_disconnect_ = nullptr;
+  return std::exchange(connection_, nullptr);
+}
+
+void HttpExchange::disconnect() {
+  if (connection_ == nullptr) return;
+  const auto callback = std::exchange(on_disconnect_, nullptr);
+  connection_ = nullptr;
+  if (callback) callback();
 }
 
 void HttpExchange::respond(unsigned status, const std::string& content_type,
                            const std::string& body, const HttpHeaders& headers) {
-  if (!connected_ || finished_) return;
-  finished_ = true;
-  set_response_headers(headers);
-  soup_server_message_set_status(message_.get(), status, nullptr);
-  soup_server_message_set_response(message_.get(), content_type.c_str(), SOUP_MEMORY_COPY,
-                                   body.data(), body.size());
-  soup_server_message_unpause(message_.get());
+  if (!connected()) return;
+  release_connection()->respond(static_cast<int>(status), response_fields(content_type, headers),
+                                body);
 }
 
 void HttpExchange::start_stream(unsigned status, const std::string& content_type,
                                 const HttpHeaders& headers) {
-  if (!connected_) return;
-  set_response_headers(headers);
-  SoupMessageHeaders* target = soup_server_message_get_response_headers(message_.get());
-  soup_message_headers_set_content_type(target, content_type.c_str(), nullptr);
-  soup_message_headers_set_encoding(target, SOUP_ENCODING_CHUNKED);
-  soup_server_message_set_status(message_.get(), status, nullptr);
-  soup_message_body_set_accumulate(soup_server_message_get_response_body(message_.get()), FALSE);
+  if (!connected()) return;
+  const int code = static_cast<int>(status);
+  connection_->begin_response(code, reason_phrase(code), response_fields(content_type, headers),
+                              ResponseFraming::chunked);
+  connection_->flush();
 }
 
 void HttpExchange::write(const std::string& bytes) {
-  if (!connected_ || finished_ || bytes.empty()) return;
-  soup_message_body_append(soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
-                           bytes.data(), bytes.size());
-  soup_server_message_unpause(message_.get());
+  if (!connected()) return;
+  connection_->write_body(bytes);
+  connection_->flush();
 }
 
 void HttpExchange::finish() {
-  if (!connected_ || finished_) return;
-  finished_ = true;
-  soup_message_body_complete(soup_server_message_get_response_body(message_.get()));
-  soup_server_message_unpause(message_.get());
+  if (connected()) release_connection()->end_response();
 }
 
 void HttpExchange::abort() {
-  if (!connected_ || finished_) return;
-  finished_ = true;
-  GIOStream* stream = soup_server_message_steal_connection(message_.get());
-  if (stream == nullptr) return;
-  g_io_stream_close(stream, nullptr, nullptr);
-  g_object_unref(stream);
+  if (connected()) release_connection()->abort_response();
+}
+
+HttpServer::HttpServer(Handler handler, HttpServerLimits limits)
+    : handler_(std::move(handler)), limits_(limits), budget_(limits.held_bytes) {
+  sweep_timer_.start_repeating(kSweepInterval, [this] { sweep(); });
 }
 
-HttpServer::HttpServer()
-    : server_(GObjectPointer<SoupServer>::adopt(
-          soup_server_new("server-header", "pumicemast", nullptr))) {
-  soup_server_add_handler(server_.get(), nullptr, &HttpServer::handle, this, nullptr);
-  g_signal_connect(server_.get(), "request-started", G_CALLBACK(&handle_request_started), this);
+HttpServer::~HttpServer() {
+  for (const auto& [connection, exchange] : exchanges_) {
+    if (const auto open = exchange.lock()) open->detach();
+  }
 }
 
 leaf::result<std::unique_ptr<HttpServer>> HttpServer::listen(const Address& address,
-                                                             Handler handler) {
-  std::unique_ptr<HttpServer> server(new HttpServer());
-  server->handler_ = std::move(handler);
-  GSocketAddress* socket_address =
-      g_inet_socket_address_new_from_string(address.host.c_str(), address.port);
-  GError* error = nullptr;
-  const gboolean bound = soup_server_listen(server->server_.get(), socket_address,
-                                            static_cast<SoupServerListenOptions>(0), &error);
-  g_object_unref(socket_address);
-  if (bound == FALSE) {
-    const std::string reason = error->message;
-    g_error_free(error);
-    return leaf::new_error(Error{ErrorCode::unavailable, address.to_string(), reason});
+                                                             Handler handler,
+                                                             HttpServerLimits limits) {
+  std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler), limits));
+  server->listener_ = TcpListener::listen(address, *server);
+  if (!server->listener_) {
+    return leaf::new_error(
+        Error{ErrorCode::unavailable, address.to_string(), "the address cannot be bound"});
   }
   return server;
 }
 
-HttpServer::~HttpServer() {
-  g_signal_handlers_disconnect_by_data(server_.get(), this);
-  for (GObject* message : open_requests_)
-    g_object_weak_unref(message, &handle_request_finalized, this);
-  soup_server_disconnect(server_.get());
+bool HttpServer::ready_to_accept() {
+  if (connections_.size() >= limits_.connections) {
+    evict(connections_, limits_.connections / kEvictedFraction + 1, loop_now());
+  }
+  return connections_.size() < limits_.connections;
+}
+
+void HttpServer::on_accepted(int descriptor) {
+  last_activity_ = loop_now();
+  auto connection = std::make_unique<CallerConnection>(descriptor, limits_.request, *this);
+  const CallerConnection* key = connection.get();
+  connection->caller_number = next_caller_++;
+  connections_by_number_[connection->caller_number] = connection.get();
+  connections_[key] = std::move(connection);
 }
 
-void HttpServer::handle(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
-                        gpointer self) {
-  auto* server = static_cast<HttpServer*>(self);
-  server->handler_(std::make_shared<HttpExchange>(message, server->draining_));
+bool HttpServer::admits_body(CallerConnection&, std::size_t bytes) {
+  return budget_.admits_body(bytes);
 }
 
-void HttpServer::handle_request_started(SoupServer*, SoupServerMessage* message, gpointer self) {
-  auto* server = static_cast<HttpServer*>(self);
-  const bool is_new = server->open_requests_.insert(G_OBJECT(message)).second;
-  if (is_new) g_object_weak_ref(G_OBJECT(message), &handle_request_finalized, server);
+void HttpServer::on_caller_request(CallerConnection& connection, ReceivedRequest request) {
+  last_activity_ = loop_now();
+  // Not before its next request: the caller of an idle connection may be about to send one.
+  if (draining_) connection.set_closing();
+  const std::size_t bytes = request.head.allocated_bytes() + request.body.size();
+  if (request.body_refused || !budget_.admits_request(bytes)) {
+    connection.respond(kStatusUnavailable, retry_after_field(), {});
+    account_memory(connection);
+    return;
+  }
+  auto exchange = std::make_shared<HttpExchange>(connection, std::move(request));
+  exchanges_[&connection] = exchange;
+  account_memory(connection);
+  handler_(std::move(exchange));
 }
 
-void HttpServer::handle_request_finalized(gpointer self, GObject* message) {
-  auto* server = static_cast<HttpServer*>(self);
-  server->open_requests_.erase(message);
-  if (*server->draining_) server->await_idle();
+void HttpServer::on_caller_disconnected(CallerConnection& connection) {
+  if (const auto exchange = find_exchange(connection)) exchange->disconnect();
 }
 
-void HttpServer::drain(std::function<void()> on_drained) {
-  if (*draining_) return;
-  *draining_ = true;
-  on_drained_ = std::move(on_drained);
-  refuse_connections();
-  await_idle();
+void HttpServer::on_caller_connection_closed(CallerConnection& connection) {
+  if (const auto exchange = find_exchange(connection)) exchange->disconnect();
+  exchanges_.erase(&connection);
+  budget_.remove(connection.caller_number);
+  connections_by_number_.erase(connection.caller_number);
+  auto node = connections_.extract(&connection);
+  if (!node.empty()) deleter_.defer(std::move(node.mapped()));
+}
+
+HttpExchangePointer HttpServer::find_exchange(const CallerConnection& connection) const {
+  const auto found = exchanges_.find(&connection);
+  return found == exchanges_.end() ? nullptr : found->second.lock();
+}
+
+void HttpServer::on_caller_progress(CallerConnection& connection) {
+  account_memory(connection);
+  drop_unadmitted_input();
+}
+
+void HttpServer::account_memory(CallerConnection& connection) {
+  if (!connection.is_open()) return;
+  CallerMemory memory;
+  memory.queued_response = connection.queued_bytes();
+  memory.response_read = connection.bytes_sent();
+  memory.held.unread_response = memory.queued_response;
+  const std::size_t input = connection.input_memory_bytes();
+  memory.held.request_body = std::min(input, connection.received_body_bytes());
+  memory.held.request_head = input - memory.held.request_body;
+  const std::size_t expected = connection.expected_body_bytes();
+  if (expected <= MemoryBudget::kSmallBodyBytes) memory.unadmitted_input = input;
+  memory.promised = expected - std::min(expected, memory.held.request_body);
+  if (const auto exchange = find_exchange(connection)) {
+    memory.held.request_head += exchange->request_bytes();
+  }
+  budget_.update(connection.caller_number, memory, loop_now());
+}
+
+void HttpServer::drop_unadmitted_input() {
+  // Refusing a request reports progress of its connection.
+  if (dropping_input_) return;
+  dropping_input_ = true;
+  while (const auto caller = budget_.next_to_drop_input()) {
+    CallerConnection& connection = *connections_by_number_.at(*caller);
+    if (connection.has_unfinished_request()) {
+      connection.refuse_unfinished(kStatusUnavailable, retry_after_field());
+    } else {
+      connection.discard_pipelined();
+    }
+    account_memory(connection);
+    // Input that arrived meanwhile and could not be dropped would be selected again and again.
+    if (budget_.next_to_drop_input() == caller) cut_off(connection);
+  }
+  dropping_input_ = false;
+}
+
+void HttpServer::cut_off(CallerConnection& connection) {
+  if (const auto exchange = find_exchange(connection)) exchange->disconnect();
+  connection.abort_response();
+  // It stays open while earlier responses are not delivered.
+  account_memory(connection);
+}
+
+void HttpServer::sweep() {
+  const TimePoint now = loop_now();
+  std::vector<CallerConnection*> open;
+  for (const auto& [key, connection] : connections_) open.push_back(connection.get());
+  for (CallerConnection* connection : open) {
+    connection->expire(now, kIdleTimeout, kIncompleteTimeout);
+    account_memory(*connection);
+  }
+  drop_unadmitted_input();
+  while (const auto slowest = budget_.next_to_cut_off(now)) {
+    cut_off(*connections_by_number_.at(*slowest));
+  }
 }
 
-void HttpServer::refuse_connections() {
-  GSList* listeners = soup_server_get_listeners(server_.get());
-  for (const GSList* each = listeners; each != nullptr; each = each->next) {
-    const bool refuses = refuse_new_connections(g_socket_get_fd(G_SOCKET(each->data)));
-    if (!refuses) LOG(WARNING) << "http event=filter state=REFUSED";
+void HttpServer::drain(std::function<void()> on_drained) {
+  if (draining_) return;
+  draining_ = true;
+  on_drained_ = std::move(on_drained);
+  last_activity_ = loop_now();
+  if (!listener_->refuse_new()) LOG(WARNING) << "http event=filter state=REFUSED";
+  for (const auto& [key, connection] : connections_) {
+    if (connection->handling()) connection->set_closing();
   }
-  g_slist_free(listeners);
+  check_drained();
 }
 
-void HttpServer::await_idle() {
-  idle_timer_.start_once(kIdleBeforeDrained, [this] {
-    if (!open_requests_.empty()) return;  // Called again when the last request has ended.
-    const auto drained = std::exchange(on_drained_, nullptr);
-    if (drained) drained();  // The callback may destroy this server.
+bool HttpServer::has_work() const {
+  return std::any_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+    const CallerConnection& connection = *entry.second;
+    return connection.handling() || connection.has_unfinished_request() ||
+           connection.has_pipelined() || connection.has_unread_input() ||
+           connection.is_delivering();
   });
 }
 
+void HttpServer::check_drained() {
+  const TimePoint now = loop_now();
+  if (has_work()) last_activity_ = now;
+  if (now - last_activity_ < kIdleBeforeDrained) {
+    drain_timer_.start_once(kDrainCheckInterval, [this] { check_drained(); });
+    return;
+  }
+  const auto drained = std::exchange(on_drained_, nullptr);
+  if (drained) drained();  // The callback may destroy this server.
+}
+
 }  // namespace pumicemast
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -76,6 +76,10 @@
   CPPUNIT_TEST(serves_requests_after_draining_until_destroyed);
   CPPUNIT_TEST(refuses_connections_while_draining);
   CPPUNIT_TEST(reports_an_address_in_use);
+  CPPUNIT_TEST(splits_and_decodes_targets);
+  CPPUNIT_TEST(refuses_a_request_that_its_memory_does_not_admit);
+  CPPUNIT_TEST(drops_the_oldest_unfinished_request_for_another);
+  CPPUNIT_TEST(closes_an_idle_connection_for_another);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -242,16 +246,82 @@
 
   void reports_an_address_in_use() { CPPUNIT_ASSERT(!listen(address_)); }
 
+  void splits_and_decodes_targets() {
+    respond_immediately_ = false;
+    const char* targets[] = {"/a%20b?x=1%2B2+3%26&y=", "http://here:80/a%20b?x=1%2B2+3%26"};
+    for (const char* target : targets) {
+      RawCaller caller(address_);
+      caller.send_bytes(std::string("GET ") + target + " HTTP/1.1\r\nHost: here\r\nX-A: b\r\n\r\n");
+      tests::run_until([&] { return pending_exchanges_.size() == 1; });
+      const HttpExchangePointer exchange = pending_exchanges_.back();
+      CPPUNIT_ASSERT_EQUAL(std::string("/a%20b"), exchange->path());
+      CPPUNIT_ASSERT_EQUAL(std::string("1+2 3&"), exchange->query("x"));
+      CPPUNIT_ASSERT_EQUAL(std::string(), exchange->query("y"));
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), exchange->header("x-a"));
+      respond_to_last();
+      tests::run_until([&] { return caller.has_complete_response(); });
+    }
+  }
+
+  void refuses_a_request_that_its_memory_does_not_admit() {
+    restart({.held_bytes = 64U * 1024U});
+    RawCaller caller(address_);
+    caller.send_bytes("POST /x HTTP/1.1\r\nHost: here\r\nContent-Length: 100000\r\n\r\n");
+    tests::run_until([&] {
+      caller.read_available();
+      return caller.received().starts_with("HTTP/1.1 503");
+    });
+    CPPUNIT_ASSERT(caller.received().find("Retry-After: 1\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(0, requests_);
+  }
+
+  void drops_the_oldest_unfinished_request_for_another() {
+    restart({.held_bytes = 64U * 1024U});
+    const std::string part = "GET /x HTTP/1.1\r\nX-Long: " + std::string(14000, 'x');
+    RawCaller first(address_);
+    first.send_bytes(part);
+    run_for(milliseconds(50));
+    RawCaller second(address_);
+    second.send_bytes(part);
+    tests::run_until([&] {
+      first.read_available();
+      return first.received().starts_with("HTTP/1.1 503");
+    });
+    second.send_bytes("\r\n\r\n");
+    tests::run_until([&] { return second.has_complete_response(); });
+  }
+
+  void closes_an_idle_connection_for_another() {
+    restart({.connections = 1});
+    RawCaller idle(address_);
+    idle.send_request();
+    tests::run_until([&] { return idle.has_complete_response(); });
+    RawCaller next(address_);
+    next.send_request();
+    tests::run_until([&] { return next.has_complete_response(); });
+    idle.read_available();
+    CPPUNIT_ASSERT(idle.ended());
+  }
+
  private:
+  void restart(const HttpServerLimits& limits) {
+    server_.reset();
+    server_ = listen(address_, limits);
+    CPPUNIT_ASSERT(server_);
+  }
+
   /// Returns null if the address cannot be bound.
-  std::unique_ptr<HttpServer> listen(const Address& address) {
+  std::unique_ptr<HttpServer> listen(const Address& address, const HttpServerLimits& limits = {}) {
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::unique_ptr<HttpServer>> {
-          return HttpServer::listen(address, [this](const HttpExchangePointer& exchange) {
-            ++requests_;
-            pending_exchanges_.push_back(exchange);
-            if (respond_immediately_) respond_to_last();
-          });
+          return HttpServer::listen(
+              address,
+              [this](const HttpExchangePointer& exchange) {
+                ++requests_;
+                pending_exchanges_.push_back(exchange);
+                if (respond_immediately_) respond_to_last();
+              },
+              limits);
         },
         [](const Error& error) {
           CPPUNIT_ASSERT(error.code == ErrorCode::unavailable);
--- a/tests/processes/hostile_entry_test.py
+++ b/tests/processes/hostile_entry_test.py
@@ -31,7 +31,8 @@
 
 
 class HostileEntryTest(ProcessTest):
-    fleet_options = {"zones": 1, "entries": 1, "engines": 1, "services": 1}
+    fleet_options = {"zones": 1, "entries": 1, "engines": 1, "services": 1,
+                     "entry": {"limits": {"entry_count": 1, "memory_mb": MEMORY_MB}}}
 
     def setUp(self):
         super().setUp()
