Release ended calls at the priority of sockets

Under constant load no idle source of lower priority has a turn, so that ended calls, and since all calls of HttpClient are streamed also their responses, would stay in memory until the load ends. The same cause as in DeferredDeleter. Found by reading; no growth was measured. HttpClientTest passes.

--- a/src/http/stream_call.cpp
+++ b/src/http/stream_call.cpp
@@ -73,7 +73,10 @@
 
 void StreamCall::release_self() {
   idle_timer_.cancel();
-  if (self_) g_idle_add(&StreamCall::drop, new std::shared_ptr<StreamCall>(std::move(self_)));
+  if (!self_) return;
+  // The priority of sockets and timers: a lower one has no turn while sockets are always ready.
+  g_idle_add_full(G_PRIORITY_DEFAULT, &StreamCall::drop,
+                  new std::shared_ptr<StreamCall>(std::move(self_)), nullptr);
 }
 
 gboolean StreamCall::drop(gpointer self) {
--- a/src/http/stream_call.h
+++ b/src/http/stream_call.h
@@ -1,7 +1,7 @@
 /// One call on its own connection whose response is delivered in pieces.
 ///
-/// Does not use libsoup, which treats a chunked response that ends between two chunks as complete,
-/// so that the stream of a crashed back end would look complete (tests/http/http_client_test.cpp).
+/// A chunked response that ends between two chunks is incomplete: the stream of a crashed back end
+/// must not look complete (tests/http/http_client_test.cpp).
 #pragma once
 
 #include <memory>
