Soak: crowds of callers beside the other faults

--crowds plays crowds of 400 callers with heads of very many short lines, bodies and trailers that do not come, requests ahead, and silence, while gateways are stopped, drained and killed. The peak resident memory of a gateway stays below the 64 MB of its machine, and the callers of the soak keep their rules.

--- a/tests/soak/fault_soak.py
+++ b/tests/soak/fault_soak.py
@@ -4,7 +4,7 @@
 requests and responses at callers and back ends; afterwards the system must serve as before.
 Usage: fault_soak.py BUILD_FOLDER [--seeds FIRST:COUNT[,...]] [--seconds N] [--only FAULT[,...]]
        [--limits] [--notices] [--restores] [--priorities] [--unframed]
-       [--slow-readers [KIND[,...]]] [--odd-entries] [--regressions] [--keep FOLDER]
+       [--slow-readers [KIND[,...]]] [--odd-entries] [--crowds] [--regressions] [--keep FOLDER]
 """
 
 import argparse
@@ -24,6 +24,7 @@
 import platform_test  # noqa: E402
 from process_test import known_failures  # noqa: E402
 from soak_checks import UNDISTURBED_S, Checks  # noqa: E402
+from soak_crowds import Crowds  # noqa: E402
 from soak_faults import PLANNED, Faults  # noqa: E402
 from soak_fleet import GATEWAYS, SoakPlatform  # noqa: E402
 from soak_framing import Framing  # noqa: E402
@@ -55,11 +56,12 @@
     unframed: bool = False  # Back ends answer without a length or chunks, and cut streams off.
     slow_readers: tuple = ()  # Kinds of slow callers, beside planned work in series.
     odd_entries: bool = False  # Another writer leaves odd entries in the list of back ends.
+    crowds: bool = False  # Crowds of callers send odd requests, or never complete them.
 
     def __str__(self):
         fault_list = " of " + ",".join(self.faults) if self.faults else ""
         extras = [name for name in ("limits", "notices", "restores", "priorities", "unframed",
-                                      "slow_readers", "odd_entries")
+                                      "slow_readers", "odd_entries", "crowds")
                   if getattr(self, name)]
         return f"seed {self.seed}{fault_list}" + "".join(f" with {name}" for name in extras)
 
@@ -94,6 +96,9 @@
         self.odd_entries = OddEntries(self.platform, self.checks, self.faults,
                                       random.Random(f"odd entries {seed}"))
         self.odd_entries_enabled = False
+        self.crowds = Crowds(self.platform, self.checks, self.faults,
+                             random.Random(f"crowds {seed}"))
+        self.crowds_enabled = False
         self.simulates_suspend = random.Random(f"clock {seed}").random() < 0.5
 
     async def run(self):
@@ -105,6 +110,8 @@
             self.slow_readers.configure()
         if self.odd_entries_enabled:
             self.odd_entries.configure()
+        if self.crowds_enabled:
+            self.crowds.configure()
         await self.platform.start()
         self.checks.started_at = time.monotonic()
         self.end = self.checks.started_at + self.seconds
@@ -117,6 +124,8 @@
             callers += self.slow_readers.start()
         if self.odd_entries_enabled:
             callers.append(asyncio.create_task(self.odd_entries.run(self.load)))
+        if self.crowds_enabled:
+            callers.append(asyncio.create_task(self.crowds.run(self.load)))
         limits = asyncio.create_task(self.limits.run()) if self.limits_enabled else None
         notices = asyncio.create_task(self.notices.run()) if self.notices_enabled else None
         framing = asyncio.create_task(self.framing.run(self.end)) \
@@ -201,6 +210,7 @@
     soak.unframed_enabled = plan.unframed
     soak.slow_readers.kinds = list(plan.slow_readers)
     soak.odd_entries_enabled = plan.odd_entries
+    soak.crowds_enabled = plan.crowds
     asyncio.run(soak.run())
     checks = soak.checks
     clock = " (frozen processes see a suspended machine)" if soak.simulates_suspend else ""
@@ -218,7 +228,9 @@
              f"responses: {format_counts(soak.slow_readers.outcomes)}"
              if plan.slow_readers else "")
           + (f"\n  odd entries: {format_counts(soak.odd_entries.left)}; back ends that came and "
-             f"went {soak.odd_entries.joined}" if plan.odd_entries else ""), flush=True)
+             f"went {soak.odd_entries.joined}" if plan.odd_entries else "")
+          + (f"\n  crowds: {format_counts(soak.crowds.played)}; peak of a gateway "
+             f"{soak.crowds.peak_mb:.0f} MB" if plan.crowds else ""), flush=True)
     for violation in checks.violations:
         print("  " + violation, flush=True)
     if checks.violations and keep:
@@ -279,6 +291,8 @@
                              "kinds of callers, separated by commas, or all")
     parser.add_argument("--odd-entries", action="store_true",
                         help="another writer also leaves odd entries in the list of back ends")
+    parser.add_argument("--crowds", action="store_true",
+                        help="crowds of callers also send odd requests, or never complete them")
     parser.add_argument("--regressions", action="store_true", help="also run the regression seeds")
     parser.add_argument("--keep", help="folder in which to keep the logs of failed seeds")
     return parser.parse_args(ARGUMENTS)
@@ -299,7 +313,7 @@
     plans = [Plan(seed, arguments.seconds, only, arguments.limits, arguments.notices,
                   arguments.restores, arguments.priorities, arguments.unframed,
                   tuple(filter(None, arguments.slow_readers.split(","))),
-                  arguments.odd_entries)
+                  arguments.odd_entries, arguments.crowds)
              for seed in read_seeds(arguments.seeds)]
     if arguments.regressions:
         plans += regressions()
--- a/tests/soak/soak_option_checks_test.py
+++ b/tests/soak/soak_option_checks_test.py
@@ -1,6 +1,7 @@
 """Tests of the checks of the soak's options: each must report a history that breaks its rule."""
 
 import signal
+import subprocess
 import sys
 import time
 import unittest
@@ -10,6 +11,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 from soak_checks_test import GATEWAY, HistoryTest  # noqa: E402
 from soak_checks import DEADLINE_S, UNDISTURBED_S  # noqa: E402
+from soak_crowds import MEMORY_MB, Crowds  # noqa: E402
+from soak_fleet import GATEWAYS  # noqa: E402
 
 
 class SlowReadersChecksTest(HistoryTest):
@@ -98,5 +101,27 @@
         self.assertEqual([], self.violated_rules())
 
 
+class CrowdsChecksTest(HistoryTest):
+    def check_memory(self, mb):
+        """Checks a gateway that has allocated `mb` megabytes, twice in the same life."""
+        program = f"block = bytearray(b'x') * ({mb} << 20); print(flush=True); input()"
+        with subprocess.Popen([sys.executable, "-c", program], stdin=subprocess.PIPE,
+                              stdout=subprocess.PIPE) as process:
+            process.stdout.readline()
+            platform = SimpleNamespace(gateways={host: process for host in GATEWAYS})
+            self.checks.incarnations.update({host: 1 for host in GATEWAYS})
+            crowds = Crowds(platform, self.checks, None, None)
+            crowds.check_memory()
+            crowds.check_memory()
+            process.kill()
+        return self.violated_rules()
+
+    def test_a_gateway_beyond_the_memory_of_its_machine(self):
+        self.assertEqual(["MEMORY"] * len(GATEWAYS), self.check_memory(MEMORY_MB))
+
+    def test_a_gateway_within_the_memory_of_its_machine(self):
+        self.assertEqual([], self.check_memory(1))
+
+
 if __name__ == "__main__":
     unittest.main()
