Play the holders of connections in a process of their own

What was seen: two of three FewDescriptorsTest failed in a whole run of the tests, and in three of three plays after it: an ordinary caller had no answer within 20 s.

Cause: the test. Its 800 callers, which open a connection whenever one is closed, ran on the loop of the process that also plays the back ends and the ordinary caller. They took 21 of 23 s of processor time on this machine; the back ends answered after the deadline of the request.

Change: the callers run in another process, with the same number, text and pause. The checks and bounds are the same, and the process must live until the end.

--- a/tests/processes/hostile_clients_test.py
+++ b/tests/processes/hostile_clients_test.py
@@ -343,36 +343,22 @@
     descriptors = DESCRIPTORS
     limits = {"idleTimeoutMs": LONG_TIMEOUT_MS}
 
-    async def hold_connection(self, part):
-        """Keeps a connection open, and opens another one whenever it is closed."""
-        while True:
-            connection = await self.platform.connect()
-            if connection is None:
-                await asyncio.sleep(0.1)
-                continue
-            reader, writer = connection
-            try:
-                writer.write(part)
-                while await reader.read(1 << 16):
-                    pass
-            except OSError:
-                pass  # Reset.
-            finally:
-                writer.transport.abort()
-            await asyncio.sleep(0.1)
-
     async def check_served_beside(self, part):
-        crowd = [asyncio.create_task(self.hold_connection(part)) for _ in range(2 * DESCRIPTORS)]
+        holders = await asyncio.create_subprocess_exec(
+            sys.executable, Path(__file__).with_name("connection_holders.py"), "127.0.0.1",
+            str(self.platform.callers), str(2 * DESCRIPTORS), "0.1", stdin=asyncio.subprocess.PIPE)
         try:
+            holders.stdin.write(part)
+            holders.stdin.close()
             await asyncio.sleep(1)
             for _ in range(8):
                 await self.platform.wait(self.platform.answers, 20)
                 self.assertLess(self.platform.open_descriptors(), DESCRIPTORS)
             await self.check()
+            self.assertIsNone(holders.returncode)
         finally:
-            for holder in crowd:
-                holder.cancel()
-            await asyncio.gather(*crowd, return_exceptions=True)
+            holders.kill()
+            await holders.wait()
 
     async def test_connections_without_a_request(self):
         await self.check_served_beside(b"")
