--- a/tests/fuzz/bad_bytes_test.cpp
+++ b/tests/fuzz/bad_bytes_test.cpp
@@ -218,6 +218,8 @@
   CPPUNIT_TEST(requests);
   CPPUNIT_TEST(responses);
   CPPUNIT_TEST(responses_without_framing);
+  CPPUNIT_TEST(memory_of_requests_of_many_lines);
+  CPPUNIT_TEST(memory_of_responses_of_many_lines);
   CPPUNIT_TEST(event_streams);
   CPPUNIT_TEST(frames);
   CPPUNIT_TEST(crash_updates);
@@ -247,6 +249,33 @@
     }
   }
 
+  /// Checks what readers allocate for heads of short and odd lines, after each piece of them.
+  template <class MakeReader>
+  void check_memory(const std::string& start, MakeReader make_reader) {
+    // Text grows by doubling, as received and as parsed.
+    constexpr std::size_t kBytesPerByte = 4;
+    constexpr std::size_t kAlwaysAllowed = 4096;
+    constexpr std::size_t kLines = 4000;
+    const std::vector<std::string> lines = {
+        "a:\r\n", "a: \r\n", "a:\r\n b\r\n", "Connection:a,b\r\n", "Accept:1\r\n", "b:\t\r\n"};
+    for (std::uint64_t number = 0; number < cases_ / 10; ++number) {
+      tests::ByteMutator mutator(seed_ * cases_ + number, lines);
+      std::string head = start;
+      for (std::size_t line = 0; line < kLines; ++line) head += lines[number % lines.size()];
+      const std::string bad = number % 2 == 0 ? head : mutator.mutate(head);
+      auto reader = make_reader();
+      std::size_t received = 0;
+      for (const std::string_view piece : mutator.cut(bad)) {
+        const auto status = reader.consume(piece);
+        received += piece.size();
+        CPPUNIT_ASSERT_MESSAGE(
+            "case " + std::to_string(number) + " of seed " + std::to_string(seed_),
+            reader.allocated_bytes() <= kBytesPerByte * received + kAlwaysAllowed);
+        if (status != decltype(status)::need_more) break;
+      }
+    }
+  }
+
  public:
   void readings_that_differ_are_told_apart() {
     CPPUNIT_ASSERT(agree({true, "ab"}, {true, "ab"}));
@@ -278,6 +307,18 @@
                  [](const Pieces& pieces) { return read_response(pieces); });
   }
 
+  void memory_of_requests_of_many_lines() {
+    check_memory("GET /a HTTP/1.1\r\n", [] { return RequestReader(RequestLimits{64 << 10, 256}); });
+  }
+
+  void memory_of_responses_of_many_lines() {
+    check_memory("HTTP/1.1 200 OK\r\n", [] {
+      ResponseReader reader;
+      reader.begin(false);
+      return reader;
+    });
+  }
+
   void event_streams() {
     check_pieces(kEvents,
                  {"\n\n", "\r\n\r\n", "\r\r", "id: ", "id:\n", "data: ", "\r", ":", "retry:"},
--- a/tests/processes/hostile_clients_test.py
+++ b/tests/processes/hostile_clients_test.py
@@ -353,7 +353,8 @@
             await asyncio.sleep(1)
             for _ in range(8):
                 await self.platform.wait(self.platform.answers, 20)
-                self.assertLess(self.platform.open_descriptors(), DESCRIPTORS)
+                # A share is left for back ends, peers and the store.
+                self.assertLess(self.platform.open_descriptors(), DESCRIPTORS * 7 // 8)
             await self.check()
             self.assertIsNone(holders.returncode)
         finally:
