--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 import sys
 
 files = ["tests/processes/platform_standin.py"] + glob.glob("review/common-2/*.py")
-files += glob.glob("review/[45678]/*.py")
+files += glob.glob("review/[45678]/*.py") + glob.glob("review/further-2/*.py")
 for path in files:
     with open(path) as source:
         compile(source.read(), path, "exec")
